--- /dev/null
+++ b/packages/protocol/src/callers/problem.ts
@@ -0,0 +1,99 @@
+/**
+ * Refusals towards callers: RFC 9457 problem details with what is known of the submission and of the order.
+ */
+
+/** Whether this router handed anything of this request to a target. */
+export enum Submission {
+  NotSent = 'not-sent',
+  Sent = 'sent'
+}
+
+/** What is known of the whole order, under any entry VM and any earlier submission. */
+export enum OrderState {
+  NotRun = 'not-run',
+  Run = 'run',
+  Unknown = 'unknown'
+}
+
+/** The closed set of reasons for a refusal. */
+export enum ProblemType {
+  MalformedRequest = 'malformed-request',
+  Unauthenticated = 'unauthenticated',
+  Forbidden = 'forbidden',
+  UnknownModel = 'unknown-model',
+  UnknownVersion = 'unknown-version',
+  UnknownAdapter = 'unknown-adapter',
+  UnknownService = 'unknown-service',
+  UnknownOperation = 'unknown-operation',
+  UnknownPath = 'unknown-path',
+  MethodNotAllowed = 'method-not-allowed',
+  BodyTooLarge = 'body-too-large',
+  HeadersTooLarge = 'headers-too-large',
+  RequestTimeout = 'request-timeout',
+  KeyRequired = 'idempotency-key-required',
+  KeyReused = 'idempotency-key-reused',
+  KeyExpired = 'idempotency-key-expired',
+  OrderUncertain = 'order-uncertain',
+  LimitReached = 'limit-reached',
+  Overloaded = 'overloaded',
+  DeadlineUnreachable = 'deadline-unreachable',
+  NoPath = 'no-path',
+  TargetFailed = 'target-failed',
+  ClaimsUnavailable = 'claims-unavailable',
+  NotReady = 'not-ready'
+}
+
+/** A refusal in the shape of RFC 9457. */
+export interface Problem {
+  type: ProblemType
+  title: string
+  status: number
+  detail: string
+  submission: Submission
+  order: OrderState
+  retryAfterSeconds?: number
+}
+
+/** Status code and title of each reason. */
+export const PROBLEM_FORMS: Record<ProblemType, { status: number, title: string }> = {
+  [ProblemType.MalformedRequest]: { status: 400, title: 'The request is malformed' },
+  [ProblemType.Unauthenticated]: { status: 401, title: 'The key is missing or unknown' },
+  [ProblemType.Forbidden]: { status: 403, title: 'The workspace may not use this' },
+  [ProblemType.UnknownModel]: { status: 404, title: 'The model is not served' },
+  [ProblemType.UnknownVersion]: { status: 404, title: 'The version is not served' },
+  [ProblemType.UnknownAdapter]: { status: 404, title: 'The adapter is not served' },
+  [ProblemType.UnknownService]: { status: 404, title: 'The service is not served' },
+  [ProblemType.UnknownOperation]: { status: 404, title: 'The service has no such operation' },
+  [ProblemType.UnknownPath]: { status: 404, title: 'Nothing is served here' },
+  [ProblemType.MethodNotAllowed]: { status: 405, title: 'The method is not allowed here' },
+  [ProblemType.BodyTooLarge]: { status: 413, title: 'The body is too large' },
+  [ProblemType.HeadersTooLarge]: { status: 431, title: 'The header is too large' },
+  [ProblemType.RequestTimeout]: { status: 408, title: 'The request did not arrive in time' },
+  [ProblemType.KeyRequired]: { status: 400, title: 'The operation needs an Idempotency-Key' },
+  [ProblemType.KeyReused]: { status: 422, title: 'The Idempotency-Key was used for another request' },
+  [ProblemType.KeyExpired]: { status: 410, title: 'The Idempotency-Key is older than what is kept' },
+  [ProblemType.OrderUncertain]: { status: 502, title: 'Whether the order ran is not known' },
+  [ProblemType.LimitReached]: { status: 429, title: 'The workspace reached its limit' },
+  [ProblemType.Overloaded]: { status: 503, title: 'The service is overloaded' },
+  [ProblemType.DeadlineUnreachable]: { status: 503, title: 'The deadline cannot be met' },
+  [ProblemType.NoPath]: { status: 503, title: 'No target can serve this now' },
+  [ProblemType.TargetFailed]: { status: 502, title: 'The target failed' },
+  [ProblemType.ClaimsUnavailable]: { status: 503, title: 'Orders cannot be claimed now' },
+  [ProblemType.NotReady]: { status: 503, title: 'The router has no configuration yet' }
+}
+
+/** Parts of a problem beyond its type. */
+export interface ProblemOptions {
+  submission?: Submission
+  order?: OrderState
+  retryAfterSeconds?: number
+}
+
+/**
+ * Makes a problem.
+ * @param options by default nothing was sent and nothing of the order ran; pass what differs.
+ */
+export function createProblem (type: ProblemType, detail: string, options: ProblemOptions = {}): Problem {
+  const { submission = Submission.NotSent, order = OrderState.NotRun, retryAfterSeconds } = options
+  return { type, ...PROBLEM_FORMS[type], detail, submission, order, retryAfterSeconds }
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,56 @@
+/**
+ * Messages, ports, the manifest and the platform's clients, shared by the router, the operators' tool and the stand-ins.
+ */
+export {
+  FailureKind, Step, describeFailure, failed, isCertainlyNotSent, success, type Failure, type Outcome
+} from './failure.js'
+export {
+  type RandomSource
+} from './random.js'
+export {
+  WriteResult, type KeyValueCallOptions, type KeyValueEntry, type KeyValueList, type KeyValuePort, type KeyValueRead,
+  type KeyValueWrite, type LeaseGrant, type WatchEvent, type WriteOutcome
+} from './platform/key-value.js'
+export {
+  VmState, vmEntrySchema, type VmEntry, type VmListPort
+} from './platform/vm-list.js'
+export { createEtcdKeyValue, type EtcdOptions } from './platform/etcd.js'
+export { createVmListClient } from './platform/vm-list-client.js'
+export { postJson, postStream, type JsonCallOptions } from './platform/http-json.js'
+export {
+  CacheEventKind, EngineEventKind, EngineOrderKind, EngineRole, FinishReason, cacheExportSchema, engineOrderSchema,
+  engineReportSchema, engineWireEventSchema, generationRequestSchema, heldPartSchema, layerRangeSchema, modelReferenceSchema,
+  orderEnvelopeSchema, pathStageSchema, receiptSchema, stageReceiptSchema, stepAnswerSchema, stepInputSchema,
+  stepRequestSchema, stepResultSchema, tokenSchema, type CacheExport, type EngineEvent, type EngineOrder, type EnginePort,
+  type EngineReport, type EngineWireEvent, type GenerationRequest, type HeldPart, type LayerRange, type ModelReference,
+  type PathStage, type Receipt, type StepInput, type StepRequest, type StepResult, type TargetAddress, type Token
+} from './targets/engine.js'
+export {
+  ServiceResult, type HeaderRecord, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort
+} from './targets/service.js'
+export {
+  OrderState, PROBLEM_FORMS, ProblemType, Submission, createProblem, type Problem, type ProblemOptions
+} from './callers/problem.js'
+export {
+  ClaimKind, DriverKind, RoutingLean, manifestSchema, type Manifest, type ManifestLink, type ManifestModel,
+  type ManifestObjectives, type ManifestOperation, type ManifestPart, type ManifestService, type ManifestTarget,
+  type ManifestWorkspace
+} from './manifest/schema.js'
+export {
+  CONFIGURATION_HEAD_KEY, CONFIGURATION_PART_PREFIX, StopSubject, configurationHeadSchema, plannedStopSchema,
+  type ConfigurationHead, type PlannedStop
+} from './manifest/head.js'
+export {
+  digestText, joinManifest, splitManifest, type ManifestPartContent
+} from './manifest/parts.js'
+export {
+  checkManifest, checkManifestText, type ManifestCheck, type ManifestFault
+} from './manifest/check.js'
+export {
+  PublishResult, changeHead, parseHead, publishManifest, readHead, type PublishOutcome
+} from './manifest/publish.js'
+export {
+  MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type GossipMessage,
+  type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus, type PeerHandler,
+  type PeerHandlers, type PeerMethods, type PeerPort, type TargetEvent
+} from './peers/messages.js'
--- /dev/null
+++ b/packages/protocol/src/peers/messages.ts
@@ -0,0 +1,112 @@
+/**
+ * Messages between entry VMs: the JSON-RPC 2.0 methods with their parameters and results.
+ */
+import type { ConfigurationHead } from '../manifest/head.js'
+import type { ManifestPartContent } from '../manifest/parts.js'
+import type { Outcome } from '../failure.js'
+import type { KeyValueRead, KeyValueWrite, WriteOutcome } from '../platform/key-value.js'
+
+/** The methods between entry VMs. */
+export enum PeerMethod {
+  Gossip = 'gossip.exchange',
+  ConfigurationHead = 'configuration.head',
+  ConfigurationParts = 'configuration.parts',
+  ClaimCommit = 'claims.commit',
+  ClaimInquiry = 'claims.inquiry',
+  KeyValueRelay = 'key-value.relay',
+  Status = 'status.read'
+}
+
+/** State of an entry VM in the membership. */
+export enum MemberState {
+  Alive = 'alive',
+  Suspect = 'suspect',
+  Leaving = 'leaving',
+  Gone = 'gone'
+}
+
+/** What a node says of an entry VM. */
+export interface MemberEntry {
+  /** Address of the peers' listener, `host:port`; names the node. */
+  address: string
+  vm: string
+  failureDomain: string
+  /** Greater for a later start of a process at the same address; raised also to refute a suspicion. */
+  incarnation: number
+  state: MemberState
+  /** Generation of the configuration in force at the node. */
+  generation: number
+}
+
+/** What a node says of a target. */
+export interface TargetEvent {
+  target: string
+  state: MemberState
+  /** Node that says so and its count of events, so that the latest word of a node wins. */
+  reporter: string
+  sequence: number
+  atMilliseconds: number
+}
+
+/** One gossip exchange; the answer has the same shape. */
+export interface GossipMessage {
+  sender: MemberEntry
+  members: MemberEntry[]
+  targetEvents: TargetEvent[]
+  /** Requests a second of heavy workspaces at the sender. */
+  demand: Record<string, number>
+}
+
+/** Asks a bucket's home to commit claim changes; the shapes are the claim protocol's own. */
+export interface ClaimCommitParameters {
+  bucket: string
+  changes: string[]
+}
+
+/** Asks the node that holds a claim what became of it. */
+export interface ClaimInquiryParameters {
+  bucket: string
+  keyDigest: string
+  attempt: string
+  /** How long the claimant may wait for the outcome, milliseconds. */
+  waitMilliseconds: number
+}
+
+/** A key-value call carried through a peer. */
+export type KeyValueRelayParameters = { kind: 'get', key: string } | { kind: 'compare-and-swap', write: KeyValueWrite }
+
+/** The result of a relayed call. */
+export type KeyValueRelayResult = { kind: 'get', outcome: Outcome<KeyValueRead> } | { kind: 'compare-and-swap', outcome: WriteOutcome }
+
+/** What a node tells operators of itself, as named sections. */
+export interface NodeStatus {
+  member: MemberEntry
+  sections: Record<string, unknown>
+}
+
+/** Parameters and result of each method. */
+export interface PeerMethods {
+  [PeerMethod.Gossip]: { parameters: GossipMessage, result: GossipMessage }
+  [PeerMethod.ConfigurationHead]: { parameters: Record<string, never>, result: { head?: ConfigurationHead } }
+  [PeerMethod.ConfigurationParts]: { parameters: { digests: string[] }, result: { parts: ManifestPartContent[] } }
+  [PeerMethod.ClaimCommit]: { parameters: ClaimCommitParameters, result: { outcomes: string[] } }
+  [PeerMethod.ClaimInquiry]: { parameters: ClaimInquiryParameters, result: { answer: string } }
+  [PeerMethod.KeyValueRelay]: { parameters: KeyValueRelayParameters, result: KeyValueRelayResult }
+  [PeerMethod.Status]: { parameters: Record<string, never>, result: NodeStatus }
+}
+
+/** Answers one method. */
+export type PeerHandler<M extends PeerMethod> =
+  (parameters: PeerMethods[M]['parameters'], peer: string) => Promise<PeerMethods[M]['result']>
+
+/** The handlers of a node; a missing one answers "method not found". */
+export type PeerHandlers = { [M in PeerMethod]?: PeerHandler<M> }
+
+/** Calls to other entry VMs. `call` never rejects. */
+export interface PeerPort {
+  call: <M extends PeerMethod>(
+    address: string, method: M, parameters: PeerMethods[M]['parameters'], deadlineMilliseconds: number
+  ) => Promise<Outcome<PeerMethods[M]['result']>>
+  /** Sets what this node answers. */
+  serve: (handlers: PeerHandlers) => void
+}
--- /dev/null
+++ b/packages/protocol/src/platform/etcd.ts
@@ -0,0 +1,168 @@
+/**
+ * Adapter of the key-value port to the etcd v3 JSON gateway: range, transaction, lease grant, keep-alive, revoke, watch.
+ */
+import { z } from 'zod'
+import { FailureKind, Step, failed, success, type Failure, type Outcome } from '../failure.js'
+import {
+  WriteResult, type KeyValueCallOptions, type KeyValueEntry, type KeyValuePort, type KeyValueWrite, type LeaseGrant,
+  type WatchEvent, type WriteOutcome
+} from './key-value.js'
+import { postJson, postStream } from './http-json.js'
+
+const DEFAULT_DEADLINE_MILLISECONDS = 1000
+
+const headerSchema = z.object({ revision: z.coerce.number().default(0) })
+const entrySchema = z.object({
+  key: z.string(),
+  value: z.string().default(''),
+  mod_revision: z.coerce.number(),
+  create_revision: z.coerce.number(),
+  lease: z.string().optional()
+})
+const rangeSchema = z.object({ header: headerSchema, kvs: z.array(entrySchema).default([]) })
+const transactionSchema = z.object({
+  header: headerSchema,
+  succeeded: z.boolean().default(false),
+  responses: z.array(z.object({ response_range: z.object({ kvs: z.array(entrySchema).default([]) }).optional() })).default([])
+})
+const grantSchema = z.object({ ID: z.string(), TTL: z.coerce.number() })
+const keepAliveSchema = z.object({ result: z.object({ ID: z.string(), TTL: z.coerce.number().default(0) }) })
+const watchSchema = z.object({
+  result: z.object({
+    header: headerSchema.optional(),
+    canceled: z.boolean().optional(),
+    events: z.array(z.object({ type: z.enum(['PUT', 'DELETE']).default('PUT'), kv: entrySchema.partial({ create_revision: true }) }))
+      .default([])
+  })
+})
+
+/** Options of the adapter. */
+export interface EtcdOptions {
+  /** Base addresses, `http://host:port`; tried in order when one can't be reached. */
+  endpoints: string[]
+  /** Deadline of a call that names none; 1,000 ms by default. */
+  deadlineMilliseconds?: number
+}
+
+/** Makes a key-value port that speaks the etcd v3 JSON gateway. */
+export function createEtcdKeyValue (options: EtcdOptions): KeyValuePort {
+  const endpoints = options.endpoints
+
+  async function call<T> (path: string, body: unknown, schema: z.ZodType<T>, callOptions?: KeyValueCallOptions): Promise<Outcome<T>> {
+    const deadline = callOptions?.deadlineMilliseconds ?? options.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS
+    let outcome: Outcome<T> | undefined
+    for (const endpoint of endpoints) {
+      outcome = await postJson(`${endpoint}${path}`, body, schema, Step.KeyValue, deadline)
+      if (outcome.ok || outcome.failure.kind !== FailureKind.Unreachable) return outcome
+    }
+    return outcome ?? failed(noEndpoint())
+  }
+
+  return {
+    async get (key, callOptions) {
+      const outcome = await call('/v3/kv/range', { key: encode(key) }, rangeSchema, callOptions)
+      if (!outcome.ok) return outcome
+      const entry = outcome.value.kvs[0]
+      return success({ entry: entry === undefined ? undefined : toEntry(entry), revision: outcome.value.header.revision })
+    },
+    async list (prefix, callOptions) {
+      const outcome = await call('/v3/kv/range', { key: encode(prefix), range_end: encode(prefixEnd(prefix)) }, rangeSchema, callOptions)
+      if (!outcome.ok) return outcome
+      return success({ entries: outcome.value.kvs.map(toEntry), revision: outcome.value.header.revision })
+    },
+    async compareAndSwap (write, callOptions) {
+      const outcome = await call('/v3/kv/txn', toTransaction(write), transactionSchema, callOptions)
+      return toWriteOutcome(outcome)
+    },
+    async grantLease (timeToLiveMilliseconds, callOptions) {
+      const body = { TTL: String(Math.ceil(timeToLiveMilliseconds / 1000)), ID: '0' }
+      const outcome = await call('/v3/lease/grant', body, grantSchema, callOptions)
+      return outcome.ok ? success(toGrant(outcome.value)) : outcome
+    },
+    async renewLease (leaseId, callOptions) {
+      const outcome = await call('/v3/lease/keepalive', { ID: leaseId }, keepAliveSchema, callOptions)
+      if (!outcome.ok) return outcome
+      const grant = toGrant(outcome.value.result)
+      if (grant.timeToLiveMilliseconds > 0) return success(grant)
+      return failed({ kind: FailureKind.Refused, step: Step.KeyValue, peer: endpoints[0] ?? '', detail: 'the lease has lapsed' })
+    },
+    async revokeLease (leaseId, callOptions) {
+      const outcome = await call('/v3/lease/revoke', { ID: leaseId }, z.object({}), callOptions)
+      return outcome.ok ? success(undefined) : outcome
+    },
+    watch: (key, afterRevision, signal) => watchKey(endpoints, key, afterRevision, signal)
+  }
+}
+
+async function * watchKey (endpoints: string[], key: string, afterRevision: number, signal: AbortSignal): AsyncIterable<WatchEvent[]> {
+  const body = { create_request: { key: encode(key), start_revision: String(afterRevision + 1) } }
+  for await (const line of postStream(`${endpoints[0] ?? ''}/v3/watch`, body, signal)) {
+    const message = watchSchema.safeParse(line)
+    if (!message.success || message.data.result.canceled === true) return
+    const events = message.data.result.events.map(event => toWatchEvent(event))
+    if (events.length > 0) yield events
+  }
+}
+
+function toWatchEvent (event: z.infer<typeof watchSchema>['result']['events'][number]): WatchEvent {
+  const key = decode(event.kv.key)
+  const revision = event.kv.mod_revision
+  if (event.type === 'DELETE') return { key, revision }
+  return { key, revision, entry: toEntry({ ...event.kv, create_revision: event.kv.create_revision ?? revision }) }
+}
+
+function toTransaction (write: KeyValueWrite): unknown {
+  const key = encode(write.key)
+  const change = write.value === undefined
+    ? { request_delete_range: { key } }
+    : { request_put: { key, value: encode(write.value), lease: write.leaseId } }
+  return {
+    compare: [{ key, target: 'MOD', result: 'EQUAL', mod_revision: String(write.expectedModRevision) }],
+    success: [change],
+    failure: [{ request_range: { key } }]
+  }
+}
+
+function toWriteOutcome (outcome: Outcome<z.infer<typeof transactionSchema>>): WriteOutcome {
+  if (!outcome.ok) return writeFailure(outcome.failure)
+  const { header, succeeded, responses } = outcome.value
+  if (succeeded) return { kind: WriteResult.Committed, revision: header.revision }
+  const current = responses[0]?.response_range?.kvs[0]
+  return { kind: WriteResult.Conflict, current: current === undefined ? undefined : toEntry(current), revision: header.revision }
+}
+
+function writeFailure (failure: Failure): WriteOutcome {
+  return failure.kind === FailureKind.Unreachable
+    ? { kind: WriteResult.NotSent, failure }
+    : { kind: WriteResult.Ambiguous, failure }
+}
+
+function toEntry (entry: z.infer<typeof entrySchema>): KeyValueEntry {
+  return {
+    key: decode(entry.key),
+    value: decode(entry.value),
+    modRevision: entry.mod_revision,
+    createRevision: entry.create_revision,
+    leaseId: entry.lease === '0' ? undefined : entry.lease
+  }
+}
+
+function toGrant (grant: { ID: string, TTL: number }): LeaseGrant {
+  return { leaseId: grant.ID, timeToLiveMilliseconds: grant.TTL * 1000 }
+}
+
+function prefixEnd (prefix: string): string {
+  return prefix.slice(0, -1) + String.fromCharCode(prefix.charCodeAt(prefix.length - 1) + 1)
+}
+
+function encode (text: string): string {
+  return Buffer.from(text).toString('base64')
+}
+
+function decode (text: string): string {
+  return Buffer.from(text, 'base64').toString()
+}
+
+function noEndpoint (): Failure {
+  return { kind: FailureKind.Unreachable, step: Step.KeyValue, peer: 'local', detail: 'no endpoint is set' }
+}
--- /dev/null
+++ b/packages/protocol/src/platform/vm-list-client.ts
@@ -0,0 +1,25 @@
+/**
+ * Adapter of the VM list port: `GET /v1/vms` answers `{ "vms": [...] }`.
+ */
+import { z } from 'zod'
+import { Step, success } from '../failure.js'
+import { postJson } from './http-json.js'
+import { vmEntrySchema, type VmListPort } from './vm-list.js'
+
+const LIST_DEADLINE_MILLISECONDS = 2000
+const listSchema = z.object({ vms: z.array(vmEntrySchema) })
+
+/**
+ * Makes a reader of the platform's VM list.
+ * @param endpoint base address, `http://host:port`.
+ */
+export function createVmListClient (endpoint: string): VmListPort {
+  return {
+    async list () {
+      const outcome = await postJson(
+        `${endpoint}/v1/vms`, undefined, listSchema, Step.VmList, LIST_DEADLINE_MILLISECONDS, { method: 'GET' }
+      )
+      return outcome.ok ? success(outcome.value.vms) : outcome
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/core.ts
@@ -0,0 +1,254 @@
+/**
+ * A stand-in model engine without sockets: steps, generations along a chain, orders, reports, cache export and import.
+ */
+import {
+  EngineEventKind, EngineOrderKind, EngineRole, FinishReason,
+  type CacheExport, type EngineOrder, type EngineReport, type EngineWireEvent, type GenerationRequest, type HeldPart,
+  type PathStage, type StepInput, type StepRequest, type StepResult
+} from '@wigeonlead/protocol'
+import { answerLength, runLayers, startState, tokenText } from './model.js'
+
+/** One run of a layer range, as the engine's ledger keeps it. */
+export interface LedgerEntry {
+  session: string
+  epoch: number
+  index: number
+  from: number
+  to: number
+}
+
+/** Faults that tests and the quickstart switch on. */
+export interface EngineFaults {
+  /** The engine answers nothing and breaks its connections after so many more steps. */
+  dieAfterSteps?: number
+  isDead: boolean
+  isStalled: boolean
+  /** Factor on each step's time. */
+  slowdown: number
+  /** Changes a step's result before it is answered. */
+  corrupt?: (result: StepResult) => StepResult
+}
+
+/** Options of an engine. */
+export interface EngineOptions {
+  name: string
+  held: HeldPart[]
+  /** Time of one step, milliseconds; 0 by default. */
+  stepMilliseconds?: number
+  /** The engine refuses orders with an old fencing token. */
+  checksFencing?: boolean
+}
+
+/** Carries a step to another stage of the chain. */
+export type ForwardStep = (stage: PathStage, request: StepRequest, signal: AbortSignal) => Promise<StepResult[]>
+
+/** A stand-in engine. */
+export interface Engine {
+  name: string
+  faults: EngineFaults
+  ledger: LedgerEntry[]
+  step: (request: StepRequest) => Promise<StepResult[]>
+  generate: (request: GenerationRequest, forward: ForwardStep, signal: AbortSignal) => AsyncIterable<EngineWireEvent>
+  cancel: (session: string, epoch: number) => void
+  /** @returns what was refused, or undefined. */
+  order: (fencingToken: number, order: EngineOrder) => string | undefined
+  report: () => EngineReport
+  exportCache: (session: string, epoch: number) => CacheExport | undefined
+  importCache: (cache: CacheExport, epoch: number) => void
+  /** Comes back empty, as after a restart. */
+  restart: () => void
+}
+
+interface SessionCache {
+  epoch: number
+  prompt: string
+  texts: string[]
+}
+
+/** Makes a stand-in engine. */
+export function createEngine (options: EngineOptions): Engine {
+  const faults: EngineFaults = { isDead: false, isStalled: false, slowdown: 1 }
+  const ledger: LedgerEntry[] = []
+  const sessions = new Map<string, SessionCache>()
+  const cancelled = new Map<string, number>()
+  let held = [...options.held]
+  let role = EngineRole.Both
+  let highestFencingToken = 0
+  let incarnation = 1
+  let running = 0
+
+  async function step (request: StepRequest): Promise<StepResult[]> {
+    countDown(faults)
+    await pause((options.stepMilliseconds ?? 0) * faults.slowdown)
+    while (faults.isStalled) await pause(20)
+    if (faults.isDead) throw new Error('the engine is dead')
+    return request.inputs.map(input => {
+      const result = runStep(input)
+      return faults.corrupt === undefined ? result : faults.corrupt(result)
+    })
+  }
+
+  function runStep (input: StepInput): StepResult {
+    const base = { session: input.session, epoch: input.epoch, index: input.index }
+    const refused = refuse(input)
+    if (refused !== undefined) return { ...base, refused }
+    const cache = cacheOf(input)
+    if (cache === undefined) return { ...base, refused: 'no cache of this session' }
+    const before = input.activation === undefined ? startState(input, cache.prompt, cache.texts) : readActivation(input.activation)
+    const state = runLayers(before, input.layers)
+    ledger.push({ ...base, ...input.layers })
+    const receipt = { target: options.name, layers: input.layers }
+    if (!input.isLast) return { ...base, receipt, activation: writeActivation(state) }
+    const finish = input.index + 1 >= answerLength(cache.prompt) ? FinishReason.Stop : undefined
+    return { ...base, receipt, token: tokenText(state), finish }
+  }
+
+  function refuse (input: StepInput): string | undefined {
+    if ((cancelled.get(input.session) ?? -1) >= input.epoch) return 'the epoch was cancelled'
+    const part = held.find(part => part.model === input.model && part.version === input.version &&
+      part.layers.from <= input.layers.from && part.layers.to >= input.layers.to)
+    if (part === undefined) return 'the layers are not held'
+    if (input.adapter !== undefined && !part.adapters.includes(input.adapter)) return 'the adapter is not held'
+    return undefined
+  }
+
+  function cacheOf (input: StepInput): SessionCache | undefined {
+    if (input.prefill !== undefined) {
+      const texts = input.prefill.prefix.map(token => token.text)
+      sessions.set(input.session, { epoch: input.epoch, prompt: input.prefill.prompt, texts })
+    }
+    const cache = sessions.get(input.session)
+    if (cache === undefined || cache.epoch !== input.epoch) return undefined
+    if (input.previousToken !== undefined) cache.texts.push(input.previousToken)
+    return cache.texts.length === input.index ? cache : undefined
+  }
+
+  async function * generate (request: GenerationRequest, forward: ForwardStep, signal: AbortSignal): AsyncIterable<EngineWireEvent> {
+    running += 1
+    try {
+      yield * generateTokens(request, forward, signal)
+    } finally {
+      running -= 1
+    }
+  }
+
+  async function * generateTokens (request: GenerationRequest, forward: ForwardStep, signal: AbortSignal): AsyncIterable<EngineWireEvent> {
+    const { attempt, session, epoch, stages } = request
+    let previousToken: string | undefined
+    for (let index = request.prefix.length; index < request.maximumTokens && !signal.aborted; index += 1) {
+      let activation: string | undefined
+      let last: StepResult | undefined
+      const receipts = []
+      for (const stage of stages) {
+        const input: StepInput = {
+          ...pickReference(request),
+          session,
+          epoch,
+          index,
+          layers: stage.layers,
+          prefill: previousToken === undefined ? { prompt: request.prompt, prefix: request.prefix } : undefined,
+          activation,
+          previousToken,
+          isLast: stage === stages.at(-1),
+          priority: request.priority
+        }
+        const call = { attempt, inputs: [input] }
+        last = stage.target === options.name ? (await step(call))[0] : await forwarded(forward, stage, call, signal)
+        if (last?.receipt === undefined) {
+          yield { kind: EngineEventKind.Failure, attempt, detail: last?.refused ?? 'no result', target: stage.target, notAccepted: index === request.prefix.length }
+          return
+        }
+        receipts.push(last.receipt)
+        activation = last.activation
+      }
+      const token = { index, text: last?.token ?? '' }
+      yield { kind: EngineEventKind.Token, attempt, token, receipt: { session, epoch, index, stages: receipts } }
+      previousToken = token.text
+      if (last?.finish !== undefined) {
+        yield { kind: EngineEventKind.Finish, attempt, reason: last.finish, tokens: index + 1 }
+        return
+      }
+    }
+    yield { kind: EngineEventKind.Finish, attempt, reason: FinishReason.Length, tokens: request.maximumTokens }
+  }
+
+  function order (fencingToken: number, change: EngineOrder): string | undefined {
+    if (options.checksFencing === true && fencingToken < highestFencingToken) return 'the fencing token is old'
+    highestFencingToken = Math.max(highestFencingToken, fencingToken)
+    if (change.kind === EngineOrderKind.SetRole) role = change.role
+    else held = held.filter(part => !isSamePart(part, change.part))
+    if (change.kind === EngineOrderKind.Load) held.push(change.part)
+    return undefined
+  }
+
+  return {
+    name: options.name,
+    faults,
+    ledger,
+    step,
+    generate,
+    cancel: (session, epoch) => { cancelled.set(session, Math.max(epoch, cancelled.get(session) ?? -1)) },
+    order,
+    report: () => ({
+      target: options.name,
+      incarnation: `${options.name}-${incarnation}`,
+      atMilliseconds: Date.now(),
+      running,
+      queued: 0,
+      tokensPerSecond: 0,
+      role,
+      held,
+      fencingToken: options.checksFencing === true ? highestFencingToken : undefined,
+      cacheEvents: []
+    }),
+    exportCache (session, epoch) {
+      const cache = sessions.get(session)
+      const part = held[0]
+      if (cache === undefined || cache.epoch !== epoch || part === undefined) return undefined
+      return { session, epoch, tokens: cache.texts.length, layers: part.layers, content: JSON.stringify(cache) }
+    },
+    importCache (cache, epoch) {
+      sessions.set(cache.session, { ...JSON.parse(cache.content) as SessionCache, epoch })
+    },
+    restart () {
+      incarnation += 1
+      held = []
+      sessions.clear()
+      cancelled.clear()
+      Object.assign(faults, { isDead: false, isStalled: false, dieAfterSteps: undefined })
+    }
+  }
+}
+
+async function forwarded (forward: ForwardStep, stage: PathStage, call: StepRequest, signal: AbortSignal): Promise<StepResult | undefined> {
+  try {
+    return (await forward(stage, call, signal))[0]
+  } catch {
+    return undefined
+  }
+}
+
+function countDown (faults: EngineFaults): void {
+  if (faults.dieAfterSteps !== undefined && --faults.dieAfterSteps < 0) faults.isDead = true
+}
+
+function isSamePart (left: HeldPart, right: HeldPart): boolean {
+  return left.model === right.model && left.version === right.version &&
+    left.layers.from === right.layers.from && left.layers.to === right.layers.to
+}
+
+function pickReference (request: GenerationRequest): Pick<StepInput, 'model' | 'version' | 'adapter'> {
+  return { model: request.model, version: request.version, adapter: request.adapter }
+}
+
+function writeActivation (state: number): string {
+  return Buffer.from(state.toString(16)).toString('base64')
+}
+
+function readActivation (activation: string): number {
+  return parseInt(Buffer.from(activation, 'base64').toString(), 16)
+}
+
+function pause (milliseconds: number): Promise<void> {
+  return milliseconds > 0 ? new Promise(resolve => setTimeout(resolve, milliseconds)) : Promise.resolve()
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/memory.ts
@@ -0,0 +1,80 @@
+/**
+ * The engine port over stand-in engines in memory.
+ */
+import {
+  EngineEventKind, FailureKind, Step, failed, success,
+  type EngineEvent, type EnginePort, type EngineWireEvent, type Failure, type GenerationRequest, type Outcome, type TargetAddress
+} from '@wigeonlead/protocol'
+import type { Engine, ForwardStep } from './core.js'
+
+/** Makes an engine port over engines by target name. */
+export function createMemoryEngines (engines: ReadonlyMap<string, Engine>): EnginePort {
+  const forward: ForwardStep = async (stage, request) => await alive(engines, stage.target).step(request)
+
+  async function call<T> (target: TargetAddress, step: Step, run: (engine: Engine) => T | Promise<T>): Promise<Outcome<T>> {
+    const engine = engines.get(target.target)
+    if (engine === undefined || engine.faults.isDead) return failed(unreachable(target, step))
+    try {
+      return success(await run(engine))
+    } catch (cause) {
+      return failed({ kind: FailureKind.Broken, step, peer: target.target, detail: String(cause), cause })
+    }
+  }
+
+  return {
+    generate: (target, request, signal) => generate(engines, forward, target, request, signal),
+    step: (target, request) => call(target, Step.Engine, engine => engine.step(request)),
+    cancel: (target, session, epoch) => call(target, Step.Engine, engine => engine.cancel(session, epoch)),
+    report: target => call(target, Step.Engine, engine => engine.report()),
+    async order (target, fencingToken, order) {
+      const outcome = await call(target, Step.EngineOrder, engine => engine.order(fencingToken, order))
+      if (!outcome.ok) return outcome
+      if (outcome.value === undefined) return success(undefined)
+      return failed({ kind: FailureKind.Refused, step: Step.EngineOrder, peer: target.target, detail: outcome.value })
+    },
+    async exportCache (target, session, epoch) {
+      const outcome = await call(target, Step.CacheTransfer, engine => engine.exportCache(session, epoch))
+      if (!outcome.ok) return outcome
+      if (outcome.value !== undefined) return success(outcome.value)
+      return failed({ kind: FailureKind.Refused, step: Step.CacheTransfer, peer: target.target, detail: 'no cache of this session' })
+    },
+    importCache: (target, cache, epoch) => call(target, Step.CacheTransfer, engine => engine.importCache(cache, epoch))
+  }
+}
+
+async function * generate (
+  engines: ReadonlyMap<string, Engine>, forward: ForwardStep, target: TargetAddress, request: GenerationRequest, signal: AbortSignal
+): AsyncIterable<EngineEvent> {
+  const engine = engines.get(target.target)
+  if (engine === undefined || engine.faults.isDead) {
+    yield { kind: EngineEventKind.Failure, attempt: request.attempt, failure: unreachable(target, Step.Engine) }
+    return
+  }
+  try {
+    for await (const event of engine.generate(request, forward, signal)) {
+      if (engine.faults.isDead) break
+      yield toEvent(event, target)
+    }
+  } catch {
+    // A dead stage breaks the chain; the failure below says so.
+  }
+  const failure: Failure = { kind: FailureKind.Broken, step: Step.Engine, peer: target.target, detail: 'the stream ended without a finish' }
+  yield { kind: EngineEventKind.Failure, attempt: request.attempt, failure }
+}
+
+function toEvent (event: EngineWireEvent, target: TargetAddress): EngineEvent {
+  if (event.kind !== EngineEventKind.Failure) return event
+  const kind = event.notAccepted === true ? FailureKind.Refused : FailureKind.Broken
+  const failure: Failure = { kind, step: Step.Engine, peer: event.target ?? target.target, detail: event.detail }
+  return { kind: event.kind, attempt: event.attempt, failure }
+}
+
+function alive (engines: ReadonlyMap<string, Engine>, name: string): Engine {
+  const engine = engines.get(name)
+  if (engine === undefined || engine.faults.isDead) throw new Error(`${name} can't be reached`)
+  return engine
+}
+
+function unreachable (target: TargetAddress, step: Step): Failure {
+  return { kind: FailureKind.Unreachable, step, peer: target.target, detail: 'no connection' }
+}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,14 @@
+/**
+ * Small stand-ins for what the router meets: the platform, engines and a plain service.
+ */
+export { listen, readJson, answerJson, type RunningServer } from './http.js'
+export { createKeyValueStore, type KeyValueStore, type StoreCounts, type StoreWrite } from './platform/store.js'
+export { createMemoryKeyValue, KeyValueFault, type MemoryKeyValueOptions } from './platform/memory.js'
+export { loopbackVm, startKeyValueServer, startVmListServer, type KeyValueServerOptions } from './platform/server.js'
+export {
+  createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry
+} from './engine/core.js'
+export { createMemoryEngines } from './engine/memory.js'
+export { startEngineServer } from './engine/server.js'
+export { answerLength, referenceAnswer } from './engine/model.js'
+export { createOrderService, startOrderServer, type Booking, type OrderService } from './service/orders.js'
--- /dev/null
+++ b/packages/stand-ins/src/platform/store.ts
@@ -0,0 +1,142 @@
+/**
+ * The key-value stand-in's state: revisions, compare-and-swap, leases that lapse, and watches. All calls are synchronous.
+ */
+import type { KeyValueEntry, KeyValueWrite, WatchEvent } from '@wigeonlead/protocol'
+
+/** Result of a compare-and-swap. */
+export type StoreWrite = { committed: true, revision: number } | { committed: false, current?: KeyValueEntry, revision: number }
+
+/** Counts of calls since the start. */
+export interface StoreCounts {
+  reads: number
+  writes: number
+}
+
+/** The state of the key-value stand-in. */
+export interface KeyValueStore {
+  revision: () => number
+  counts: StoreCounts
+  get: (key: string) => KeyValueEntry | undefined
+  list: (prefix: string) => KeyValueEntry[]
+  compareAndSwap: (write: KeyValueWrite) => StoreWrite
+  grantLease: (timeToLiveMilliseconds: number) => string
+  /** @returns the lease's time to live in milliseconds, or 0 where it has lapsed. */
+  renewLease: (leaseId: string) => number
+  revokeLease: (leaseId: string) => void
+  /** Calls back for each later change; `key` is exact. @returns what ends the watch. */
+  onChange: (key: string, callback: (event: WatchEvent) => void) => () => void
+  /** Changes of a key after a revision, as far as they are kept. */
+  changesSince: (key: string, afterRevision: number) => WatchEvent[]
+  /** A copy of all entries, for a restore from old state. */
+  snapshot: () => KeyValueEntry[]
+  restore: (entries: KeyValueEntry[], revision: number) => void
+}
+
+interface Lease {
+  timeToLiveMilliseconds: number
+  timer: NodeJS.Timeout
+}
+
+const HISTORY_LENGTH = 1000
+
+/** Makes an empty store. */
+export function createKeyValueStore (): KeyValueStore {
+  const entries = new Map<string, KeyValueEntry>()
+  const leases = new Map<string, Lease>()
+  const listeners = new Map<string, Set<(event: WatchEvent) => void>>()
+  const history: WatchEvent[] = []
+  const counts: StoreCounts = { reads: 0, writes: 0 }
+  let revision = 1
+  let nextLease = 1
+
+  function publish (event: WatchEvent): void {
+    history.push(event)
+    if (history.length > HISTORY_LENGTH) history.shift()
+    for (const listener of listeners.get(event.key) ?? []) listener(event)
+  }
+
+  function remove (key: string): void {
+    if (!entries.delete(key)) return
+    revision += 1
+    publish({ key, revision })
+  }
+
+  function lapse (leaseId: string): void {
+    clearTimeout(leases.get(leaseId)?.timer)
+    leases.delete(leaseId)
+    for (const entry of [...entries.values()]) {
+      if (entry.leaseId === leaseId) remove(entry.key)
+    }
+  }
+
+  function startLease (leaseId: string, timeToLiveMilliseconds: number): void {
+    clearTimeout(leases.get(leaseId)?.timer)
+    const timer = setTimeout(() => lapse(leaseId), timeToLiveMilliseconds)
+    timer.unref()
+    leases.set(leaseId, { timeToLiveMilliseconds, timer })
+  }
+
+  return {
+    revision: () => revision,
+    counts,
+    get (key) {
+      counts.reads += 1
+      return entries.get(key)
+    },
+    list (prefix) {
+      counts.reads += 1
+      return [...entries.values()].filter(entry => entry.key.startsWith(prefix)).sort((a, b) => a.key < b.key ? -1 : 1)
+    },
+    compareAndSwap (write) {
+      counts.writes += 1
+      const current = entries.get(write.key)
+      if ((current?.modRevision ?? 0) !== write.expectedModRevision) return { committed: false, current, revision }
+      if (write.value === undefined) {
+        remove(write.key)
+        return { committed: true, revision }
+      }
+      revision += 1
+      const entry: KeyValueEntry = {
+        key: write.key,
+        value: write.value,
+        modRevision: revision,
+        createRevision: current?.createRevision ?? revision,
+        leaseId: write.leaseId
+      }
+      entries.set(write.key, entry)
+      publish({ key: write.key, entry, revision })
+      return { committed: true, revision }
+    },
+    grantLease (timeToLiveMilliseconds) {
+      counts.writes += 1
+      const leaseId = String(nextLease++)
+      startLease(leaseId, timeToLiveMilliseconds)
+      return leaseId
+    },
+    renewLease (leaseId) {
+      counts.writes += 1
+      const lease = leases.get(leaseId)
+      if (lease === undefined) return 0
+      startLease(leaseId, lease.timeToLiveMilliseconds)
+      return lease.timeToLiveMilliseconds
+    },
+    revokeLease (leaseId) {
+      counts.writes += 1
+      lapse(leaseId)
+    },
+    onChange (key, callback) {
+      const set = listeners.get(key) ?? new Set()
+      listeners.set(key, set)
+      set.add(callback)
+      return () => set.delete(callback)
+    },
+    changesSince: (key, afterRevision) => history.filter(event => event.key === key && event.revision > afterRevision),
+    snapshot: () => [...entries.values()],
+    restore (restored, restoredRevision) {
+      entries.clear()
+      history.length = 0
+      for (const entry of restored) entries.set(entry.key, entry)
+      revision = restoredRevision
+    }
+  }
+}
--- /dev/null
+++ b/packages/wigeonlead/src/connection/engines.ts
@@ -0,0 +1,117 @@
+/**
+ * Adapter of the engine port to HTTP and JSON lines, as docs/INTERFACES.md describes it.
+ */
+import { Agent, request, type IncomingMessage } from 'node:http'
+import { createInterface } from 'node:readline'
+import { z } from 'zod'
+import {
+  EngineEventKind, FailureKind, Step, cacheExportSchema, engineReportSchema, engineWireEventSchema, failed, postJson,
+  stepAnswerSchema, success,
+  type EngineEvent, type EnginePort, type EngineWireEvent, type Failure, type GenerationRequest, type TargetAddress
+} from '@wigeonlead/protocol'
+
+const CONTROL_DEADLINE_MILLISECONDS = 2000
+const STEP_DEADLINE_MILLISECONDS = 30_000
+const CACHE_DEADLINE_MILLISECONDS = 10_000
+const EMPTY_SCHEMA = z.object({})
+
+/** Makes an engine port over HTTP. */
+export function createHttpEngines (): EnginePort {
+  const agent = new Agent({ keepAlive: true, maxFreeSockets: 256 })
+
+  return {
+    generate: (target, generation, signal) => generate(agent, target, generation, signal),
+    async step (target, stepRequest) {
+      const url = `http://${target.address}/v1/step`
+      const outcome = await postJson(url, stepRequest, stepAnswerSchema, Step.Engine, STEP_DEADLINE_MILLISECONDS)
+      if (!outcome.ok) return outcome
+      if (outcome.value.attempt === stepRequest.attempt) return success(outcome.value.results)
+      return failed(malformed(target, 'the answer belongs to another attempt'))
+    },
+    async cancel (target, session, epoch) {
+      return await post(target, '/v1/cancel', { session, epoch }, Step.Engine, CONTROL_DEADLINE_MILLISECONDS)
+    },
+    report: (target, deadlineMilliseconds) => postJson(
+      `http://${target.address}/v1/report`, undefined, engineReportSchema, Step.Engine, deadlineMilliseconds, { method: 'GET' }
+    ),
+    order: (target, fencingToken, order, deadlineMilliseconds) =>
+      post(target, '/v1/orders', { fencingToken, order }, Step.EngineOrder, deadlineMilliseconds),
+    exportCache: (target, session, epoch) => postJson(
+      `http://${target.address}/v1/cache/export`, { session, epoch }, cacheExportSchema, Step.CacheTransfer, CACHE_DEADLINE_MILLISECONDS
+    ),
+    importCache: (target, cache, epoch) => post(target, '/v1/cache/import', { cache, epoch }, Step.CacheTransfer, CACHE_DEADLINE_MILLISECONDS)
+  }
+}
+
+async function post (target: TargetAddress, path: string, body: unknown, step: Step, deadlineMilliseconds: number) {
+  const outcome = await postJson(`http://${target.address}${path}`, body, EMPTY_SCHEMA, step, deadlineMilliseconds)
+  return outcome.ok ? success(undefined) : outcome
+}
+
+async function * generate (
+  agent: Agent, target: TargetAddress, generation: GenerationRequest, signal: AbortSignal
+): AsyncIterable<EngineEvent> {
+  const connection = { isConnected: false }
+  try {
+    const response = await open(agent, target, generation, signal, connection)
+    if (response.statusCode !== 200) {
+      response.resume()
+      const status = response.statusCode ?? 0
+      yield failure(generation, { ...origin(target), kind: FailureKind.Refused, detail: `status ${status}`, status })
+      return
+    }
+    for await (const line of createInterface({ input: response, crlfDelay: Infinity })) {
+      if (line === '') continue
+      const event = readEvent(line, target, generation)
+      yield event
+      if (event.kind !== EngineEventKind.Token) return
+    }
+    yield failure(generation, { ...origin(target), kind: FailureKind.Broken, detail: 'the stream ended without a finish' })
+  } catch (cause) {
+    const kind = signal.aborted ? FailureKind.Aborted : connection.isConnected ? FailureKind.Broken : FailureKind.Unreachable
+    yield failure(generation, { ...origin(target), kind, detail: cause instanceof Error ? cause.message : String(cause), cause })
+  }
+}
+
+function open (
+  agent: Agent, target: TargetAddress, generation: GenerationRequest, signal: AbortSignal, connection: { isConnected: boolean }
+): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request(`http://${target.address}/v1/generate`, {
+      method: 'POST', agent, signal, headers: { 'content-type': 'application/json' }
+    })
+    outgoing.on('socket', socket => {
+      socket.setNoDelay(true)
+      if (!socket.connecting) connection.isConnected = true
+      else socket.once('connect', () => { connection.isConnected = true })
+    })
+    outgoing.on('response', resolve)
+    outgoing.on('error', reject)
+    outgoing.end(JSON.stringify(generation))
+  })
+}
+
+function readEvent (line: string, target: TargetAddress, generation: GenerationRequest): EngineEvent {
+  let event: EngineWireEvent
+  try {
+    event = engineWireEventSchema.parse(JSON.parse(line))
+  } catch (cause) {
+    return failure(generation, { ...malformed(target, 'not an event'), cause })
+  }
+  if (event.attempt !== generation.attempt) return failure(generation, malformed(target, 'the event belongs to another attempt'))
+  if (event.kind !== EngineEventKind.Failure) return event
+  const kind = event.notAccepted === true ? FailureKind.Refused : FailureKind.Broken
+  return failure(generation, { step: Step.Engine, peer: event.target ?? target.target, kind, detail: event.detail })
+}
+
+function failure (generation: GenerationRequest, failure: Failure): EngineEvent {
+  return { kind: EngineEventKind.Failure, attempt: generation.attempt, failure }
+}
+
+function malformed (target: TargetAddress, detail: string): Failure {
+  return { ...origin(target), kind: FailureKind.Malformed, detail }
+}
+
+function origin (target: TargetAddress): { step: Step, peer: string } {
+  return { step: Step.Engine, peer: target.target }
+}
--- /dev/null
+++ b/packages/wigeonlead/src/connection/index.ts
@@ -0,0 +1,8 @@
+/**
+ * What lives as long as a connection: listeners and the adapters of outside systems.
+ */
+export { createCallerListener } from './callers.js'
+export { createOperatorListener, type OperatorViews } from './operators.js'
+export { createHttpEngines } from './engines.js'
+export { createHttpServices } from './services.js'
+export { createHttpPeers, type HttpPeers, type PeerSecret } from './peers.js'
--- /dev/null
+++ b/packages/wigeonlead/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * The router as a library: a router made of settings and ports, for tests and other harnesses.
+ */
+export {
+  SILENT_LOGGER, checkSettings, createLogger, createRouter, createSeededRandom, createSystemRandom, readSettings, serveRouter,
+  settingsSchema,
+  type Logger, type Router, type RouterPorts, type RunningRouter, type Settings, type SettingsCheck, type SettingsInput
+} from './process/index.js'
+export type { CallerHandler, CallerRequest, CallerResponse } from './request/index.js'
+export { createHttpEngines, createHttpPeers, createHttpServices } from './connection/index.js'
--- /dev/null
+++ b/packages/wigeonlead/src/process/index.ts
@@ -0,0 +1,12 @@
+/**
+ * What lives as long as the process.
+ */
+export { LogEvent, SILENT_LOGGER, createLogger, renderLine, type LogFields, type Logger } from './logging.js'
+export { createMetrics, type MetricLabels, type Metrics } from './metrics.js'
+export { createSeededRandom, createSystemRandom } from './random.js'
+export { serveRouter, type RunningRouter } from './serve.js'
+export { checkSettings, readSettings, settingsSchema, type Settings, type SettingsCheck, type SettingsInput } from './settings.js'
+export { TargetAvailability, createTargetBoard, type TargetBoard } from './targets.js'
+export { createConfiguration, type Configuration } from './configuration.js'
+export { createMembership, type Membership } from './membership.js'
+export { createRouter, type Router, type RouterPorts } from './wire.js'
--- /dev/null
+++ b/packages/wigeonlead/src/process/logging.ts
@@ -0,0 +1,55 @@
+/**
+ * Logs: one line of key=value pairs for each event.
+ */
+import { createLogger as createWinstonLogger, format, transports } from 'winston'
+
+/** The closed set of logged events. */
+export enum LogEvent {
+  Started = 'started',
+  Stopping = 'stopping',
+  Stopped = 'stopped',
+  ConfigurationInForce = 'configuration-in-force',
+  ConfigurationRefused = 'configuration-refused',
+  RequestEnded = 'request-ended',
+  TargetFailed = 'target-failed',
+  MemberChanged = 'member-changed',
+  PeerRefused = 'peer-refused',
+  OrderSent = 'order-sent',
+  InternalFault = 'internal-fault'
+}
+
+/** Values of one line. */
+export type LogFields = Record<string, string | number | boolean | undefined>
+
+/** Writes one event. */
+export interface Logger {
+  info: (event: LogEvent, fields?: LogFields) => void
+  warn: (event: LogEvent, fields?: LogFields) => void
+}
+
+/** Makes a logger that writes to standard error. */
+export function createLogger (level: string, vm: string): Logger {
+  const line = format.printf(({ timestamp, level, message, ...fields }) =>
+    renderLine({ time: timestamp, level, event: message, vm, ...fields }))
+  const winston = createWinstonLogger({
+    level,
+    format: format.combine(format.timestamp(), line),
+    transports: [new transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] })]
+  })
+  return {
+    info: (event, fields) => { winston.info(event, fields) },
+    warn: (event, fields) => { winston.warn(event, fields) }
+  }
+}
+
+/** A logger that writes nothing. */
+export const SILENT_LOGGER: Logger = { info: () => {}, warn: () => {} }
+
+/** @returns fields as `key=value` pairs; values with blanks or quotes are quoted, absent ones left out. */
+export function renderLine (fields: Record<string, unknown>): string {
+  return Object.entries(fields).filter(([, value]) => value !== undefined).map(([key, value]) => `${key}=${quote(String(value))}`).join(' ')
+}
+
+function quote (text: string): string {
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text)
+}
--- /dev/null
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -0,0 +1,115 @@
+/**
+ * The one construction module: makes a router of its settings and its ports.
+ */
+import {
+  PeerMethod,
+  type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
+} from '@wigeonlead/protocol'
+import { createAdmission, createCallerHandler, createClaims, createPathChooser, type CallerHandler } from '../request/index.js'
+import { createConfiguration } from './configuration.js'
+import { createInFlight } from './in-flight.js'
+import { SILENT_LOGGER, type Logger } from './logging.js'
+import { createMembership } from './membership.js'
+import { createMetrics } from './metrics.js'
+import type { Settings } from './settings.js'
+import { createTargetBoard } from './targets.js'
+
+/** Every outside contact of a router. Time comes from the runtime's clock. */
+export interface RouterPorts {
+  keyValue: KeyValuePort
+  vmList: VmListPort
+  engines: EnginePort
+  services: ServicePort
+  peers: PeerPort
+  random: RandomSource
+  /** Nothing is logged when absent. */
+  logger?: Logger
+}
+
+/** A router, apart from its listeners. */
+export interface Router {
+  /** Answers one request of a caller. */
+  handle: CallerHandler
+  start: () => void
+  /** Whether the balancer should send requests here. */
+  isReady: () => boolean
+  renderMetrics: () => string
+  status: () => NodeStatus
+  /** Says that this node is leaving, waits for the balancer's lag and for every request in flight, then stops. */
+  shutdown: () => Promise<void>
+  /** Stops at once, as a death would. */
+  halt: () => void
+}
+
+/** Makes a router. */
+export function createRouter (settings: Settings, ports: RouterPorts): Router {
+  const { failureDomain, vm } = settings.node
+  const logger = ports.logger ?? SILENT_LOGGER
+  const metrics = createMetrics()
+  const targets = createTargetBoard()
+  const inFlight = createInFlight()
+  const configuration = createConfiguration({ keyValue: ports.keyValue, logger })
+  const membership = createMembership({
+    peers: ports.peers,
+    address: settings.listen.peers,
+    vm,
+    failureDomain,
+    seeds: settings.peers.seeds,
+    generation: () => configuration.current()?.head.generation ?? 0
+  })
+  const handle = createCallerHandler({
+    engines: ports.engines,
+    services: ports.services,
+    random: ports.random,
+    targets,
+    paths: createPathChooser({ targets, random: ports.random, failureDomain }),
+    admission: createAdmission(),
+    claims: createClaims({ keyValue: ports.keyValue, random: ports.random }),
+    metrics,
+    logger,
+    failureDomain,
+    defaultDeadlineMilliseconds: settings.callers.defaultDeadlineMilliseconds
+  }, configuration.current)
+  let isLeaving = false
+
+  function status (): NodeStatus {
+    const current = configuration.current()
+    const sections = {
+      generation: current?.head.generation ?? 0,
+      requestsInFlight: inFlight.count(),
+      members: membership.members(),
+      targets: [...current?.targets.keys() ?? []].map(name => ({
+        name, availability: targets.availability(name), inFlight: targets.inFlight(name)
+      }))
+    }
+    return { member: membership.self(), sections }
+  }
+
+  function halt (): void {
+    configuration.stop()
+    membership.stop()
+  }
+
+  metrics.gauge('requests_in_flight', inFlight.count)
+  metrics.gauge('configuration_generation', () => configuration.current()?.head.generation ?? 0)
+  ports.peers.serve({ ...configuration.handlers, ...membership.handlers, [PeerMethod.Status]: async () => status() })
+
+  return {
+    handle: inFlight.track(handle),
+    start () {
+      configuration.start()
+      membership.start()
+    },
+    isReady: () => !isLeaving && configuration.current() !== undefined,
+    renderMetrics: metrics.render,
+    status,
+    async shutdown () {
+      isLeaving = true
+      membership.leave()
+      await new Promise(resolve => setTimeout(resolve, settings.shutdown.balancerLagMilliseconds))
+      await inFlight.whenIdle()
+      halt()
+    },
+    halt
+  }
+}
--- /dev/null
+++ b/packages/wigeonlead/src/request/context.ts
@@ -0,0 +1,40 @@
+/**
+ * What every request reads: the version that it began with, its workspace, and the parts of the process that it uses.
+ */
+import type { EnginePort, ManifestWorkspace, RandomSource, ServicePort } from '@wigeonlead/protocol'
+import type { Logger } from '../process/logging.js'
+import type { Metrics } from '../process/metrics.js'
+import type { TargetBoard } from '../process/targets.js'
+import type { CompiledVersion } from '../version/index.js'
+import type { Admission } from './admission.js'
+import type { Claims } from './claims/index.js'
+import type { PathChooser } from './path.js'
+
+/** Parts of the process that requests use. */
+export interface RequestParts {
+  engines: EnginePort
+  services: ServicePort
+  random: RandomSource
+  targets: TargetBoard
+  paths: PathChooser
+  admission: Admission
+  claims: Claims
+  metrics: Metrics
+  logger: Logger
+  failureDomain: string
+  /** Deadline of a request that names none, milliseconds. */
+  defaultDeadlineMilliseconds: number
+}
+
+/** One request in the version that it began with. */
+export interface RequestContext {
+  parts: RequestParts
+  version: CompiledVersion
+  workspace: ManifestWorkspace
+  /** Aborts when the caller hangs up. */
+  signal: AbortSignal
+  /** When the answer has to be whole, milliseconds since 1970. */
+  deadlineAt: number
+  /** 0 is the most urgent. */
+  priority: number
+}
--- /dev/null
+++ b/packages/wigeonlead/src/request/handle.ts
@@ -0,0 +1,91 @@
+/**
+ * The entrance of callers' requests: finds the workspace, the route and the deadline, and answers.
+ */
+import { ProblemType, createProblem, digestText, type Problem } from '@wigeonlead/protocol'
+import type { CompiledVersion } from '../version/index.js'
+import { LogEvent } from '../process/logging.js'
+import { jsonResponse, problemResponse, type CallerHandler, type CallerRequest, type CallerResponse } from './caller.js'
+import { CompletionShape, answerCompletion } from './completion.js'
+import type { RequestContext, RequestParts } from './context.js'
+import { answerServiceCall } from './service-call.js'
+
+type Route = (context: RequestContext, request: CallerRequest) => Promise<CallerResponse>
+
+const ROUTES: Record<string, { method: string, answer: Route }> = {
+  '/v1/chat/completions': { method: 'POST', answer: (context, request) => answerCompletion(context, request, CompletionShape.Chat) },
+  '/v1/completions': { method: 'POST', answer: (context, request) => answerCompletion(context, request, CompletionShape.Text) },
+  '/v1/models': { method: 'GET', answer: async context => listModels(context) }
+}
+const SERVICE_PATTERN = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/
+const DEADLINE_HEADER = 'wigeonlead-deadline-milliseconds'
+const PRIORITY_HEADER = 'wigeonlead-priority'
+const DEFAULT_PRIORITY = 1
+const LOWEST_PRIORITY = 3
+
+/**
+ * Makes the handler of callers' requests.
+ * @param current gives the version in force; a request keeps the one that it began with.
+ */
+export function createCallerHandler (parts: RequestParts, current: () => CompiledVersion | undefined): CallerHandler {
+  return async request => {
+    const startedAt = performance.now()
+    const response = await answer(parts, current(), request)
+    const route = ROUTES[pathOf(request)] === undefined ? 'service' : pathOf(request)
+    parts.metrics.count('requests_total', { route, status: String(response.status) })
+    parts.metrics.observe('answer_started', performance.now() - startedAt, { route })
+    return response
+  }
+}
+
+async function answer (parts: RequestParts, version: CompiledVersion | undefined, request: CallerRequest): Promise<CallerResponse> {
+  if (version === undefined) {
+    return problemResponse(createProblem(ProblemType.NotReady, 'no manifest was seen yet', { retryAfterSeconds: 2 }))
+  }
+  const context = createContext(parts, version, request)
+  if ('type' in context) return problemResponse(context)
+  try {
+    return await dispatch(context, request)
+  } catch (error) {
+    parts.logger.warn(LogEvent.InternalFault, { detail: error instanceof Error ? error.message : String(error) })
+    throw error
+  }
+}
+
+async function dispatch (context: RequestContext, request: CallerRequest): Promise<CallerResponse> {
+  const route = ROUTES[pathOf(request)]
+  if (route !== undefined) {
+    if (route.method === request.method) return await route.answer(context, request)
+    return problemResponse(createProblem(ProblemType.MethodNotAllowed, `${pathOf(request)} takes ${route.method}`))
+  }
+  const service = SERVICE_PATTERN.exec(request.url)
+  if (service === null) return problemResponse(createProblem(ProblemType.UnknownPath, `nothing is served at ${pathOf(request)}`))
+  return await answerServiceCall(context, request, service[1] ?? '', `${service[2] ?? '/'}${service[3] ?? ''}`)
+}
+
+function createContext (parts: RequestParts, version: CompiledVersion, request: CallerRequest): RequestContext | Problem {
+  const key = /^Bearer (.+)$/i.exec(request.headers.authorization ?? '')?.[1]
+  const workspace = key === undefined ? undefined : version.workspacesByKeyDigest.get(digestText(key))
+  if (workspace === undefined) return createProblem(ProblemType.Unauthenticated, 'a bearer key of a workspace is wanted')
+  const deadline = readNumber(request, DEADLINE_HEADER, parts.defaultDeadlineMilliseconds, 1, 86_400_000)
+  if (deadline === undefined) return createProblem(ProblemType.MalformedRequest, `${DEADLINE_HEADER} is not a number of milliseconds`)
+  const priority = readNumber(request, PRIORITY_HEADER, DEFAULT_PRIORITY, 0, LOWEST_PRIORITY)
+  if (priority === undefined) return createProblem(ProblemType.MalformedRequest, `${PRIORITY_HEADER} is not a number from 0 to ${LOWEST_PRIORITY}`)
+  return { parts, version, workspace, signal: request.signal, deadlineAt: Date.now() + deadline, priority }
+}
+
+function readNumber (request: CallerRequest, header: string, otherwise: number, least: number, most: number): number | undefined {
+  const text = request.headers[header]
+  if (text === undefined) return otherwise
+  const value = Number(text)
+  return Number.isInteger(value) && value >= least && value <= most ? value : undefined
+}
+
+function listModels (context: RequestContext): CallerResponse {
+  const allowed = context.workspace.models
+  const names = [...context.version.models.keys()].filter(name => allowed === undefined || allowed.includes(name))
+  return jsonResponse(200, { object: 'list', data: names.map(id => ({ id, object: 'model', owned_by: 'wigeonlead' })) })
+}
+
+function pathOf (request: CallerRequest): string {
+  return request.url.split('?')[0] ?? '/'
+}
--- /dev/null
+++ b/packages/wigeonlead/src/request/receipt.ts
@@ -0,0 +1,27 @@
+/**
+ * Checks that a token's receipt shows every layer run once and in order, for the right session, epoch and index.
+ */
+import type { PathStage, Receipt } from '@wigeonlead/protocol'
+
+/** What the next receipt has to show. */
+export interface ReceiptExpectation {
+  session: string
+  epoch: number
+  index: number
+  stages: PathStage[]
+}
+
+/** @returns what is wrong with a receipt, or undefined where it is right. */
+export function findReceiptFault (receipt: Receipt, expected: ReceiptExpectation): string | undefined {
+  if (receipt.session !== expected.session) return 'the receipt belongs to another session'
+  if (receipt.epoch !== expected.epoch) return `the receipt is of epoch ${receipt.epoch}, not ${expected.epoch}`
+  if (receipt.index !== expected.index) return `the receipt is of token ${receipt.index}, not ${expected.index}`
+  if (receipt.stages.length !== expected.stages.length) return `${receipt.stages.length} stages ran, not ${expected.stages.length}`
+  for (const [position, stage] of expected.stages.entries()) {
+    const ran = receipt.stages[position]
+    if (ran === undefined || ran.target !== stage.target || ran.layers.from !== stage.layers.from || ran.layers.to !== stage.layers.to) {
+      return `stage ${position} does not show layers ${stage.layers.from} to ${stage.layers.to} at ${stage.target}`
+    }
+  }
+  return undefined
+}
