Skeletons of the properties, the experiments and the retry budget

Cause: several parts are about to grow side by side and need one place each to hang their properties, experiments and retries.

--- /dev/null
+++ b/packages/stand-ins/src/bench/experiment.ts
@@ -0,0 +1,27 @@
+/**
+ * The shape of an experiment of `npm run bench`.
+ */
+
+/** A cell of a result table. */
+export type Cell = string | number
+
+/** The result of an experiment: rows under named columns, with the units in the names. */
+export interface ExperimentResult {
+  columns: string[]
+  rows: Cell[][]
+  /** What the figures say against the goals, one line each. */
+  notes: string[]
+}
+
+/** Options of a run. */
+export interface ExperimentOptions {
+  seed: number
+  /** Shorter runs, for a look rather than for a record. */
+  quick: boolean
+}
+
+/** An experiment. */
+export interface Experiment {
+  summary: string
+  run: (options: ExperimentOptions) => Promise<ExperimentResult>
+}
--- /dev/null
+++ b/packages/stand-ins/src/bench/main.ts
@@ -0,0 +1,41 @@
+/**
+ * `npm run bench -- <experiment>`: runs an experiment, prints its table and keeps its data under docs/measurements/.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { cac } from 'cac'
+import type { Experiment, ExperimentResult } from './experiment.js'
+
+const EXPERIMENTS: Record<string, Experiment> = {}
+const DEFAULT_FOLDER = 'docs/measurements'
+
+const program = cac('bench')
+program
+  .command('[experiment]', 'Run an experiment, or list them')
+  .option('--seed <number>', 'Seed', { default: 1 })
+  .option('--quick', 'Shorter runs')
+  .option('--out <folder>', 'Where the data go', { default: DEFAULT_FOLDER })
+  .action(run)
+program.help()
+program.parse(process.argv, { run: false })
+await program.runMatchedCommand()
+
+async function run (name: string | undefined, options: { seed: number, quick?: boolean, out: string }): Promise<void> {
+  const experiment = name === undefined ? undefined : EXPERIMENTS[name]
+  if (name === undefined || experiment === undefined) {
+    for (const [known, { summary }] of Object.entries(EXPERIMENTS)) process.stdout.write(`${known}: ${summary}\n`)
+    process.exitCode = name === undefined ? 0 : 2
+    return
+  }
+  const result = await experiment.run({ seed: options.seed, quick: options.quick === true })
+  process.stdout.write(renderTable(result))
+  mkdirSync(options.out, { recursive: true })
+  writeFileSync(`${options.out}/${name}.json`, JSON.stringify({ experiment: name, seed: options.seed, ...result }, null, 2) + '\n')
+  process.exit(0)
+}
+
+function renderTable ({ columns, rows, notes }: ExperimentResult): string {
+  const lines = [columns, ...rows].map(row => row.map(cell => typeof cell === 'number' ? String(Math.round(cell * 1000) / 1000) : cell))
+  const widths = columns.map((_, index) => Math.max(...lines.map(line => line[index]?.length ?? 0)))
+  const table = lines.map(line => line.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  ').trimEnd())
+  return [...table, ...notes].join('\n') + '\n'
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -11,4 +11,5 @@
 export { createMemoryEngines } from './engine/memory.js'
 export { startEngineServer } from './engine/server.js'
 export { answerLength, referenceAnswer } from './engine/model.js'
+export { withPausedClock, type PausedClock } from './paused-clock.js'
 export { createOrderService, startOrderServer, type Booking, type OrderService } from './service/orders.js'
--- /dev/null
+++ b/packages/stand-ins/src/paused-clock.ts
@@ -0,0 +1,23 @@
+/**
+ * A paused clock for tests: the runtime's timers and `Date` stand still until they are advanced.
+ */
+import { install } from '@sinonjs/fake-timers'
+
+/** The clock while it is paused. */
+export interface PausedClock {
+  /** Advances the clock, letting promises settle in between. */
+  advance: (milliseconds: number) => Promise<void>
+  now: () => number
+}
+
+const START_MILLISECONDS = 1_700_000_000_000
+
+/** Runs a test under a paused clock; the real one is back afterwards. */
+export async function withPausedClock<T> (test: (clock: PausedClock) => Promise<T>): Promise<T> {
+  const clock = install({ now: START_MILLISECONDS, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] })
+  try {
+    return await test({ advance: async milliseconds => { await clock.tickAsync(milliseconds) }, now: () => Date.now() })
+  } finally {
+    clock.uninstall()
+  }
+}
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -11,6 +11,7 @@
 import { SILENT_LOGGER, type Logger } from './logging.js'
 import { createMembership } from './membership.js'
 import { createMetrics } from './metrics.js'
+import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
 import { createTargetBoard } from './targets.js'
 
@@ -65,6 +66,7 @@
     paths: createPathChooser({ targets, random: ports.random, failureDomain }),
     admission: createAdmission(),
     claims: createClaims({ keyValue: ports.keyValue, random: ports.random }),
+    retries: createRetryBudget(),
     metrics,
     logger,
     failureDomain,
--- a/packages/wigeonlead/src/request/context.ts
+++ b/packages/wigeonlead/src/request/context.ts
@@ -4,6 +4,7 @@
 import type { EnginePort, ManifestWorkspace, RandomSource, ServicePort } from '@wigeonlead/protocol'
 import type { Logger } from '../process/logging.js'
 import type { Metrics } from '../process/metrics.js'
+import type { RetryBudget } from '../process/retry-budget.js'
 import type { TargetBoard } from '../process/targets.js'
 import type { CompiledVersion } from '../version/index.js'
 import type { Admission } from './admission.js'
@@ -19,6 +20,7 @@
   paths: PathChooser
   admission: Admission
   claims: Claims
+  retries: RetryBudget
   metrics: Metrics
   logger: Logger
   failureDomain: string
--- /dev/null
+++ b/packages/wigeonlead/test/properties/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Every property, for the default run and for `npm run explore`.
+ */
+import type { PromiseProperty } from './property.js'
+
+/** The properties in the order in which they run. */
+export const PROPERTIES: PromiseProperty[] = []
