Path choice by cost, fair admission, adapted stall timeouts, blame by report

Cause: paths were chosen by in-flight counts alone, everything was admitted at once, and a stall took a fixed 5 s and was put on the first stage whoever had failed.

Change: the cost of a path is made of load (own and reported), observed lag, links and held prefixes; admission queues by deficit round robin, keeps workspace limits and refuses what can't meet its deadline; stalls are noticed from the observed times between tokens, and the stages are asked for a report before one is suspected; step calls are shared by sessions; the retry budget refills with traffic; ejections grow and spare half of a group.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -20,7 +20,7 @@
 export {
   CacheEventKind, EngineEventKind, EngineOrderKind, EngineRole, FinishReason, cacheExportSchema, engineOrderSchema,
   engineReportSchema, engineWireEventSchema, generationRequestSchema, heldPartSchema, layerRangeSchema, modelReferenceSchema,
-  orderEnvelopeSchema, pathStageSchema, receiptSchema, stageReceiptSchema, stepAnswerSchema, stepInputSchema,
+  orderEnvelopeSchema, pathStageSchema, prefixDigest, receiptSchema, stageReceiptSchema, stepAnswerSchema, stepInputSchema,
   stepRequestSchema, stepResultSchema, tokenSchema, type CacheExport, type EngineEvent, type EngineOrder, type EnginePort,
   type EngineReport, type EngineWireEvent, type GenerationRequest, type HeldPart, type LayerRange, type ModelReference,
   type PathStage, type Receipt, type StepInput, type StepRequest, type StepResult, type TargetAddress, type Token
@@ -50,7 +50,7 @@
   PublishResult, changeHead, parseHead, publishManifest, readHead, type PublishOutcome
 } from './manifest/publish.js'
 export {
-  MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type GossipMessage,
+  MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type CompactReport, type GossipMessage,
   type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus, type PeerHandler,
-  type PeerHandlers, type PeerMethods, type PeerPort, type TargetEvent
+  type PeerHandlers, type PeerMethods, type PeerPort, type ReportsMessage, type TargetEvent
 } from './peers/messages.js'
--- a/packages/protocol/src/peers/messages.ts
+++ b/packages/protocol/src/peers/messages.ts
@@ -14,6 +14,7 @@
   ClaimCommit = 'claims.commit',
   ClaimInquiry = 'claims.inquiry',
   KeyValueRelay = 'key-value.relay',
+  Reports = 'reports.exchange',
   Status = 'status.read'
 }
 
@@ -78,6 +79,24 @@
 /** The result of a relayed call. */
 export type KeyValueRelayResult = { kind: 'get', outcome: Outcome<KeyValueRead> } | { kind: 'compare-and-swap', outcome: WriteOutcome }
 
+/** A target's load in short, as entry VMs pass it on. */
+export interface CompactReport {
+  target: string
+  /** When the engine made the report, milliseconds since 1970 by its own clock; a later one wins. */
+  atMilliseconds: number
+  /** Age of the report when it was passed on, milliseconds. */
+  ageMilliseconds: number
+  running: number
+  queued: number
+  tokensPerSecond: number
+}
+
+/** Reports that the sender has and the receiver may lack; the answer has the same shape. */
+export interface ReportsMessage {
+  sender: string
+  reports: CompactReport[]
+}
+
 /** What a node tells operators of itself, as named sections. */
 export interface NodeStatus {
   member: MemberEntry
@@ -92,6 +111,7 @@
   [PeerMethod.ClaimCommit]: { parameters: ClaimCommitParameters, result: { outcomes: string[] } }
   [PeerMethod.ClaimInquiry]: { parameters: ClaimInquiryParameters, result: { answer: string } }
   [PeerMethod.KeyValueRelay]: { parameters: KeyValueRelayParameters, result: KeyValueRelayResult }
+  [PeerMethod.Reports]: { parameters: ReportsMessage, result: ReportsMessage }
   [PeerMethod.Status]: { parameters: Record<string, never>, result: NodeStatus }
 }
 
--- a/packages/protocol/src/targets/engine.ts
+++ b/packages/protocol/src/targets/engine.ts
@@ -2,6 +2,7 @@
  * Messages between the router and model engines, and the port that carries them.
  * Layer ranges are half-open: `from` is included, `to` is not.
  */
+import { createHash } from 'node:crypto'
 import { z } from 'zod'
 import type { Failure, Outcome } from '../failure.js'
 
@@ -176,6 +177,14 @@
   Evicted = 'evicted'
 }
 
+/** How many characters at the beginning of a prompt stand for its prefix in caches. */
+const PREFIX_CHARACTERS = 128
+
+/** @returns the digest by which caches and cache events name the beginning of a prompt. */
+export function prefixDigest (prompt: string): string {
+  return createHash('sha256').update(prompt.slice(0, PREFIX_CHARACTERS)).digest('base64url').slice(0, 16)
+}
+
 /** Shape of an engine's report. */
 export const engineReportSchema = z.object({
   target: z.string(),
--- a/packages/wigeonlead/src/connection/engines.ts
+++ b/packages/wigeonlead/src/connection/engines.ts
@@ -7,7 +7,7 @@
 import {
   EngineEventKind, FailureKind, Step, cacheExportSchema, engineReportSchema, engineWireEventSchema, failed, postJson,
   stepAnswerSchema, success,
-  type EngineEvent, type EnginePort, type EngineWireEvent, type Failure, type GenerationRequest, type TargetAddress
+  type EngineEvent, type EnginePort, type EngineWireEvent, type Failure, type GenerationRequest, type Outcome, type TargetAddress
 } from '@wigeonlead/protocol'
 
 const CONTROL_DEADLINE_MILLISECONDS = 2000
@@ -23,7 +23,7 @@
     generate: (target, generation, signal) => generate(agent, target, generation, signal),
     async step (target, stepRequest) {
       const url = `http://${target.address}/v1/step`
-      const outcome = await postJson(url, stepRequest, stepAnswerSchema, Step.Engine, STEP_DEADLINE_MILLISECONDS)
+      const outcome = named(target, await postJson(url, stepRequest, stepAnswerSchema, Step.Engine, STEP_DEADLINE_MILLISECONDS))
       if (!outcome.ok) return outcome
       if (outcome.value.attempt === stepRequest.attempt) return success(outcome.value.results)
       return failed(malformed(target, 'the answer belongs to another attempt'))
@@ -31,23 +31,30 @@
     async cancel (target, session, epoch) {
       return await post(target, '/v1/cancel', { session, epoch }, Step.Engine, CONTROL_DEADLINE_MILLISECONDS)
     },
-    report: (target, deadlineMilliseconds) => postJson(
-      `http://${target.address}/v1/report`, undefined, engineReportSchema, Step.Engine, deadlineMilliseconds, { method: 'GET' }
-    ),
+    async report (target, deadlineMilliseconds) {
+      const url = `http://${target.address}/v1/report`
+      return named(target, await postJson(url, undefined, engineReportSchema, Step.Engine, deadlineMilliseconds, { method: 'GET' }))
+    },
     order: (target, fencingToken, order, deadlineMilliseconds) =>
       post(target, '/v1/orders', { fencingToken, order }, Step.EngineOrder, deadlineMilliseconds),
-    exportCache: (target, session, epoch) => postJson(
-      `http://${target.address}/v1/cache/export`, { session, epoch }, cacheExportSchema, Step.CacheTransfer, CACHE_DEADLINE_MILLISECONDS
-    ),
+    async exportCache (target, session, epoch) {
+      const url = `http://${target.address}/v1/cache/export`
+      return named(target, await postJson(url, { session, epoch }, cacheExportSchema, Step.CacheTransfer, CACHE_DEADLINE_MILLISECONDS))
+    },
     importCache: (target, cache, epoch) => post(target, '/v1/cache/import', { cache, epoch }, Step.CacheTransfer, CACHE_DEADLINE_MILLISECONDS)
   }
 }
 
 async function post (target: TargetAddress, path: string, body: unknown, step: Step, deadlineMilliseconds: number) {
-  const outcome = await postJson(`http://${target.address}${path}`, body, EMPTY_SCHEMA, step, deadlineMilliseconds)
+  const outcome = named(target, await postJson(`http://${target.address}${path}`, body, EMPTY_SCHEMA, step, deadlineMilliseconds))
   return outcome.ok ? success(undefined) : outcome
 }
 
+/** The client names its peer by address; failures of targets carry their name. */
+function named<T> (target: TargetAddress, outcome: Outcome<T>): Outcome<T> {
+  return outcome.ok ? outcome : failed({ ...outcome.failure, peer: target.target })
+}
+
 async function * generate (
   agent: Agent, target: TargetAddress, generation: GenerationRequest, signal: AbortSignal
 ): AsyncIterable<EngineEvent> {
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -5,12 +5,18 @@
   PeerMethod,
   type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
 } from '@wigeonlead/protocol'
-import { createAdmission, createCallerHandler, createClaims, createPathChooser, type CallerHandler } from '../request/index.js'
+import {
+  createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts, type CallerHandler
+} from '../request/index.js'
 import { createConfiguration } from './configuration.js'
+import { createFirstTokenTimes } from './first-token-times.js'
 import { createInFlight } from './in-flight.js'
 import { SILENT_LOGGER, type Logger } from './logging.js'
 import { createMembership } from './membership.js'
 import { createMetrics } from './metrics.js'
+import { createPathTimes } from './path-times.js'
+import { createPrefixMemory } from './prefix-memory.js'
+import { createReports } from './reports.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
 import { createTargetBoard } from './targets.js'
@@ -47,9 +53,9 @@
   const { failureDomain, vm } = settings.node
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
-  const targets = createTargetBoard()
   const inFlight = createInFlight()
   const configuration = createConfiguration({ keyValue: ports.keyValue, logger })
+  const targets = createTargetBoard({ groupOf: target => configuration.current()?.groupOf(target) ?? [] })
   const membership = createMembership({
     peers: ports.peers,
     address: settings.listen.peers,
@@ -58,13 +64,31 @@
     seeds: settings.peers.seeds,
     generation: () => configuration.current()?.head.generation ?? 0
   })
+  const prefixes = createPrefixMemory()
+  const reports = createReports({
+    engines: ports.engines,
+    peers: ports.peers,
+    random: ports.random,
+    failureDomain,
+    self: membership.self,
+    members: membership.members,
+    current: configuration.current,
+    inFlightAt: targets.inFlightAt,
+    onReport: prefixes.learn
+  })
+  const times = createPathTimes()
+  const costs = createStageCosts({ targets, reports, times, prefixes })
+  const paths = createPathChooser({
+    targets, random: ports.random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes
+  })
+  const admission = createAdmission()
   const handle = createCallerHandler({
     engines: ports.engines,
     services: ports.services,
     random: ports.random,
     targets,
-    paths: createPathChooser({ targets, random: ports.random, failureDomain }),
-    admission: createAdmission(),
+    paths,
+    admission,
     claims: createClaims({ keyValue: ports.keyValue, random: ports.random }),
     retries: createRetryBudget(),
     metrics,
@@ -90,17 +114,20 @@
   function halt (): void {
     configuration.stop()
     membership.stop()
+    reports.stop()
   }
 
   metrics.gauge('requests_in_flight', inFlight.count)
+  metrics.gauge('requests_waiting', admission.waiting)
   metrics.gauge('configuration_generation', () => configuration.current()?.head.generation ?? 0)
-  ports.peers.serve({ ...configuration.handlers, ...membership.handlers, [PeerMethod.Status]: async () => status() })
+  ports.peers.serve({ ...configuration.handlers, ...membership.handlers, ...reports.handlers, [PeerMethod.Status]: async () => status() })
 
   return {
     handle: inFlight.track(handle),
     start () {
       configuration.start()
       membership.start()
+      reports.start()
     },
     isReady: () => !isLeaving && configuration.current() !== undefined,
     renderMetrics: metrics.render,
--- /dev/null
+++ b/packages/wigeonlead/src/request/completion-start.ts
@@ -0,0 +1,67 @@
+/**
+ * The start of a completion: under the version in force at that moment, on a path with room, whose places are held until the
+ * generation has begun.
+ */
+import { FailureKind, ProblemType, Step, createProblem, failed, success, type Outcome, type Problem } from '@wigeonlead/protocol'
+import type { ParsedCompletion } from './completion.js'
+import type { RequestContext } from './context.js'
+import type { GenerationOrder } from './generation.js'
+
+/** One completion that wants to start. */
+export interface CompletionStart {
+  /** Starts the completion if it may run and there is room; see `AdmissionRequest.start`. */
+  tryStart: () => Outcome<boolean>
+  /** The context under which it started. */
+  context: RequestContext
+  /** What it generates, with its first path. */
+  order: GenerationOrder
+  /** Why it may not run any more. */
+  problem?: Problem
+  /** Gives the places back that were held for it. */
+  release: () => void
+}
+
+/** @param parseAgain reads the request under the context of the start. */
+export function createStart (
+  context: RequestContext, parsed: ParsedCompletion, parseAgain: () => ParsedCompletion | Problem
+): CompletionStart {
+  const start: CompletionStart = { tryStart, context, order: parsed.order, release: () => {} }
+
+  function tryStart (): Outcome<boolean> {
+    const version = context.versionInForce()
+    if (version !== undefined && version !== start.context.version) {
+      const workspace = version.workspaces.get(context.workspace.name)
+      start.context = { ...context, version, workspace: workspace ?? context.workspace }
+      const again = workspace === undefined ? withdrawn(context.workspace.name) : parseAgain()
+      if ('type' in again) return refuse(again)
+      start.order = again.order
+    }
+    return reserve()
+  }
+
+  function refuse (problem: Problem): Outcome<boolean> {
+    start.problem = problem
+    return failed({ kind: FailureKind.Refused, step: Step.Admission, peer: 'local', detail: problem.detail })
+  }
+
+  function reserve (): Outcome<boolean> {
+    const { parts, version } = start.context
+    const { model, reference, prompt } = start.order
+    const query = { version, model, reference, prompt, excluded: new Set<string>() }
+    const path = parts.paths.choose({ ...query, needsRoom: true })
+    if (!path.ok) {
+      const any = parts.paths.choose(query)
+      return any.ok ? success(false) : any
+    }
+    const releases = path.value.map(stage => parts.targets.begin(stage.target))
+    start.release = () => { for (const release of releases) release() }
+    start.order = { ...start.order, firstPath: path.value }
+    return success(true)
+  }
+
+  return start
+}
+
+function withdrawn (workspace: string): Problem {
+  return createProblem(ProblemType.Forbidden, `workspace ${workspace} is not served any more`)
+}
--- a/packages/wigeonlead/src/request/completion.ts
+++ b/packages/wigeonlead/src/request/completion.ts
@@ -3,7 +3,9 @@
  */
 import { z } from 'zod'
 import { ProblemType, createProblem, type ModelReference, type Problem } from '@wigeonlead/protocol'
+import { refuseAdmission } from './admission.js'
 import { jsonResponse, problemResponse, type CallerRequest, type CallerResponse } from './caller.js'
+import { createStart, type CompletionStart } from './completion-start.js'
 import type { RequestContext } from './context.js'
 import { DeliveryKind, generate, type Delivery, type GenerationOrder } from './generation.js'
 
@@ -30,7 +32,8 @@
 })
 const DEFAULT_MAXIMUM_TOKENS = 256
 
-interface ParsedCompletion {
+/** A completion request that was read and may be served. */
+export interface ParsedCompletion {
   order: GenerationOrder
   stream: boolean
 }
@@ -39,23 +42,35 @@
 export async function answerCompletion (context: RequestContext, request: CallerRequest, shape: CompletionShape): Promise<CallerResponse> {
   const parsed = parseCompletion(context, request, shape)
   if ('type' in parsed) return problemResponse(parsed)
+  const start = createStart(context, parsed, () => parseCompletion(start.context, request, shape))
   const admitted = await context.parts.admission.admit({
     workspace: context.workspace,
     resource: parsed.order.reference.model,
     priority: context.priority,
     deadlineAt: context.deadlineAt,
-    signal: context.signal
+    signal: context.signal,
+    tokens: parsed.order.maximumTokens,
+    start: start.tryStart
   })
-  if (!admitted.ok) return problemResponse(createProblem(ProblemType.Overloaded, admitted.failure.detail, { retryAfterSeconds: 1 }))
-  const deliveries = generate(context, parsed.order)[Symbol.asyncIterator]()
-  const first = await deliveries.next()
+  if (!admitted.ok) return problemResponse(start.problem ?? refuseAdmission(admitted.failure))
+  return await answerAdmitted(start, parsed.stream, shape, admitted.value.release)
+}
+
+async function answerAdmitted (
+  start: CompletionStart, isStreamed: boolean, shape: CompletionShape, release: (tokens: number) => void
+): Promise<CallerResponse> {
+  const { context, order } = start
+  const deliveries = generate(context, order)[Symbol.asyncIterator]()
+  const coming = deliveries.next()
+  start.release()
+  const first = await coming
   if (first.done === true || first.value.kind === DeliveryKind.Refusal) {
-    admitted.value.release()
+    release(0)
     const problem = first.done === true ? createProblem(ProblemType.TargetFailed, 'no answer') : (first.value as { problem: Problem }).problem
     return problemResponse(problem)
   }
-  const all = resume(first.value, deliveries, admitted.value.release)
-  return parsed.stream ? streamAnswer(context, parsed.order, shape, all) : await wholeAnswer(context, parsed.order, shape, all)
+  const all = resume(context.signal, first.value, deliveries, release)
+  return isStreamed ? streamAnswer(context, order, shape, all) : await wholeAnswer(context, order, shape, all)
 }
 
 function parseCompletion (context: RequestContext, request: CallerRequest, shape: CompletionShape): ParsedCompletion | Problem {
@@ -98,13 +113,29 @@
   }
 }
 
-async function * resume (first: Delivery, rest: AsyncIterator<Delivery>, release: () => void): AsyncIterable<Delivery> {
-  try {
-    yield first
-    for (let next = await rest.next(); next.done !== true; next = await rest.next()) yield next.value
-  } finally {
-    release()
-    await rest.return?.()
+/** A caller that hangs up may leave the answer unread: the generation is ended then all the same. */
+function resume (
+  signal: AbortSignal, first: Delivery, rest: AsyncIterator<Delivery>, release: (tokens: number) => void
+): AsyncIterable<Delivery> {
+  let tokens = 0
+  const end = (): void => {
+    signal.removeEventListener('abort', end)
+    release(tokens)
+    void rest.return?.()
+  }
+  signal.addEventListener('abort', end)
+  if (signal.aborted) end()
+  return {
+    async * [Symbol.asyncIterator] () {
+      try {
+        for (let next: IteratorResult<Delivery> = { done: false, value: first }; next.done !== true; next = await rest.next()) {
+          if (next.value.kind === DeliveryKind.Token) tokens += 1
+          yield next.value
+        }
+      } finally {
+        end()
+      }
+    }
   }
 }
 
--- a/packages/wigeonlead/src/request/context.ts
+++ b/packages/wigeonlead/src/request/context.ts
@@ -33,6 +33,8 @@
   parts: RequestParts
   version: CompiledVersion
   workspace: ManifestWorkspace
+  /** The version in force now, which a request that waited starts under. */
+  versionInForce: () => CompiledVersion | undefined
   /** Aborts when the caller hangs up. */
   signal: AbortSignal
   /** When the answer has to be whole, milliseconds since 1970. */
--- a/packages/wigeonlead/src/request/drivers/step.ts
+++ b/packages/wigeonlead/src/request/drivers/step.ts
@@ -1,25 +1,27 @@
 /**
- * The driver in which the router carries activations between the stages, one call a stage and token.
+ * The driver in which the router carries activations between the stages; the steps of many sessions share calls.
  */
 import {
   EngineEventKind, FailureKind, FinishReason, Step,
   type EngineEvent, type Failure, type GenerationRequest, type PathStage, type StepInput, type StepResult
 } from '@wigeonlead/protocol'
 import type { PipelineDriver } from './driver.js'
+import { batcherOf } from './step-batcher.js'
 
-/** Runs an epoch by stepping each stage in turn. */
+/** Runs an epoch by stepping each stage in turn; a step is never sent twice. */
 export const driveSteps: PipelineDriver = async function * (engines, request, signal) {
   const { attempt, session, epoch } = request
+  const batcher = batcherOf(engines)
   let previousToken: string | undefined
   for (let index = request.prefix.length; index < request.maximumTokens; index += 1) {
     const receipts = []
     let result: StepResult | undefined
     for (const stage of request.stages) {
       const input = toInput(request, stage, index, result?.activation, previousToken)
-      const outcome = await engines.step(stage, { attempt: `${attempt}/${index}`, inputs: [input] }, signal)
+      const outcome = await batcher.run(stage, input, signal)
       if (!outcome.ok) return yield failureEvent(attempt, outcome.failure)
-      result = outcome.value.find(candidate => isResultOf(candidate, input))
-      if (result?.receipt === undefined) return yield failureEvent(attempt, refusal(stage, result))
+      result = outcome.value
+      if (result.receipt === undefined) return yield failureEvent(attempt, refusal(stage, result))
       receipts.push(result.receipt)
     }
     if (result?.token === undefined) return yield failureEvent(attempt, refusal(request.stages.at(-1), result))
@@ -50,13 +52,10 @@
   }
 }
 
-function isResultOf (result: StepResult, input: StepInput): boolean {
-  return result.session === input.session && result.epoch === input.epoch && result.index === input.index
-}
-
 function refusal (stage: PathStage | undefined, result: StepResult | undefined): Failure {
-  const detail = result?.refused ?? 'no result for this step'
-  return { kind: FailureKind.Malformed, step: Step.Engine, peer: stage?.target ?? 'local', detail }
+  const peer = stage?.target ?? 'local'
+  if (result?.refused === undefined) return { kind: FailureKind.Malformed, step: Step.Engine, peer, detail: 'the result lacks its receipt' }
+  return { kind: FailureKind.Refused, step: Step.Engine, peer, detail: result.refused }
 }
 
 function failureEvent (attempt: string, failure: Failure): EngineEvent {
--- a/packages/wigeonlead/src/request/generation.ts
+++ b/packages/wigeonlead/src/request/generation.ts
@@ -3,14 +3,16 @@
  * with the tokens already delivered as prefix. Each token index is delivered once.
  */
 import {
-  EngineEventKind, FailureKind, FinishReason, OrderState, ProblemType, Step, Submission, createProblem, describeFailure,
-  type EngineEvent, type Failure, type GenerationRequest, type ModelReference, type PathStage, type Problem, type Token
+  FailureKind, isCertainlyNotSent,
+  type Failure, type FinishReason, type GenerationRequest, type ModelReference, type Outcome, type PathStage, type Problem, type Token
 } from '@wigeonlead/protocol'
 import type { CompiledModel } from '../version/index.js'
 import { LogEvent } from '../process/logging.js'
 import type { RequestContext } from './context.js'
-import { DRIVERS } from './drivers/index.js'
-import { findReceiptFault } from './receipt.js'
+import { findFailedTargets } from './generation-blame.js'
+import { runEpoch, type EpochEnd } from './generation-epoch.js'
+import { refuseFailed, refuseLate } from './generation-refusal.js'
+import { Interruption, createWatch, type Watch } from './generation-watch.js'
 
 /** What is to be generated. */
 export interface GenerationOrder {
@@ -20,6 +22,8 @@
   maximumTokens: number
   temperature?: number
   seed?: number
+  /** The path of the first epoch, where admission chose one. */
+  firstPath?: PathStage[]
 }
 
 /** Kinds of deliveries. */
@@ -35,110 +39,124 @@
   | { kind: DeliveryKind.Finish, reason: FinishReason, tokens: number }
   | { kind: DeliveryKind.Refusal, problem: Problem }
 
-const MAXIMUM_EPOCHS = 8
-const STALL_TIMEOUT_MILLISECONDS = 5000
+/** Epochs in a row that may fail without a token before the generation is given up. */
+const MOST_FRUITLESS_EPOCHS = 10
+/** Fruitless epochs before the next one is held back. */
+const EPOCHS_AT_ONCE = 2
+const FIRST_PAUSE_MILLISECONDS = 25
+const LONGEST_PAUSE_MILLISECONDS = 1000
 
 /** Runs a generation to its end. */
 export async function * generate (context: RequestContext, order: GenerationOrder): AsyncIterable<Delivery> {
+  const watch = createWatch(context.deadlineAt, context.signal)
+  try {
+    yield * runEpochs(context, order, watch)
+  } finally {
+    watch.stop()
+  }
+}
+
+interface Progress {
+  session: string
+  delivered: Token[]
+  excluded: Set<string>
+  epoch: number
+  /** Epochs in a row without a token. */
+  fruitless: number
+  wasSent: boolean
+  lastFailure?: Failure
+}
+
+async function * runEpochs (context: RequestContext, order: GenerationOrder, watch: Watch): AsyncGenerator<Delivery> {
   const { parts } = context
-  const session = parts.random.nextNonce()
-  const delivered: Token[] = []
-  const excluded = new Set<string>()
-  let lastFailure: Failure | undefined
-  for (let epoch = 0; epoch < MAXIMUM_EPOCHS; epoch += 1) {
-    const { model, reference, prompt } = order
-    const path = parts.paths.choose({ version: context.version, model, reference, prompt, excluded })
-    if (!path.ok) {
-      yield { kind: DeliveryKind.Refusal, problem: refusalOf(lastFailure ?? path.failure, epoch > 0) }
-      return
-    }
-    const request = toRequest(context, order, session, epoch, path.value, delivered)
-    const end = yield * runEpoch(context, order, request, delivered)
-    if (end === undefined) return
-    lastFailure = end
-    parts.targets.recordFailure(end.peer, end)
-    parts.metrics.count('stage_failures_total', { kind: end.kind })
-    const { peer, step, kind, detail } = end
-    parts.logger.warn(LogEvent.TargetFailed, { target: peer, step, kind, detail, delivered: delivered.length })
-    excluded.add(end.peer)
-    if (context.signal.aborted || Date.now() >= context.deadlineAt) break
+  const progress: Progress = {
+    session: parts.random.nextNonce(), delivered: [], excluded: new Set(), epoch: 0, fruitless: 0, wasSent: false
+  }
+  parts.retries.recordFirstTry(order.reference.model)
+  for (; ; progress.epoch += 1) {
+    const path = choosePath(context, order, progress)
+    if (!path.ok && progress.epoch === 0) return yield refusal(refuseFailed(path.failure, false))
+    const before = progress.delivered.length
+    const end = path.ok ? yield * deliverEpoch(context, order, progress, path.value, watch) : { kind: 'failed' as const, failure: path.failure }
+    if (end.kind === 'whole') return yield { kind: DeliveryKind.Finish, reason: end.reason, tokens: end.tokens }
+    if (end.kind === 'interrupted') return yield refusal(refuseLate(progress.delivered.length, progress.wasSent))
+    if (path.ok) await takeFailure(context, progress, path.value, end)
+    progress.fruitless = progress.delivered.length > before ? 1 : progress.fruitless + 1
+    if (!mayGoOn(context, order, progress)) return yield refusal(refuseFailed(progress.lastFailure ?? end.failure, progress.wasSent))
+    const interruption = await holdBack(progress, watch)
+    if (interruption !== undefined) return yield refusal(refuseLate(progress.delivered.length, progress.wasSent))
   }
-  yield { kind: DeliveryKind.Refusal, problem: refusalOf(lastFailure, true) }
 }
 
-async function * runEpoch (
-  context: RequestContext, order: GenerationOrder, request: GenerationRequest, delivered: Token[]
-): AsyncGenerator<Delivery, Failure | undefined> {
-  const { engines, targets } = context.parts
-  const ended = new AbortController()
-  const signal = AbortSignal.any([context.signal, ended.signal])
-  const releases = request.stages.map(stage => targets.begin(stage.target))
-  const events = DRIVERS[order.model.model.driver](engines, request, signal)[Symbol.asyncIterator]()
-  let isWhole = false
+function choosePath (context: RequestContext, order: GenerationOrder, progress: Progress): Outcome<PathStage[]> {
+  if (progress.epoch === 0 && order.firstPath !== undefined) return { ok: true, value: order.firstPath }
+  const { model, reference, prompt } = order
+  const query = { version: context.version, model, reference, prompt, excluded: progress.excluded }
+  const path = context.parts.paths.choose(query)
+  if (path.ok || progress.excluded.size === 0) return path
+  progress.excluded.clear()
+  return context.parts.paths.choose(query)
+}
+
+async function * deliverEpoch (
+  context: RequestContext, order: GenerationOrder, progress: Progress, stages: PathStage[], watch: Watch
+): AsyncGenerator<Delivery, EpochEnd> {
+  const { delivered } = progress
+  const request = toRequest(context, order, progress, stages)
+  progress.wasSent = true
+  const tokens = runEpoch(context, { model: order.model, request, delivered, watch })
   try {
-    while (true) {
-      const event = await nextEvent(events, request)
-      if (event.kind === EngineEventKind.Failure) return event.failure
-      if (event.kind === EngineEventKind.Finish) {
-        if (event.tokens !== delivered.length) {
-          return faultOf(request, `the answer ends after ${event.tokens} tokens, not ${delivered.length}`)
-        }
-        isWhole = true
-        for (const stage of request.stages) targets.recordSuccess(stage.target)
-        yield { kind: DeliveryKind.Finish, reason: event.reason, tokens: event.tokens }
-        return undefined
-      }
-      const fault = event.token.index === delivered.length
-        ? findReceiptFault(event.receipt, { ...request, index: delivered.length })
-        : `token ${event.token.index} came, not ${delivered.length}`
-      if (fault !== undefined) return faultOf(request, fault)
-      delivered.push(event.token)
-      yield { kind: DeliveryKind.Token, token: event.token }
+    for (let next = await tokens.next(); ; next = await tokens.next()) {
+      if (next.done === true) return next.value
+      yield { kind: DeliveryKind.Token, token: next.value }
     }
   } finally {
-    ended.abort()
-    for (const release of releases) release()
-    if (!isWhole) cancelEverywhere(context, request)
+    await tokens.return({ kind: 'interrupted', interruption: Interruption.HungUp })
   }
 }
 
-async function nextEvent (events: AsyncIterator<EngineEvent>, request: GenerationRequest): Promise<EngineEvent> {
-  const stalled = deferred<EngineEvent>()
-  const timer = setTimeout(() => stalled.resolve({
-    kind: EngineEventKind.Failure,
-    attempt: request.attempt,
-    failure: {
-      kind: FailureKind.TimedOut,
-      step: Step.Engine,
-      peer: request.stages[0]?.target ?? 'local',
-      detail: 'no token in time',
-      afterMilliseconds: STALL_TIMEOUT_MILLISECONDS
-    }
-  }), STALL_TIMEOUT_MILLISECONDS)
-  try {
-    const next = await Promise.race([events.next(), stalled.promise])
-    if ('kind' in next) return next
-    return next.done === true ? endedEarly(request) : next.value
-  } finally {
-    clearTimeout(timer)
-  }
+async function takeFailure (
+  context: RequestContext, progress: Progress, stages: PathStage[], end: Extract<EpochEnd, { kind: 'failed' }>
+): Promise<void> {
+  const { targets, engines, metrics, logger } = context.parts
+  const { failure } = end
+  const blamed = end.blamed ?? await findFailedTargets(engines, stages, failure)
+  for (const target of blamed) targets.recordFailure(target, failure)
+  for (const target of blamed.length > 0 ? blamed : stages.map(stage => stage.target)) progress.excluded.add(target)
+  progress.lastFailure = failure
+  metrics.count('stage_failures_total', { kind: failure.kind })
+  const { peer, step, kind, detail } = failure
+  logger.warn(LogEvent.TargetFailed, {
+    target: blamed.join(',') || peer, step, kind, detail, delivered: progress.delivered.length, epoch: progress.epoch
+  })
 }
 
-function cancelEverywhere (context: RequestContext, request: GenerationRequest): void {
-  for (const stage of request.stages) void context.parts.engines.cancel(stage, request.session, request.epoch)
+/** A first try that nothing came of is tried again within the retry budget only; a begun answer goes on. */
+function mayGoOn (context: RequestContext, order: GenerationOrder, progress: Progress): boolean {
+  if (context.signal.aborted || progress.fruitless >= MOST_FRUITLESS_EPOCHS) return false
+  if (progress.delivered.length > 0) return true
+  const failure = progress.lastFailure
+  const isDeath = failure !== undefined && (failure.kind === FailureKind.Broken || failure.kind === FailureKind.Unreachable)
+  if (isDeath && progress.fruitless === 1) return true
+  if (failure !== undefined && !isCertainlyNotSent(failure) && progress.fruitless === 1) return true
+  return context.parts.retries.take(order.reference.model)
 }
 
-function toRequest (
-  context: RequestContext, order: GenerationOrder, session: string, epoch: number, stages: PathStage[], delivered: Token[]
-): GenerationRequest {
+async function holdBack (progress: Progress, watch: Watch): Promise<Interruption | undefined> {
+  const held = progress.fruitless - EPOCHS_AT_ONCE
+  if (held <= 0) return undefined
+  return await watch.pause(Math.min(LONGEST_PAUSE_MILLISECONDS, FIRST_PAUSE_MILLISECONDS * 2 ** held))
+}
+
+function toRequest (context: RequestContext, order: GenerationOrder, progress: Progress, stages: PathStage[]): GenerationRequest {
   return {
     ...order.reference,
-    session,
-    epoch,
+    session: progress.session,
+    epoch: progress.epoch,
     attempt: context.parts.random.nextNonce(),
     stages,
     prompt: order.prompt,
-    prefix: [...delivered],
+    prefix: [...progress.delivered],
     maximumTokens: order.maximumTokens,
     temperature: order.temperature,
     seed: order.seed,
@@ -146,23 +164,6 @@
   }
 }
 
-function refusalOf (failure: Failure | undefined, wasSent: boolean): Problem {
-  const detail = failure === undefined ? 'every path failed' : describeFailure(failure)
-  if (!wasSent) return createProblem(ProblemType.NoPath, detail, { retryAfterSeconds: 1 })
-  return createProblem(ProblemType.TargetFailed, detail, { submission: Submission.Sent, order: OrderState.Unknown, retryAfterSeconds: 1 })
-}
-
-function faultOf (request: GenerationRequest, detail: string): Failure {
-  return { kind: FailureKind.Malformed, step: Step.Receipt, peer: request.stages[0]?.target ?? 'local', detail }
-}
-
-function endedEarly (request: GenerationRequest): EngineEvent {
-  const failure: Failure = { kind: FailureKind.Broken, step: Step.Engine, peer: request.stages[0]?.target ?? 'local', detail: 'the stream ended early' }
-  return { kind: EngineEventKind.Failure, attempt: request.attempt, failure }
-}
-
-function deferred<T> (): { promise: Promise<T>, resolve: (value: T) => void } {
-  let resolve: (value: T) => void = () => {}
-  const promise = new Promise<T>(_resolve => { resolve = _resolve })
-  return { promise, resolve }
+function refusal (problem: Problem): Delivery {
+  return { kind: DeliveryKind.Refusal, problem }
 }
--- a/packages/wigeonlead/src/request/handle.ts
+++ b/packages/wigeonlead/src/request/handle.ts
@@ -29,7 +29,7 @@
 export function createCallerHandler (parts: RequestParts, current: () => CompiledVersion | undefined): CallerHandler {
   return async request => {
     const startedAt = performance.now()
-    const response = await answer(parts, current(), request)
+    const response = await answer(parts, current, request)
     const route = ROUTES[pathOf(request)] === undefined ? 'service' : pathOf(request)
     parts.metrics.count('requests_total', { route, status: String(response.status) })
     parts.metrics.observe('answer_started', performance.now() - startedAt, { route })
@@ -37,11 +37,12 @@
   }
 }
 
-async function answer (parts: RequestParts, version: CompiledVersion | undefined, request: CallerRequest): Promise<CallerResponse> {
+async function answer (parts: RequestParts, current: () => CompiledVersion | undefined, request: CallerRequest): Promise<CallerResponse> {
+  const version = current()
   if (version === undefined) {
     return problemResponse(createProblem(ProblemType.NotReady, 'no manifest was seen yet', { retryAfterSeconds: 2 }))
   }
-  const context = createContext(parts, version, request)
+  const context = createContext(parts, version, current, request)
   if ('type' in context) return problemResponse(context)
   try {
     return await dispatch(context, request)
@@ -62,7 +63,9 @@
   return await answerServiceCall(context, request, service[1] ?? '', `${service[2] ?? '/'}${service[3] ?? ''}`)
 }
 
-function createContext (parts: RequestParts, version: CompiledVersion, request: CallerRequest): RequestContext | Problem {
+function createContext (
+  parts: RequestParts, version: CompiledVersion, versionInForce: () => CompiledVersion | undefined, request: CallerRequest
+): RequestContext | Problem {
   const key = /^Bearer (.+)$/i.exec(request.headers.authorization ?? '')?.[1]
   const workspace = key === undefined ? undefined : version.workspacesByKeyDigest.get(digestText(key))
   if (workspace === undefined) return createProblem(ProblemType.Unauthenticated, 'a bearer key of a workspace is wanted')
@@ -70,7 +73,7 @@
   if (deadline === undefined) return createProblem(ProblemType.MalformedRequest, `${DEADLINE_HEADER} is not a number of milliseconds`)
   const priority = readNumber(request, PRIORITY_HEADER, DEFAULT_PRIORITY, 0, LOWEST_PRIORITY)
   if (priority === undefined) return createProblem(ProblemType.MalformedRequest, `${PRIORITY_HEADER} is not a number from 0 to ${LOWEST_PRIORITY}`)
-  return { parts, version, workspace, signal: request.signal, deadlineAt: Date.now() + deadline, priority }
+  return { parts, version, versionInForce, workspace, signal: request.signal, deadlineAt: Date.now() + deadline, priority }
 }
 
 function readNumber (request: CallerRequest, header: string, otherwise: number, least: number, most: number): number | undefined {
--- a/packages/wigeonlead/src/request/index.ts
+++ b/packages/wigeonlead/src/request/index.ts
@@ -1,12 +1,20 @@
 /**
  * What lives as long as one request.
  */
-export { createAdmission, type Admission, type AdmissionRequest, type AdmissionTicket } from './admission.js'
+export {
+  createAdmission, refuseAdmission, type Admission, type AdmissionParts, type AdmissionRequest, type AdmissionTicket
+} from './admission.js'
+export { createLimits, type LimitReached, type Limits } from './admission-limits.js'
+export { createFairQueue, type FairQueue, type QueuedItem } from './admission-queue.js'
 export {
   jsonResponse, problemResponse, type CallerHandler, type CallerRequest, type CallerResponse
 } from './caller.js'
 export { ClaimResult, createClaims, type ClaimOutcome, type ClaimedOrder, type Claims } from './claims/index.js'
 export type { RequestContext, RequestParts } from './context.js'
 export { createCallerHandler } from './handle.js'
-export { cheapestPath, createPathChooser, type PathChooser, type PathQuery } from './path.js'
-export { findReceiptFault } from './receipt.js'
+export { DeliveryKind, generate, type Delivery, type GenerationOrder } from './generation.js'
+export { findFailedTargets, probeStages } from './generation-blame.js'
+export { createPathChooser, type PathChooser, type PathQuery } from './path.js'
+export { LEAN_WEIGHTS, createStageCosts, type LeanWeights, type StageCosts } from './path-cost.js'
+export { cheapestPath, type PathCosts, type PricedPath } from './path-search.js'
+export { findReceiptFault, type ReceiptFault } from './receipt.js'
--- a/packages/wigeonlead/src/request/receipt.ts
+++ b/packages/wigeonlead/src/request/receipt.ts
@@ -11,17 +11,24 @@
   stages: PathStage[]
 }
 
+/** What is wrong with a receipt, and the target that is to blame where it shows. */
+export interface ReceiptFault {
+  detail: string
+  target?: string
+}
+
 /** @returns what is wrong with a receipt, or undefined where it is right. */
-export function findReceiptFault (receipt: Receipt, expected: ReceiptExpectation): string | undefined {
-  if (receipt.session !== expected.session) return 'the receipt belongs to another session'
-  if (receipt.epoch !== expected.epoch) return `the receipt is of epoch ${receipt.epoch}, not ${expected.epoch}`
-  if (receipt.index !== expected.index) return `the receipt is of token ${receipt.index}, not ${expected.index}`
-  if (receipt.stages.length !== expected.stages.length) return `${receipt.stages.length} stages ran, not ${expected.stages.length}`
+export function findReceiptFault (receipt: Receipt, expected: ReceiptExpectation): ReceiptFault | undefined {
+  if (receipt.session !== expected.session) return { detail: 'the receipt belongs to another session' }
+  if (receipt.epoch !== expected.epoch) return { detail: `the receipt is of epoch ${receipt.epoch}, not ${expected.epoch}` }
+  if (receipt.index !== expected.index) return { detail: `the receipt is of token ${receipt.index}, not ${expected.index}` }
   for (const [position, stage] of expected.stages.entries()) {
     const ran = receipt.stages[position]
     if (ran === undefined || ran.target !== stage.target || ran.layers.from !== stage.layers.from || ran.layers.to !== stage.layers.to) {
-      return `stage ${position} does not show layers ${stage.layers.from} to ${stage.layers.to} at ${stage.target}`
+      const detail = `stage ${position} does not show layers ${stage.layers.from} to ${stage.layers.to} at ${stage.target}`
+      return { detail, target: stage.target }
     }
   }
-  return undefined
+  if (receipt.stages.length === expected.stages.length) return undefined
+  return { detail: `${receipt.stages.length} stages ran, not ${expected.stages.length}` }
 }
--- a/packages/wigeonlead/src/version/compile.ts
+++ b/packages/wigeonlead/src/version/compile.ts
@@ -13,12 +13,15 @@
   adapters: string[]
   from: number
   to: number
+  /** Position of the target's failure domain in the manifest. */
+  domain: number
 }
 
 /** A model with the targets that hold parts of it. */
 export interface CompiledModel {
   model: ManifestModel
   defaultVersion: string
+  /** Ordered by the first layer. */
   options: StageOption[]
 }
 
@@ -37,17 +40,32 @@
   targets: ReadonlyMap<string, ManifestTarget>
   workspacesByKeyDigest: ReadonlyMap<string, ManifestWorkspace>
   workspaces: ReadonlyMap<string, ManifestWorkspace>
+  /** Position of each failure domain in the manifest. */
+  domains: ReadonlyMap<string, number>
+  /** One-way delay between two failure domains by position, milliseconds. */
+  linkMilliseconds: (from: number, to: number) => number
+  /** Targets that can stand in for one another: the same layers of a model, or the same service. */
+  groupOf: (target: string) => readonly string[]
   /** Tells whether a planned stop of a target has begun. */
   isTargetStopping: (target: string, nowMilliseconds: number) => boolean
 }
 
+const SAME_DOMAIN_MILLISECONDS = 0.1
+const UNDECLARED_LINK_MILLISECONDS = 2
+const NO_GROUP: readonly string[] = []
+
 /** Compiles a manifest under its head. */
 export function compileVersion (head: ConfigurationHead, manifest: Manifest): CompiledVersion {
   const stops = new Map(head.stops.filter(stop => stop.subject === StopSubject.Target).map(stop => [stop.name, stop]))
+  const domains = new Map(manifest.failureDomains.map((name, position) => [name, position]))
+  const groups = compileGroups(manifest)
   return {
     head,
     manifest,
-    models: new Map(manifest.models.map(model => [model.name, compileModel(model, manifest.targets)])),
+    domains,
+    linkMilliseconds: compileLinks(manifest, domains),
+    groupOf: target => groups.get(target) ?? NO_GROUP,
+    models: new Map(manifest.models.map(model => [model.name, compileModel(model, manifest.targets, domains)])),
     services: new Map(manifest.services.map(service => [service.name, compileService(service)])),
     targets: new Map(manifest.targets.map(target => [target.name, target])),
     workspaces: new Map(manifest.workspaces.map(workspace => [workspace.name, workspace])),
@@ -60,13 +78,44 @@
   }
 }
 
-function compileModel (model: ManifestModel, targets: ManifestTarget[]): CompiledModel {
+function compileModel (model: ManifestModel, targets: ManifestTarget[], domains: ReadonlyMap<string, number>): CompiledModel {
   const options = targets.flatMap(target => target.serves.filter(part => part.model === model.name).map(part => ({
-    target, version: part.version, adapters: part.adapters, from: part.layers[0], to: part.layers[1]
+    target,
+    version: part.version,
+    adapters: part.adapters,
+    from: part.layers[0],
+    to: part.layers[1],
+    domain: domains.get(target.failureDomain) ?? 0
   })))
+  options.sort((left, right) => left.from - right.from)
   return { model, options, defaultVersion: model.defaultVersion ?? model.versions.at(-1) ?? '' }
 }
 
+function compileLinks (manifest: Manifest, domains: ReadonlyMap<string, number>): (from: number, to: number) => number {
+  const count = domains.size
+  const delays = new Float64Array(count * count).fill(UNDECLARED_LINK_MILLISECONDS)
+  for (let domain = 0; domain < count; domain += 1) delays[domain * count + domain] = SAME_DOMAIN_MILLISECONDS
+  const declared = new Set(manifest.links.map(link => `${link.from} ${link.to}`))
+  for (const { from, to, delayMilliseconds } of manifest.links) {
+    const [first, second] = [domains.get(from) ?? 0, domains.get(to) ?? 0]
+    delays[first * count + second] = delayMilliseconds
+    if (!declared.has(`${to} ${from}`)) delays[second * count + first] = delayMilliseconds
+  }
+  return (from, to) => delays[from * count + to] ?? UNDECLARED_LINK_MILLISECONDS
+}
+
+function compileGroups (manifest: Manifest): Map<string, readonly string[]> {
+  const byPart = new Map<string, string[]>()
+  const add = (part: string, target: string): void => { byPart.set(part, [...byPart.get(part) ?? [], target]) }
+  for (const target of manifest.targets) {
+    for (const { model, version, layers } of target.serves.slice(0, 1)) add(`${model} ${version} ${layers.join()}`, target.name)
+  }
+  for (const service of manifest.services) {
+    for (const target of service.targets) add(`service ${service.name}`, target.name)
+  }
+  return new Map([...byPart.values()].flatMap(members => members.map(member => [member, members] as const)))
+}
+
 function compileService (service: ManifestService): CompiledService {
   return { service, operations: service.operations.map(operation => ({ operation, pattern: toPattern(operation.path) })) }
 }
--- a/packages/wigeonlead/test/receipt.spec.ts
+++ b/packages/wigeonlead/test/receipt.spec.ts
@@ -29,7 +29,7 @@
 for (const { name, receipt, isRight } of CASES) {
   receipts(name, () => {
     const fault = findReceiptFault(receipt, { session: 's', epoch: 1, index: 3, stages: STAGES })
-    assert.is(fault === undefined, isRight, fault)
+    assert.is(fault === undefined, isRight, fault?.detail)
   })
 }
 receipts.run()
