Membership by gossip: incarnations, suspicion, target events, demand

Cause: the membership told whole tables to every known node each second and knew neither death nor leaving.

Change: each second two peers of the own failure domain, every other second one of another; changed entries ride as rumors and whole tables only where digests differ. Suspicion, refutation, sticky leaving, tombstones; other failure domains as three contacts and an aggregate. Target events are pushed at once and aged out; demand of heavy workspaces gives each node its share. A network of peers in memory carries several nodes in one process, with partitions, pauses, lost replies, duplicates and delays.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -50,7 +50,7 @@
   PublishResult, changeHead, parseHead, publishManifest, readHead, type PublishOutcome
 } from './manifest/publish.js'
 export {
-  MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type GossipMessage,
+  MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type DomainSummary, type GossipMessage,
   type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus, type PeerHandler,
   type PeerHandlers, type PeerMethods, type PeerPort, type TargetEvent
 } from './peers/messages.js'
--- a/packages/protocol/src/peers/messages.ts
+++ b/packages/protocol/src/peers/messages.ts
@@ -45,13 +45,33 @@
   /** Node that says so and its count of events, so that the latest word of a node wins. */
   reporter: string
   sequence: number
-  atMilliseconds: number
+  /** Time since the reporter said so, milliseconds; an age, since the nodes' clocks differ. */
+  ageMilliseconds: number
+}
+
+/** What a failure domain tells the others of itself. */
+export interface DomainSummary {
+  failureDomain: string
+  /** Entry VMs that take work. */
+  aliveMembers: number
+  /** A few of its members, through which it is reached. */
+  contacts: MemberEntry[]
+  /** Requests a second of its heaviest workspaces. */
+  demand: Record<string, number>
+  /** Time since a node of that failure domain said so, milliseconds. */
+  ageMilliseconds: number
 }
 
 /** One gossip exchange; the answer has the same shape. */
 export interface GossipMessage {
   sender: MemberEntry
+  /** Digest of the sender's table of its failure domain; a receiver with another one answers with its whole table. */
+  digest: string
+  /** Asks for everything that the receiver keeps: said by a node that has just started. */
+  wantsAll?: boolean
+  /** Entries that changed lately, or the whole table. */
   members: MemberEntry[]
+  domains: DomainSummary[]
   targetEvents: TargetEvent[]
   /** Requests a second of heavy workspaces at the sender. */
   demand: Record<string, number>
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,6 +5,9 @@
 export { createKeyValueStore, type KeyValueStore, type StoreCounts, type StoreWrite } from './platform/store.js'
 export { createMemoryKeyValue, KeyValueFault, type MemoryKeyValueOptions } from './platform/memory.js'
 export { loopbackVm, startKeyValueServer, startVmListServer, type KeyValueServerOptions } from './platform/server.js'
+export {
+  PeerFault, createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerOptions, type PeerCall, type PeerTraffic
+} from './peers/memory.js'
 export {
   createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry
 } from './engine/core.js'
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -9,7 +9,7 @@
 import { createConfiguration } from './configuration.js'
 import { createInFlight } from './in-flight.js'
 import { SILENT_LOGGER, type Logger } from './logging.js'
-import { createMembership } from './membership.js'
+import { createMembership } from './membership/index.js'
 import { createMetrics } from './metrics.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
@@ -56,7 +56,10 @@
     vm,
     failureDomain,
     seeds: settings.peers.seeds,
-    generation: () => configuration.current()?.head.generation ?? 0
+    generation: () => configuration.current()?.head.generation ?? 0,
+    random: ports.random,
+    vmList: ports.vmList,
+    logger
   })
   const handle = createCallerHandler({
     engines: ports.engines,
