Peers: signed requests and answers, replay refused, mutual TLS, bounds

Cause: a signature covered only the body, so a recorded call could be replayed and an answer forged; a deadline and a break looked alike; nothing bounded the calls under way.

Change: HMAC over secret id, time, nonce and body, answers signed over the request's nonce; a node whose clock is off learns the peer's time from a signed answer. Mutual TLS by settings. TimedOut, Broken and Unreachable are told apart; an error of a handler is Broken, since what it had done is not known. Bounds on message size and on calls made and served; bytes on the wire are counted.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -52,5 +52,5 @@
 export {
   MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type DomainSummary, type GossipMessage,
   type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus, type PeerHandler,
-  type PeerHandlers, type PeerMethods, type PeerPort, type TargetEvent
+  type PeerHandlers, type PeerMethods, type PeerPort, type PeerTraffic, type TargetEvent
 } from './peers/messages.js'
--- a/packages/protocol/src/peers/messages.ts
+++ b/packages/protocol/src/peers/messages.ts
@@ -122,6 +122,12 @@
 /** The handlers of a node; a missing one answers "method not found". */
 export type PeerHandlers = { [M in PeerMethod]?: PeerHandler<M> }
 
+/** Bytes between entry VMs. */
+export interface PeerTraffic {
+  sentBytes: number
+  receivedBytes: number
+}
+
 /** Calls to other entry VMs. `call` never rejects. */
 export interface PeerPort {
   call: <M extends PeerMethod>(
@@ -129,4 +135,6 @@
   ) => Promise<Outcome<PeerMethods[M]['result']>>
   /** Sets what this node answers. */
   serve: (handlers: PeerHandlers) => void
+  /** What the port carried since its start; absent where it isn't counted. */
+  traffic?: () => PeerTraffic
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,7 +6,8 @@
 export { createMemoryKeyValue, KeyValueFault, type MemoryKeyValueOptions } from './platform/memory.js'
 export { loopbackVm, startKeyValueServer, startVmListServer, type KeyValueServerOptions } from './platform/server.js'
 export {
-  PeerFault, createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerOptions, type PeerCall, type PeerTraffic
+  PeerFault, createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerOptions, type MemoryPeerTraffic,
+  type PeerCall
 } from './peers/memory.js'
 export {
   createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry
--- a/packages/stand-ins/src/peers/memory.ts
+++ b/packages/stand-ins/src/peers/memory.ts
@@ -2,7 +2,8 @@
  * A network of peers in memory: several nodes in one process, with partitions, lost replies, duplicates and delays.
  */
 import {
-  FailureKind, Step, failed, success, type Failure, type Outcome, type PeerHandler, type PeerHandlers, type PeerMethod, type PeerPort
+  FailureKind, Step, failed, success, type Failure, type Outcome, type PeerHandler, type PeerHandlers, type PeerMethod, type PeerPort,
+  type PeerTraffic
 } from '@wigeonlead/protocol'
 
 /** Faults of one call between peers. */
@@ -32,11 +33,9 @@
   delayMilliseconds?: (call: PeerCall) => number
 }
 
-/** Bytes of the bodies that a node sent and received. */
-export interface PeerTraffic {
+/** Calls that a node made, and bytes of the bodies that it sent and received. */
+export interface MemoryPeerTraffic extends PeerTraffic {
   calls: number
-  sentBytes: number
-  receivedBytes: number
 }
 
 /** The network. */
@@ -51,17 +50,17 @@
   /** Sets which pairs of nodes can't reach each other. */
   partition: (isCut: (from: string, to: string) => boolean) => void
   heal: () => void
-  traffic: (address: string) => PeerTraffic
+  traffic: (address: string) => MemoryPeerTraffic
 }
 
 /** Makes a network without nodes. */
 export function createMemoryPeerNetwork (options: MemoryPeerOptions = {}): MemoryPeerNetwork {
   const nodes = new Map<string, { handlers: PeerHandlers }>()
   const paused = new Set<string>()
-  const traffic = new Map<string, PeerTraffic>()
+  const traffic = new Map<string, MemoryPeerTraffic>()
   let isCut = (_from: string, _to: string): boolean => false
 
-  function trafficOf (address: string): PeerTraffic {
+  function trafficOf (address: string): MemoryPeerTraffic {
     const known = traffic.get(address) ?? { calls: 0, sentBytes: 0, receivedBytes: 0 }
     traffic.set(address, known)
     return known
@@ -94,6 +93,7 @@
       nodes.set(address, node)
       return {
         serve: handlers => { node.handlers = handlers },
+        traffic: () => ({ ...trafficOf(address) }),
         async call (to, method, parameters, deadlineMilliseconds) {
           if (nodes.get(address) !== node) return failed(toFailure({ from: address, to, method }, FailureKind.Unreachable))
           trafficOf(address).calls += 1
@@ -117,7 +117,7 @@
   try {
     return success(await handler(parameters as never, call.from))
   } catch (error) {
-    return failed({ ...toFailure(call, FailureKind.Refused), detail: String(error) })
+    return failed({ ...toFailure(call, FailureKind.Broken), detail: String(error) })
   }
 }
 
@@ -134,7 +134,7 @@
   })
 }
 
-function toFailure (call: PeerCall, kind: FailureKind.Unreachable | FailureKind.Refused): Failure {
+function toFailure (call: PeerCall, kind: FailureKind.Unreachable | FailureKind.Refused | FailureKind.Broken): Failure {
   return { kind, step: Step.Peer, peer: call.to, detail: call.method }
 }
 
--- a/packages/wigeonlead/src/connection/index.ts
+++ b/packages/wigeonlead/src/connection/index.ts
@@ -5,4 +5,6 @@
 export { createOperatorListener, type OperatorViews } from './operators.js'
 export { createHttpEngines } from './engines.js'
 export { createHttpServices } from './services.js'
-export { createHttpPeers, type HttpPeers, type PeerSecret } from './peers.js'
+export {
+  createHttpPeers, type HttpPeers, type HttpPeersOptions, type PeerLimits, type PeerSecret, type PeerTlsFiles
+} from './peers/index.js'
--- /dev/null
+++ b/packages/wigeonlead/src/connection/peers/client.ts
@@ -0,0 +1,116 @@
+/**
+ * The calling side between entry VMs: one signed HTTP request for each call, over kept connections.
+ */
+import { Agent, request as requestHttp, type ClientRequest, type IncomingMessage } from 'node:http'
+import { Agent as TlsAgent, request as requestHttps } from 'node:https'
+import { FailureKind, Step, failed, success, type Failure, type Outcome } from '@wigeonlead/protocol'
+import { z } from 'zod'
+import { SIGNATURE_HEADER, readBody, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
+import type { Signer } from './signature.js'
+
+/** Sends one body to a peer and gives back the answer's body. Never rejects. */
+export type PeerSender = (address: string, body: string, deadlineMilliseconds: number) => Promise<Outcome<string>>
+
+interface Answer {
+  status: number
+  signature: string | undefined
+  body: string
+}
+
+const MAXIMUM_OFFSETS = 1024
+const STATUS_OFF_TIME = 409
+const offTimeSchema = z.object({ nowMilliseconds: z.number() })
+
+/** Makes the sender. */
+export function createPeerSender (
+  signer: Signer, limits: PeerLimits, traffic: TrafficCounter, tls: PeerTlsFiles | undefined
+): PeerSender {
+  const pool = {
+    keepAlive: true, maxSockets: limits.socketsOfAPeer, maxFreeSockets: limits.idleSocketsOfAPeer, timeout: limits.idleMilliseconds
+  }
+  const agent = tls === undefined ? new Agent(pool) : new TlsAgent({ ...pool, cert: tls.certificate, key: tls.key, ca: tls.authority })
+  const open = (address: string, options: object): ClientRequest => tls === undefined
+    ? requestHttp(`http://${address}/rpc`, options)
+    : requestHttps(`https://${address}/rpc`, options)
+  const clockOffsets = new Map<string, number>()
+  let calls = 0
+
+  async function attempt (address: string, body: string, deadlineMilliseconds: number): Promise<Outcome<string> | 'off-time'> {
+    const { header, request } = signer.signRequest(body, clockOffsets.get(address) ?? 0)
+    const outcome = await post(address, body, header, deadlineMilliseconds)
+    if (!outcome.ok) return outcome
+    const { status, signature, body: text } = outcome.value
+    const isSigned = signer.isAnswerSigned(signature, request, status, text)
+    if (isSigned && status === STATUS_OFF_TIME && learnOffset(address, text)) return 'off-time'
+    if (isSigned && status === 200) return success(text)
+    return failed(statusFailure(address, status, isSigned))
+  }
+
+  function learnOffset (address: string, text: string): boolean {
+    const parsed = offTimeSchema.safeParse(JSON.parse(text))
+    if (!parsed.success) return false
+    clockOffsets.delete(address)
+    clockOffsets.set(address, parsed.data.nowMilliseconds - Date.now())
+    const oldest = clockOffsets.keys().next().value
+    if (clockOffsets.size > MAXIMUM_OFFSETS && oldest !== undefined) clockOffsets.delete(oldest)
+    return true
+  }
+
+  async function post (address: string, body: string, signature: string, deadlineMilliseconds: number): Promise<Outcome<Answer>> {
+    const aborter = new AbortController()
+    const timer = setTimeout(() => aborter.abort(), deadlineMilliseconds)
+    let isConnected = false
+    try {
+      const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), [SIGNATURE_HEADER]: signature }
+      const outgoing = open(address, { method: 'POST', agent, signal: aborter.signal, headers })
+      const response = await send(outgoing, body, tls !== undefined, () => { isConnected = true })
+      const { socket } = response
+      const text = await readBody(response, limits.messageBytes)
+      traffic.observe(socket)
+      const answerSignature = response.headers[SIGNATURE_HEADER]
+      return success({ status: response.statusCode ?? 0, body: text, signature: typeof answerSignature === 'string' ? answerSignature : undefined })
+    } catch (cause) {
+      const detail = cause instanceof Error ? cause.message : String(cause)
+      const origin = { step: Step.Peer, peer: address, detail, cause }
+      if (!isConnected) return failed({ ...origin, kind: FailureKind.Unreachable })
+      if (aborter.signal.aborted) return failed({ ...origin, kind: FailureKind.TimedOut, afterMilliseconds: deadlineMilliseconds })
+      return failed({ ...origin, kind: FailureKind.Broken })
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  return async (address, body, deadlineMilliseconds) => {
+    const origin = { step: Step.Peer, peer: address }
+    if (Buffer.byteLength(body) > limits.messageBytes) return failed({ ...origin, kind: FailureKind.Refused, detail: 'the message is too large' })
+    if (calls >= limits.calls) return failed({ ...origin, kind: FailureKind.Refused, detail: 'too many calls under way' })
+    calls += 1
+    try {
+      let outcome = await attempt(address, body, deadlineMilliseconds)
+      if (outcome === 'off-time') outcome = await attempt(address, body, deadlineMilliseconds)
+      return outcome === 'off-time' ? failed({ ...origin, kind: FailureKind.Unauthenticated, detail: 'the clocks differ' }) : outcome
+    } finally {
+      calls -= 1
+    }
+  }
+}
+
+function send (outgoing: ClientRequest, body: string, isTls: boolean, onConnected: () => void): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    outgoing.on('socket', socket => {
+      if (socket.connecting) socket.once(isTls ? 'secureConnect' : 'connect', onConnected)
+      else onConnected()
+    })
+    outgoing.on('response', resolve)
+    outgoing.on('error', reject)
+    outgoing.end(body)
+  })
+}
+
+function statusFailure (address: string, status: number, isSigned: boolean): Failure {
+  const origin = { step: Step.Peer, peer: address, detail: `status ${status}` }
+  if (status === 503 && isSigned) return { ...origin, kind: FailureKind.Refused, status }
+  if (status === 401) return { ...origin, kind: FailureKind.Unauthenticated }
+  if (!isSigned) return { ...origin, kind: FailureKind.Malformed, detail: `status ${status}, not signed by the peer` }
+  return { ...origin, kind: FailureKind.Refused, status }
+}
--- /dev/null
+++ b/packages/wigeonlead/src/connection/peers/peers.ts
@@ -0,0 +1,91 @@
+/**
+ * Calls between entry VMs: JSON-RPC 2.0 over keep-alive HTTP, or HTTPS with certificates on both sides; each message is signed.
+ */
+import type { Server } from 'node:http'
+import { JSONRPCErrorCode, JSONRPCServer, createJSONRPCErrorResponse, createJSONRPCRequest, type JSONRPCResponse } from 'json-rpc-2.0'
+import {
+  FailureKind, Step, failed, success, type PeerHandler, type PeerHandlers, type PeerMethod, type PeerPort
+} from '@wigeonlead/protocol'
+import { createPeerSender } from './client.js'
+import { createPeerListener } from './listener.js'
+import { PEER_LIMITS, createTrafficCounter, type PeerLimits, type PeerTlsFiles } from './shared.js'
+import { createSigner, type PeerSecret } from './signature.js'
+
+/** The peer port together with its listener. */
+export interface HttpPeers extends PeerPort {
+  listener: Server
+}
+
+/** Options of the peers. */
+export interface HttpPeersOptions {
+  /** Mutual TLS; plain HTTP when absent. */
+  tls?: PeerTlsFiles
+  /** Bounds other than the default ones. */
+  limits?: Partial<PeerLimits>
+  /** Called with each refused caller and the reason. */
+  onRefused?: (peer: string, reason: string) => void
+}
+
+const NOT_RUN_CODES: ReadonlySet<number> = new Set([
+  JSONRPCErrorCode.ParseError, JSONRPCErrorCode.InvalidRequest, JSONRPCErrorCode.MethodNotFound
+])
+
+/**
+ * Makes a peer port over HTTP.
+ * @param secrets the first signs, all are accepted.
+ */
+export function createHttpPeers (secrets: PeerSecret[], options: HttpPeersOptions = {}): HttpPeers {
+  const limits = { ...PEER_LIMITS, ...options.limits }
+  const signer = createSigner(secrets)
+  const traffic = createTrafficCounter()
+  const send = createPeerSender(signer, limits, traffic, options.tls)
+  let server = new JSONRPCServer<string>()
+  let nextId = 1
+
+  async function answer (body: string, peer: string): Promise<string> {
+    const response = await server.receiveJSON(body, peer)
+    return JSON.stringify(response ?? createJSONRPCErrorResponse(null, JSONRPCErrorCode.InvalidRequest, 'notifications are not served'))
+  }
+
+  return {
+    listener: createPeerListener({
+      signer, limits, traffic, tls: options.tls, answer, onRefused: options.onRefused ?? (() => {})
+    }),
+    traffic: traffic.counts,
+    serve: handlers => { server = createRpcServer(handlers) },
+    async call (address, method, parameters, deadlineMilliseconds) {
+      const request = createJSONRPCRequest(nextId++, method, parameters)
+      const outcome = await send(address, JSON.stringify(request), deadlineMilliseconds)
+      if (!outcome.ok) return outcome
+      const response = parseResponse(outcome.value, request.id)
+      const origin = { step: Step.Peer, peer: address }
+      if (response === undefined) return failed({ ...origin, kind: FailureKind.Malformed, detail: 'no JSON-RPC answer to this call' })
+      if (response.error !== undefined) return failed({ ...origin, kind: errorKind(response.error.code), detail: response.error.message })
+      return success(response.result)
+    }
+  }
+}
+
+function createRpcServer (handlers: PeerHandlers): JSONRPCServer<string> {
+  const server = new JSONRPCServer<string>({ errorListener: () => {} })
+  for (const [method, handler] of Object.entries(handlers)) {
+    const handle = handler as PeerHandler<PeerMethod>
+    server.addMethod(method, (parameters, peer) => handle(parameters as never, peer))
+  }
+  return server
+}
+
+function parseResponse (text: string, id: unknown): JSONRPCResponse | undefined {
+  try {
+    const response = JSON.parse(text) as JSONRPCResponse
+    const isAnswer = response.jsonrpc === '2.0' && response.id === id
+    return isAnswer && ('result' in response || response.error !== undefined) ? response : undefined
+  } catch {
+    return undefined
+  }
+}
+
+/** An error of a handler doesn't tell what it had done before. */
+function errorKind (code: number): FailureKind.Refused | FailureKind.Broken {
+  return NOT_RUN_CODES.has(code) ? FailureKind.Refused : FailureKind.Broken
+}
--- /dev/null
+++ b/packages/wigeonlead/src/connection/peers/signature.ts
@@ -0,0 +1,101 @@
+/**
+ * Signatures on messages between entry VMs: HMAC-SHA-256 with the id of the secret, a time and a nonce against replay.
+ */
+import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
+
+/** A shared secret with its id. */
+export interface PeerSecret {
+  id: string
+  value: string
+}
+
+/** What a request's signature says. */
+export interface SignedRequest {
+  secretId: string
+  atMilliseconds: number
+  nonce: string
+}
+
+/** The closed set of results of checking a request's signature. */
+export enum SignatureCheck {
+  Valid = 'valid',
+  Invalid = 'invalid',
+  /** Rightly signed, but its time is too far from this node's clock. */
+  OffTime = 'off-time',
+  Replayed = 'replayed'
+}
+
+/** Signs and checks the messages of one node. */
+export interface Signer {
+  /** Signs a request with the first secret; the receiver's clock is ahead by `offsetMilliseconds`. */
+  signRequest: (body: string, offsetMilliseconds: number) => { header: string, request: SignedRequest }
+  checkRequest: (header: string | undefined, body: string) => { check: SignatureCheck, request?: SignedRequest }
+  /** Signs an answer with the secret of its request. */
+  signAnswer: (request: SignedRequest, status: number, body: string) => string
+  isAnswerSigned: (header: string | undefined, request: SignedRequest, status: number, body: string) => boolean
+}
+
+const TIME_WINDOW_MILLISECONDS = 60_000
+const MAXIMUM_NONCES = 131_072
+const NONCE_BYTES = 12
+
+/**
+ * Makes a signer.
+ * @param secrets the first signs, all are accepted.
+ */
+export function createSigner (secrets: PeerSecret[]): Signer {
+  const seen = new Map<string, number>()
+
+  function isReplay (nonce: string): boolean {
+    const now = Date.now()
+    for (const [old, at] of seen) {
+      if (Math.abs(now - at) < 2 * TIME_WINDOW_MILLISECONDS && seen.size <= MAXIMUM_NONCES) break
+      seen.delete(old)
+    }
+    if (seen.has(nonce)) return true
+    seen.set(nonce, now)
+    return false
+  }
+
+  function mac (secretId: string, text: string): string | undefined {
+    const secret = secrets.find(secret => secret.id === secretId)
+    return secret === undefined ? undefined : createHmac('sha256', secret.value).update(text).digest('base64url')
+  }
+
+  return {
+    signRequest (body, offsetMilliseconds) {
+      const request = {
+        secretId: secrets[0]?.id ?? '',
+        atMilliseconds: Date.now() + offsetMilliseconds,
+        nonce: randomBytes(NONCE_BYTES).toString('base64url')
+      }
+      const { secretId, atMilliseconds, nonce } = request
+      return { request, header: [secretId, atMilliseconds, nonce, mac(secretId, requestText(request, body))].join(' ') }
+    },
+    checkRequest (header, body) {
+      const [secretId = '', at = '', nonce = '', signature = ''] = (header ?? '').split(' ')
+      const request = { secretId, atMilliseconds: Number(at), nonce }
+      if (!isEqual(signature, mac(secretId, requestText(request, body)))) return { check: SignatureCheck.Invalid }
+      const isInTime = Math.abs(request.atMilliseconds - Date.now()) <= TIME_WINDOW_MILLISECONDS
+      if (!isInTime) return { check: SignatureCheck.OffTime, request }
+      return { check: isReplay(nonce) ? SignatureCheck.Replayed : SignatureCheck.Valid, request }
+    },
+    signAnswer: (request, status, body) => mac(request.secretId, answerText(request, status, body)) ?? '',
+    isAnswerSigned: (header, request, status, body) => isEqual(header ?? '', mac(request.secretId, answerText(request, status, body)))
+  }
+}
+
+function requestText ({ secretId, atMilliseconds, nonce }: SignedRequest, body: string): string {
+  return `request\n${secretId}\n${atMilliseconds}\n${nonce}\n${body}`
+}
+
+function answerText (request: SignedRequest, status: number, body: string): string {
+  return `answer\n${request.nonce}\n${status}\n${body}`
+}
+
+function isEqual (found: string, wanted: string | undefined): boolean {
+  if (wanted === undefined) return false
+  const left = Buffer.from(found)
+  const right = Buffer.from(wanted)
+  return left.length === right.length && timingSafeEqual(left, right)
+}
--- a/packages/wigeonlead/src/process/membership/gossip.ts
+++ b/packages/wigeonlead/src/process/membership/gossip.ts
@@ -111,7 +111,7 @@
 
   async function talk (peer: string, domain: string | undefined): Promise<void> {
     let outcome = await call(peer, domain)
-    if (!outcome.ok && outcome.failure.kind === FailureKind.TimedOut && !stopped.signal.aborted) outcome = await call(peer, domain)
+    if (!outcome.ok && outcome.failure.kind !== FailureKind.Unreachable && !stopped.signal.aborted) outcome = await call(peer, domain)
     if (stopped.signal.aborted) return
     others.noteContact(peer, outcome.ok)
     if (outcome.ok) parts.receiveAnswer(outcome.value)
--- a/packages/wigeonlead/src/process/serve.ts
+++ b/packages/wigeonlead/src/process/serve.ts
@@ -1,9 +1,12 @@
 /**
  * Runs a router on sockets: the HTTP adapters behind its ports, and its three listeners.
  */
+import { readFileSync } from 'node:fs'
 import type { Server } from 'node:http'
 import { createEtcdKeyValue, createVmListClient } from '@wigeonlead/protocol'
-import { createCallerListener, createHttpEngines, createHttpPeers, createHttpServices, createOperatorListener } from '../connection/index.js'
+import {
+  createCallerListener, createHttpEngines, createHttpPeers, createHttpServices, createOperatorListener, type PeerTlsFiles
+} from '../connection/index.js'
 import { LogEvent, type Logger } from './logging.js'
 import { createSystemRandom } from './random.js'
 import type { Settings } from './settings.js'
@@ -19,7 +22,10 @@
 
 /** Starts a router on sockets. */
 export async function serveRouter (settings: Settings, logger: Logger): Promise<RunningRouter> {
-  const peers = createHttpPeers(settings.peers.secrets)
+  const peers = createHttpPeers(settings.peers.secrets, {
+    tls: readPeerTls(settings),
+    onRefused: (peer, reason) => logger.warn(LogEvent.PeerRefused, { peer, reason })
+  })
   const router = createRouter(settings, {
     keyValue: createEtcdKeyValue({
       endpoints: settings.platform.keyValue, deadlineMilliseconds: settings.platform.callDeadlineMilliseconds
@@ -50,6 +56,12 @@
   }
 }
 
+function readPeerTls ({ peers: { tls } }: Settings): PeerTlsFiles | undefined {
+  if (tls === undefined) return undefined
+  const read = (file: string): string => readFileSync(file, 'utf8')
+  return { certificate: read(tls.certificate), key: read(tls.key), authority: read(tls.authority) }
+}
+
 function listen (server: Server, address: string): Promise<void> {
   const split = address.lastIndexOf(':')
   const host = address.slice(0, split).replace(/^\[|\]$/g, '')
--- a/packages/wigeonlead/src/process/settings.ts
+++ b/packages/wigeonlead/src/process/settings.ts
@@ -26,7 +26,10 @@
     /** Addresses of other nodes' peers' listeners, tried beside the VM list. */
     seeds: z.array(address).default([]),
     /** The first signs; all are accepted. */
-    secrets: z.array(z.strictObject({ id: z.string().min(1), value: z.string().min(16) })).min(1)
+    secrets: z.array(z.strictObject({ id: z.string().regex(/^[\w.-]+$/, 'letters, digits, "_", "." and "-"'), value: z.string().min(16) }))
+      .min(1),
+    /** Files in PEM for mutual TLS between nodes; plain HTTP when absent. Certificates carry the nodes' IP numbers. */
+    tls: z.strictObject({ certificate: z.string().min(1), key: z.string().min(1), authority: z.string().min(1) }).optional()
   }),
   operators: z.strictObject({
     /** SHA-256 digests of the operators' bearer tokens, lower-case hexadecimal. */
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -97,6 +97,9 @@
 
   metrics.gauge('requests_in_flight', inFlight.count)
   metrics.gauge('configuration_generation', () => configuration.current()?.head.generation ?? 0)
+  metrics.gauge('control_sent_bytes', () => ports.peers.traffic?.().sentBytes ?? 0)
+  metrics.gauge('control_received_bytes', () => ports.peers.traffic?.().receivedBytes ?? 0)
+  metrics.gauge('members_of_failure_domain', () => membership.membersOfDomain().length)
   ports.peers.serve({ ...configuration.handlers, ...membership.handlers, [PeerMethod.Status]: async () => status() })
 
   return {
