Publishing: parts by content, settled writes, retired parts, lineage of heads

Cause: a manifest was cut every 256 KB of text, so that one changed name rewrote all that followed; a lost reply left a publisher without the truth where sending again settles it; old parts stayed for ever; a head did not say what it was built on.

Change: items are grouped by digest of their names and halved by the next bit above 64 KB. The head is read before the parts are written, and a part that it doesn't name is written anew, so that retired parts can be deleted by the revision that was read. An ambiguous write of the head is read back and sent again, which can take effect once at most. Heads name sixteen ancestors and what each changed; `mergeHeads` puts changes made on restored state on top of what was accepted before it. The head test runs on the paused clock, since settling now waits between tries; its expectations are unchanged.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -38,17 +38,18 @@
 } from './manifest/schema.js'
 export {
   CONFIGURATION_HEAD_KEY, CONFIGURATION_PART_PREFIX, StopSubject, configurationHeadSchema, plannedStopSchema,
-  type ConfigurationHead, type PlannedStop
+  type ConfigurationHead, type HeadChange, type PlannedStop
 } from './manifest/head.js'
 export {
-  digestText, joinManifest, splitManifest, type ManifestPartContent
+  MAXIMUM_PART_BYTES, digestText, joinManifest, splitManifest, type ManifestPartContent
 } from './manifest/parts.js'
 export {
   checkManifest, checkManifestText, type ManifestCheck, type ManifestFault
 } from './manifest/check.js'
 export {
-  PublishResult, changeHead, parseHead, publishManifest, readHead, type PublishOutcome
+  PublishResult, changeHead, parseHead, publishManifest, readHead, writeParts, type HeadContent, type HeadRead, type PublishOutcome
 } from './manifest/publish.js'
+export { isBuiltOn, mergeHeads } from './manifest/lineage.js'
 export {
   MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type DomainSummary, type GossipMessage,
   type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus, type PeerHandler,
--- a/packages/protocol/src/manifest/head.ts
+++ b/packages/protocol/src/manifest/head.ts
@@ -31,6 +31,17 @@
 /** A stop that operators planned. */
 export type PlannedStop = z.infer<typeof plannedStopSchema>
 
+/** Shape of what one head changed. */
+const headChangeSchema = z.object({
+  /** The manifest's parts changed. */
+  manifest: z.boolean(),
+  /** Ids of the stops that were taken out. */
+  cancelledStops: z.array(z.string())
+})
+
+/** What one head changed against the one that it was built on. */
+export type HeadChange = z.infer<typeof headChangeSchema>
+
 /** Shape of the configuration head. */
 export const configurationHeadSchema = z.object({
   generation: z.number().int().min(1),
@@ -39,7 +50,12 @@
   publishedAtMilliseconds: z.number(),
   /** SHA-256 digests of the manifest's parts, in order. */
   parts: z.array(z.string()),
-  stops: z.array(plannedStopSchema)
+  stops: z.array(plannedStopSchema),
+  change: headChangeSchema.optional(),
+  /** The heads that this one was built on, the latest first, as far as they are kept. */
+  ancestors: z.array(z.object({ nonce: z.string(), change: headChangeSchema })).optional(),
+  /** Parts that no head names any more, and since when; their values are deleted later. */
+  retired: z.array(z.object({ digest: z.string(), atMilliseconds: z.number() })).optional()
 })
 
 /** Which manifest and stops are in force. */
--- /dev/null
+++ b/packages/protocol/test/manifest/publish.spec.ts
@@ -0,0 +1,134 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { KeyValueFault, createKeyValueStore, createMemoryKeyValue, withPausedClock, type KeyValueStore } from '@wigeonlead/stand-ins'
+import {
+  CONFIGURATION_HEAD_KEY, CONFIGURATION_PART_PREFIX, PublishResult, StopSubject, changeHead, manifestSchema, mergeHeads, parseHead,
+  publishManifest, readHead, splitManifest, type ConfigurationHead, type KeyValuePort, type Manifest, type PlannedStop, type PublishOutcome
+} from '../../src/index.js'
+
+let nonces = 0
+const RANDOM = { nextFloat: () => 0.5, nextNonce: () => `nonce-${++nonces}` }
+const HOUR_MILLISECONDS = 3_600_000
+
+const manifest = (workspace: string): Manifest => manifestSchema.parse({
+  format: 1, failureDomains: ['howrah'], workspaces: [{ name: workspace, keyDigests: ['0'.repeat(64)] }]
+})
+const stop = (id: string): PlannedStop => ({ id, subject: StopSubject.Target, name: id, fromMilliseconds: 0, untilMilliseconds: 1 })
+const headOf = (store: KeyValueStore): ConfigurationHead => parseHead(store.get(CONFIGURATION_HEAD_KEY) as never) as ConfigurationHead
+
+/** Lets another publisher write the head at the nth write of the head. */
+function withRival (store: KeyValueStore, faults: Array<KeyValueFault | undefined>, rivalAt?: number): KeyValuePort {
+  const plain = createMemoryKeyValue(store)
+  let writes = 0
+  const faulty = createMemoryKeyValue(store, {
+    fault: (operation, key) => operation === 'compareAndSwap' && key === CONFIGURATION_HEAD_KEY ? faults[writes - 1] : undefined
+  })
+  return {
+    ...faulty,
+    async compareAndSwap (write) {
+      if (write.key === CONFIGURATION_HEAD_KEY && ++writes === rivalAt) await changeHead(plain, RANDOM, head => ({ ...head, stops: [stop('rival')] }))
+      return await faulty.compareAndSwap(write)
+    }
+  }
+}
+
+interface Case {
+  name: string
+  faults?: KeyValueFault[]
+  rivalAt?: number
+  result: PublishResult
+  /** Whether the manifest is in the end in the head. */
+  isInHead: boolean
+}
+
+const { LostReply, LostRequest, Unreachable } = KeyValueFault
+const CASES: Case[] = [
+  { name: 'a plain publish is accepted', result: PublishResult.Accepted, isInHead: true },
+  { name: 'of two racing operators the other is told', rivalAt: 1, result: PublishResult.Superseded, isInHead: false },
+  { name: 'a lost reply is settled', faults: [LostReply], result: PublishResult.Accepted, isInHead: true },
+  { name: 'a lost request is sent again', faults: [LostRequest], result: PublishResult.Accepted, isInHead: true },
+  { name: 'a lost request that a rival overtook is told', faults: [LostRequest], rivalAt: 2, result: PublishResult.Superseded, isInHead: false },
+  { name: 'a lost reply before a rival built on it is accepted', faults: [LostReply, LostReply], rivalAt: 2, result: PublishResult.Accepted, isInHead: true },
+  { name: 'requests lost again and again leave it unknown', faults: Array(9).fill(LostRequest), result: PublishResult.Unknown, isInHead: false },
+  { name: 'what was never sent failed', faults: [Unreachable], result: PublishResult.Failed, isInHead: false }
+]
+
+const publishing = suite('publishing')
+for (const { name, faults = [], rivalAt, result, isInHead } of CASES) {
+  publishing(name, () => withPausedClock(async clock => {
+    const store = createKeyValueStore()
+    const keyValue = createMemoryKeyValue(store)
+    await settled(clock, publishManifest(keyValue, RANDOM, manifest('before')))
+    const outcome = await settled(clock, publishManifest(withRival(store, faults, rivalAt), RANDOM, manifest('after')))
+    assert.is(outcome.kind, result)
+    assert.is(headOf(store).parts.join() === splitManifest(manifest('after')).map(part => part.digest).join(), isInHead)
+    if (outcome.kind === PublishResult.Superseded) assert.is(outcome.winner.nonce, headOf(store).nonce)
+  }))
+}
+
+publishing('retired parts are deleted later, and not when they come back', () => withPausedClock(async clock => {
+  const store = createKeyValueStore()
+  const keyValue = createMemoryKeyValue(store)
+  const publish = (workspace: string): Promise<PublishOutcome> => settled(clock, publishManifest(keyValue, RANDOM, manifest(workspace)))
+  const hasParts = (workspace: string): boolean => splitManifest(manifest(workspace))
+    .every(part => store.get(CONFIGURATION_PART_PREFIX + part.digest) !== undefined)
+  for (const workspace of ['one', 'two', 'three', 'one']) await publish(workspace)
+  await clock.advance(HOUR_MILLISECONDS)
+  await publish('four')
+  assert.equal(['one', 'two', 'three', 'four'].map(hasParts), [true, false, false, true])
+  await publish('one')
+  await clock.advance(HOUR_MILLISECONDS)
+  await publish('five')
+  assert.equal(['one', 'four', 'five'].map(hasParts), [true, false, true])
+  const read = await readHead(keyValue)
+  assert.ok(read.ok && (read.value.head?.retired?.length ?? 9) <= 2)
+}))
+
+const line = (generation: number, nonce: string, ancestors: string[], more: Partial<ConfigurationHead> = {}): ConfigurationHead => ({
+  generation,
+  nonce,
+  publishedAtMilliseconds: 0,
+  parts: ['old'],
+  stops: [],
+  change: { manifest: false, cancelledStops: [] },
+  ancestors: ancestors.map(ancestor => ({ nonce: ancestor, change: { manifest: false, cancelledStops: [] } })),
+  ...more
+})
+
+interface MergeCase {
+  name: string
+  held: ConfigurationHead
+  seen: ConfigurationHead
+  merged?: { parts: string[], stops: string[] }
+}
+
+const MANIFEST = { manifest: true, cancelledStops: [] }
+const held = line(7, 'c', ['b', 'a'], { parts: ['new'], stops: [stop('x')], change: MANIFEST })
+const MERGE_CASES: MergeCase[] = [
+  { name: 'a head that was built on the held one', held, seen: line(8, 'd', ['c', 'b']) },
+  { name: 'a far later head whose line is not known any more', held, seen: line(90, 'z', ['y']) },
+  { name: 'a stop planned on restored state keeps the later manifest', held, seen: line(6, 'r', ['a'], { stops: [stop('y')] }), merged: { parts: ['new'], stops: ['x', 'y'] } },
+  { name: 'a manifest published on restored state stands', held, seen: line(6, 'r', ['a'], { parts: ['latest'], change: MANIFEST }), merged: { parts: ['latest'], stops: ['x'] } },
+  { name: 'the same generation twice', held, seen: line(7, 'r', ['a'], { parts: ['latest'], change: MANIFEST }), merged: { parts: ['latest'], stops: ['x'] } },
+  {
+    name: 'a stop cancelled on either line stays cancelled',
+    held: { ...held, change: { manifest: true, cancelledStops: ['k'] } },
+    seen: line(6, 'r', ['a'], { stops: [stop('k')], change: { manifest: false, cancelledStops: ['x'] } }),
+    merged: { parts: ['new'], stops: [] }
+  }
+]
+for (const { name, held, seen, merged } of MERGE_CASES) {
+  publishing(`merge: ${name}`, () => {
+    const head = mergeHeads(held, seen, 'merged')
+    assert.equal(head === undefined ? undefined : { parts: head.parts, stops: head.stops.map(stop => stop.id) }, merged)
+    if (head !== undefined) assert.is(head.generation, Math.max(held.generation, seen.generation) + 1)
+  })
+}
+publishing.run()
+
+async function settled<T> (clock: { advance: (milliseconds: number) => Promise<void> }, work: Promise<T>): Promise<T> {
+  const progress = { isDone: false }
+  void work.finally(() => { progress.isDone = true })
+  while (!progress.isDone) await clock.advance(100)
+  return await work
+}
--- a/packages/protocol/test/store.spec.ts
+++ b/packages/protocol/test/store.spec.ts
@@ -1,10 +1,11 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createKeyValueStore, createMemoryKeyValue, KeyValueFault } from '@wigeonlead/stand-ins'
+import { createKeyValueStore, createMemoryKeyValue, KeyValueFault, withPausedClock } from '@wigeonlead/stand-ins'
 import { PublishResult, WriteResult, changeHead, readHead } from '../src/index.js'
 
 const RANDOM = { nextFloat: () => 0.5, nextNonce: () => String(++nonces) }
 let nonces = 0
+const SETTLE_MILLISECONDS = 2000
 
 interface Case {
   name: string
@@ -21,11 +22,12 @@
 
 const heads = suite('changes of the head')
 for (const { name, fault, result } of CASES) {
-  heads(name, async () => {
+  heads(name, () => withPausedClock(async clock => {
     const keyValue = createMemoryKeyValue(createKeyValueStore(), { fault: operation => operation === 'compareAndSwap' ? fault : undefined })
-    const outcome = await changeHead(keyValue, RANDOM, head => head)
-    assert.is(outcome.kind, result)
-  })
+    const change = changeHead(keyValue, RANDOM, head => head)
+    await clock.advance(SETTLE_MILLISECONDS)
+    assert.is((await change).kind, result)
+  }))
 }
 heads('the key-value port tells a conflict and what stands there', async () => {
   const keyValue = createMemoryKeyValue(createKeyValueStore())
