--- a/packages/protocol/src/manifest/lineage.ts
+++ b/packages/protocol/src/manifest/lineage.ts
@@ -34,33 +34,30 @@
 }
 
 /**
- * Brings a line that nodes hold and the line of a restored key-value service together: the changes made after the restore come
- * on top of what was accepted before it.
- * @param held the head that was accepted before the restore.
- * @param seen the head that the key-value service shows.
+ * Brings two lines together that a restore of the key-value service parted: the changes of the line that was published later
+ * come on top of the other's.
  * @param nonce names the new head.
- * @returns undefined where `seen` follows `held` as far as can be told, so that nothing has to be brought together.
+ * @returns undefined where one head follows the other as far as can be told, so that nothing has to be brought together.
  */
-export function mergeHeads (held: ConfigurationHead, seen: ConfigurationHead, nonce: string): ConfigurationHead | undefined {
-  if (isBuiltOn(seen, held.nonce)) return undefined
-  const afterRestore = changesSinceFork(seen, held)
-  if (afterRestore === undefined && seen.generation > held.generation) return undefined
-  const beforeRestore = changesSinceFork(held, seen)
-  const isManifestChanged = afterRestore?.manifest ?? true
-  const cancelled = new Set([...afterRestore?.cancelledStops ?? [], ...beforeRestore?.cancelledStops ?? []])
-  const seenStops = new Set(seen.stops.map(stop => stop.id))
-  const stops = [...held.stops.filter(stop => !seenStops.has(stop.id)), ...seen.stops].filter(stop => !cancelled.has(stop.id))
-  const others = [...ancestorsOf(seen), ...ancestorsOf(held)]
-  const line = [lineOf(seen)[0], lineOf(held)[0], ...others].filter(ancestor => ancestor !== undefined)
+export function mergeHeads (left: ConfigurationHead, right: ConfigurationHead, nonce: string): ConfigurationHead | undefined {
+  if (isBuiltOn(left, right.nonce) || isBuiltOn(right, left.nonce)) return undefined
+  const [earlier, later] = left.publishedAtMilliseconds <= right.publishedAtMilliseconds ? [left, right] : [right, left]
+  const changes = changesSinceFork(later, earlier)
+  if (changes === undefined && later.generation > earlier.generation) return undefined
+  const isManifestChanged = changes?.manifest ?? true
+  const cancelled = new Set([...changes?.cancelledStops ?? [], ...changesSinceFork(earlier, later)?.cancelledStops ?? []])
+  const laterStops = new Set(later.stops.map(stop => stop.id))
+  const stops = [...earlier.stops.filter(stop => !laterStops.has(stop.id)), ...later.stops].filter(stop => !cancelled.has(stop.id))
+  const line = [...lineOf(later).slice(0, 1), ...lineOf(earlier).slice(0, 1), ...ancestorsOf(later), ...ancestorsOf(earlier)]
   return {
-    generation: Math.max(held.generation, seen.generation) + 1,
+    generation: Math.max(earlier.generation, later.generation) + 1,
     nonce,
-    publishedAtMilliseconds: seen.publishedAtMilliseconds,
-    parts: isManifestChanged ? seen.parts : held.parts,
+    publishedAtMilliseconds: later.publishedAtMilliseconds,
+    parts: isManifestChanged ? later.parts : earlier.parts,
     stops,
     change: { manifest: isManifestChanged, cancelledStops: [...cancelled] },
     ancestors: [...new Map(line.map(ancestor => [ancestor.nonce, ancestor])).values()].slice(0, MAXIMUM_ANCESTORS),
-    retired: [...held.retired ?? [], ...seen.retired ?? []]
+    retired: [...earlier.retired ?? [], ...later.retired ?? []]
   }
 }
 
--- a/packages/protocol/test/manifest/publish.spec.ts
+++ b/packages/protocol/test/manifest/publish.spec.ts
@@ -87,7 +87,7 @@
 const line = (generation: number, nonce: string, ancestors: string[], more: Partial<ConfigurationHead> = {}): ConfigurationHead => ({
   generation,
   nonce,
-  publishedAtMilliseconds: 0,
+  publishedAtMilliseconds: nonce.charCodeAt(0),
   parts: ['old'],
   stops: [],
   change: { manifest: false, cancelledStops: [] },
--- a/packages/wigeonlead/src/process/logging.ts
+++ b/packages/wigeonlead/src/process/logging.ts
@@ -10,6 +10,7 @@
   Stopped = 'stopped',
   ConfigurationInForce = 'configuration-in-force',
   ConfigurationRefused = 'configuration-refused',
+  ConfigurationWrittenBack = 'configuration-written-back',
   RequestEnded = 'request-ended',
   TargetFailed = 'target-failed',
   MemberChanged = 'member-changed',
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -6,7 +6,7 @@
   type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
 } from '@wigeonlead/protocol'
 import { createAdmission, createCallerHandler, createClaims, createPathChooser, type CallerHandler } from '../request/index.js'
-import { createConfiguration } from './configuration.js'
+import { createConfiguration } from './configuration/index.js'
 import { createInFlight } from './in-flight.js'
 import { SILENT_LOGGER, type Logger } from './logging.js'
 import { createMembership } from './membership/index.js'
@@ -49,18 +49,26 @@
   const metrics = createMetrics()
   const targets = createTargetBoard()
   const inFlight = createInFlight()
-  const configuration = createConfiguration({ keyValue: ports.keyValue, logger })
   const membership = createMembership({
     peers: ports.peers,
     address: settings.listen.peers,
     vm,
     failureDomain,
     seeds: settings.peers.seeds,
-    generation: () => configuration.current()?.head.generation ?? 0,
+    generation: (): number => configuration.current()?.head.generation ?? 0,
     random: ports.random,
     vmList: ports.vmList,
     logger
   })
+  const configuration = createConfiguration({
+    keyValue: ports.keyValue,
+    peers: ports.peers,
+    membership,
+    vmList: ports.vmList,
+    seeds: settings.peers.seeds,
+    random: ports.random,
+    logger
+  })
   const handle = createCallerHandler({
     engines: ports.engines,
     services: ports.services,
