--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -8,11 +8,11 @@
 import {
   createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts, type CallerHandler
 } from '../request/index.js'
-import { createConfiguration } from './configuration.js'
+import { createConfiguration } from './configuration/index.js'
 import { createFirstTokenTimes } from './first-token-times.js'
 import { createInFlight } from './in-flight.js'
 import { SILENT_LOGGER, type Logger } from './logging.js'
-import { createMembership } from './membership.js'
+import { createMembership } from './membership/index.js'
 import { createMetrics } from './metrics.js'
 import { createPathTimes } from './path-times.js'
 import { createPrefixMemory } from './prefix-memory.js'
@@ -54,16 +54,27 @@
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
   const inFlight = createInFlight()
-  const configuration = createConfiguration({ keyValue: ports.keyValue, logger })
-  const targets = createTargetBoard({ groupOf: target => configuration.current()?.groupOf(target) ?? [] })
   const membership = createMembership({
     peers: ports.peers,
     address: settings.listen.peers,
     vm,
     failureDomain,
     seeds: settings.peers.seeds,
-    generation: () => configuration.current()?.head.generation ?? 0
+    generation: (): number => configuration.current()?.head.generation ?? 0,
+    random: ports.random,
+    vmList: ports.vmList,
+    logger
   })
+  const configuration = createConfiguration({
+    keyValue: ports.keyValue,
+    peers: ports.peers,
+    membership,
+    vmList: ports.vmList,
+    seeds: settings.peers.seeds,
+    random: ports.random,
+    logger
+  })
+  const targets = createTargetBoard({ groupOf: target => configuration.current()?.groupOf(target) ?? [] })
   const prefixes = createPrefixMemory()
   const reports = createReports({
     engines: ports.engines,
@@ -120,6 +131,9 @@
   metrics.gauge('requests_in_flight', inFlight.count)
   metrics.gauge('requests_waiting', admission.waiting)
   metrics.gauge('configuration_generation', () => configuration.current()?.head.generation ?? 0)
+  metrics.gauge('control_sent_bytes', () => ports.peers.traffic?.().sentBytes ?? 0)
+  metrics.gauge('control_received_bytes', () => ports.peers.traffic?.().receivedBytes ?? 0)
+  metrics.gauge('members_of_failure_domain', () => membership.membersOfDomain().length)
   ports.peers.serve({ ...configuration.handlers, ...membership.handlers, ...reports.handlers, [PeerMethod.Status]: async () => status() })
 
   return {
