Reconciler of engine orders under a fencing lease

Cause: declared parts, adapters and roles were never ordered; an engine that came back empty stayed empty. Change: one reconciler per failure domain, run by the holder of a key-value lease whose key's creation revision is the fencing token. Remaining lease is counted from before each renewal and checked right before each order; loads are paced; nothing goes while it is the last that serves. The board learns which parts a target holds. The stand-in store refuses a write under a lapsed lease, and the paused clock settles promises without a real timer per tick.

--- a/packages/protocol/src/targets/engine.ts
+++ b/packages/protocol/src/targets/engine.ts
@@ -188,7 +188,10 @@
   /** Tokens a second over the last interval. */
   tokensPerSecond: z.number().min(0),
   role: z.enum(EngineRole),
-  held: z.array(heldPartSchema),
+  held: z.array(heldPartSchema.extend({
+    /** Sessions that use this part; absent where the engine doesn't say. */
+    running: z.number().int().min(0).optional()
+  })),
   /** Highest fencing token seen; absent where the engine ignores them. */
   fencingToken: z.number().int().optional(),
   /** Sequence numbers show gaps. */
--- a/packages/stand-ins/src/engine/core.ts
+++ b/packages/stand-ins/src/engine/core.ts
@@ -17,6 +17,15 @@
   to: number
 }
 
+/** One order, as the engine's ledger of orders keeps it. */
+export interface OrderLedgerEntry {
+  fencingToken: number
+  order: EngineOrder
+  atMilliseconds: number
+  /** Why the engine did not obey; absent when it did. */
+  refused?: string
+}
+
 /** Faults that tests and the quickstart switch on. */
 export interface EngineFaults {
   /** The engine answers nothing and breaks its connections after so many more steps. */
@@ -37,6 +46,8 @@
   stepMilliseconds?: number
   /** The engine refuses orders with an old fencing token. */
   checksFencing?: boolean
+  /** Parts that fit into the engine's memory; no bound by default. */
+  room?: number
 }
 
 /** Carries a step to another stage of the chain. */
@@ -47,6 +58,7 @@
   name: string
   faults: EngineFaults
   ledger: LedgerEntry[]
+  orders: OrderLedgerEntry[]
   step: (request: StepRequest) => Promise<StepResult[]>
   generate: (request: GenerationRequest, forward: ForwardStep, signal: AbortSignal) => AsyncIterable<EngineWireEvent>
   cancel: (session: string, epoch: number) => void
@@ -69,6 +81,7 @@
 export function createEngine (options: EngineOptions): Engine {
   const faults: EngineFaults = { isDead: false, isStalled: false, slowdown: 1 }
   const ledger: LedgerEntry[] = []
+  const orders: OrderLedgerEntry[] = []
   const sessions = new Map<string, SessionCache>()
   const cancelled = new Map<string, number>()
   let held = [...options.held]
@@ -173,7 +186,9 @@
   }
 
   function order (fencingToken: number, change: EngineOrder): string | undefined {
-    if (options.checksFencing === true && fencingToken < highestFencingToken) return 'the fencing token is old'
+    const refused = refuseOrder(fencingToken, change)
+    orders.push({ fencingToken, order: change, atMilliseconds: Date.now(), refused })
+    if (refused !== undefined) return refused
     highestFencingToken = Math.max(highestFencingToken, fencingToken)
     if (change.kind === EngineOrderKind.SetRole) role = change.role
     else held = held.filter(part => !isSamePart(part, change.part))
@@ -181,10 +196,17 @@
     return undefined
   }
 
+  function refuseOrder (fencingToken: number, change: EngineOrder): string | undefined {
+    if (options.checksFencing === true && fencingToken < highestFencingToken) return 'the fencing token is old'
+    if (change.kind !== EngineOrderKind.Load || held.some(part => isSamePart(part, change.part))) return undefined
+    return held.length >= (options.room ?? Infinity) ? 'no room for the part' : undefined
+  }
+
   return {
     name: options.name,
     faults,
     ledger,
+    orders,
     step,
     generate,
     cancel: (session, epoch) => { cancelled.set(session, Math.max(epoch, cancelled.get(session) ?? -1)) },
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,7 +6,7 @@
 export { createMemoryKeyValue, KeyValueFault, type MemoryKeyValueOptions } from './platform/memory.js'
 export { loopbackVm, startKeyValueServer, startVmListServer, type KeyValueServerOptions } from './platform/server.js'
 export {
-  createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry
+  createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry, type OrderLedgerEntry
 } from './engine/core.js'
 export { createMemoryEngines } from './engine/memory.js'
 export { startEngineServer } from './engine/server.js'
--- a/packages/stand-ins/src/paused-clock.ts
+++ b/packages/stand-ins/src/paused-clock.ts
@@ -1,7 +1,7 @@
 /**
  * A paused clock for tests: the runtime's timers and `Date` stand still until they are advanced.
  */
-import { install } from '@sinonjs/fake-timers'
+import { install, type Clock } from '@sinonjs/fake-timers'
 
 /** The clock while it is paused. */
 export interface PausedClock {
@@ -16,8 +16,24 @@
 export async function withPausedClock<T> (test: (clock: PausedClock) => Promise<T>): Promise<T> {
   const clock = install({ now: START_MILLISECONDS, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] })
   try {
-    return await test({ advance: async milliseconds => { await clock.tickAsync(milliseconds) }, now: () => Date.now() })
+    return await test({ advance: milliseconds => advance(clock, milliseconds), now: () => Date.now() })
   } finally {
     clock.uninstall()
   }
 }
+
+async function advance (clock: Clock, milliseconds: number): Promise<void> {
+  const reached = new AbortController()
+  clock.setTimeout(() => reached.abort(), milliseconds)
+  while (!reached.signal.aborted) {
+    await settlePromises()
+    clock.next()
+  }
+  await settlePromises()
+  clock.tick(0)
+  await settlePromises()
+}
+
+function settlePromises (): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve))
+}
--- a/packages/stand-ins/src/platform/store.ts
+++ b/packages/stand-ins/src/platform/store.ts
@@ -90,6 +90,7 @@
     compareAndSwap (write) {
       counts.writes += 1
       const current = entries.get(write.key)
+      if (write.leaseId !== undefined && !leases.has(write.leaseId)) return { committed: false, current, revision }
       if ((current?.modRevision ?? 0) !== write.expectedModRevision) return { committed: false, current, revision }
       if (write.value === undefined) {
         remove(write.key)
--- a/packages/wigeonlead/src/process/logging.ts
+++ b/packages/wigeonlead/src/process/logging.ts
@@ -15,6 +15,12 @@
   MemberChanged = 'member-changed',
   PeerRefused = 'peer-refused',
   OrderSent = 'order-sent',
+  LeaseAcquired = 'lease-acquired',
+  LeaseLost = 'lease-lost',
+  EngineOrdered = 'engine-ordered',
+  TargetLeaving = 'target-leaving',
+  TargetServing = 'target-serving',
+  RequestCutOff = 'request-cut-off',
   InternalFault = 'internal-fault'
 }
 
--- a/packages/wigeonlead/src/process/settings.ts
+++ b/packages/wigeonlead/src/process/settings.ts
@@ -45,6 +45,17 @@
     /** Ends requests that run longer than this after the shutdown began; absent: none is cut off. */
     cutOffMilliseconds: positive.optional()
   }).prefault({}),
+  reconciler: z.strictObject({
+    /** Life of the failure domain's lease without renewal; the key-value service counts whole seconds. */
+    leaseMilliseconds: z.number().int().min(3000).default(9000),
+    /** Longest wait for the answer to one engine order. */
+    orderDeadlineMilliseconds: positive.default(2000),
+    /** Loads that the weight store bears from this failure domain. */
+    loadsPerMinute: z.number().positive().default(60),
+    loadBurst: positive.default(4),
+    /** How long an undeclared part is kept when the engine doesn't say whether it is used. */
+    drainMilliseconds: positive.default(120_000)
+  }).prefault({}),
   logging: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') }).prefault({})
 })
 
--- a/packages/wigeonlead/src/process/targets.ts
+++ b/packages/wigeonlead/src/process/targets.ts
@@ -1,7 +1,7 @@
 /**
  * What this node knows of its targets: requests in flight, recent failures, whether a target is leaving.
  */
-import { MemberState, type Failure } from '@wigeonlead/protocol'
+import { MemberState, type EngineReport, type Failure, type LayerRange, type ModelReference } from '@wigeonlead/protocol'
 
 /** Whether a target gets new work. */
 export enum TargetAvailability {
@@ -22,6 +22,10 @@
   recordFailure: (target: string, failure: Failure) => void
   /** Takes note of a state learnt from peers, planned stops or the VM list. */
   setState: (target: string, state: MemberState) => void
+  /** Takes note of which parts a target holds. */
+  noteHeld: (report: EngineReport) => void
+  /** Tells whether a target holds a part of a model, ready to serve; undefined where no report was seen, treated as usable. */
+  holds: (target: string, reference: ModelReference, layers: LayerRange) => boolean | undefined
 }
 
 const SUSPICION_MILLISECONDS = 2000
@@ -31,6 +35,7 @@
   const inFlight = new Map<string, number>()
   const suspectUntil = new Map<string, number>()
   const states = new Map<string, MemberState>()
+  const heldParts = new Map<string, EngineReport['held']>()
 
   return {
     availability (target) {
@@ -50,6 +55,10 @@
     },
     recordSuccess: target => { suspectUntil.delete(target) },
     recordFailure: target => { suspectUntil.set(target, Date.now() + SUSPICION_MILLISECONDS) },
-    setState: (target, state) => { states.set(target, state) }
+    setState: (target, state) => { states.set(target, state) },
+    noteHeld: report => { heldParts.set(report.target, report.held) },
+    holds: (target, { model, version, adapter }, layers) => heldParts.get(target)?.some(part =>
+      part.model === model && part.version === version && part.layers.from <= layers.from && part.layers.to >= layers.to &&
+      (adapter === undefined || part.adapters.includes(adapter)))
   }
 }
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -11,9 +11,10 @@
 import { SILENT_LOGGER, type Logger } from './logging.js'
 import { createMembership } from './membership.js'
 import { createMetrics } from './metrics.js'
+import { createReconciler } from './reconciler/index.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
-import { createTargetBoard } from './targets.js'
+import { TargetAvailability, createTargetBoard } from './targets.js'
 
 /** Every outside contact of a router. Time comes from the runtime's clock. */
 export interface RouterPorts {
@@ -58,6 +59,19 @@
     seeds: settings.peers.seeds,
     generation: () => configuration.current()?.head.generation ?? 0
   })
+  const reconciler = createReconciler({
+    keyValue: ports.keyValue,
+    engines: ports.engines,
+    random: ports.random,
+    logger,
+    settings: settings.reconciler,
+    failureDomain,
+    address: settings.listen.peers,
+    members: membership.members,
+    current: configuration.current,
+    isLeaving: target => targets.availability(target) === TargetAvailability.Leaving,
+    onReport: targets.noteHeld
+  })
   const handle = createCallerHandler({
     engines: ports.engines,
     services: ports.services,
@@ -80,6 +94,7 @@
       generation: current?.head.generation ?? 0,
       requestsInFlight: inFlight.count(),
       members: membership.members(),
+      reconciler: reconciler.status(),
       targets: [...current?.targets.keys() ?? []].map(name => ({
         name, availability: targets.availability(name), inFlight: targets.inFlight(name)
       }))
@@ -88,6 +103,7 @@
   }
 
   function halt (): void {
+    reconciler.stop()
     configuration.stop()
     membership.stop()
   }
@@ -101,6 +117,7 @@
     start () {
       configuration.start()
       membership.start()
+      reconciler.start()
     },
     isReady: () => !isLeaving && configuration.current() !== undefined,
     renderMetrics: metrics.render,
@@ -110,6 +127,7 @@
       membership.leave()
       await new Promise(resolve => setTimeout(resolve, settings.shutdown.balancerLagMilliseconds))
       await inFlight.whenIdle()
+      await reconciler.release()
       halt()
     },
     halt
