Graceful shutdown without a cut-off, leaving targets from stops and VM list

Cause: a second SIGTERM killed the process, responses still flowing were cut after one second, and planned stops of VMs and the VM list had no effect. Change: shutdown.ts and listeners.ts go through lag, drain, last request, lease handed back, exit 0; an operator's cut-off answers truthfully and is logged. leaving/ turns stops of targets and VMs and leaving VMs of the list into the target board's state, and starts the shutdown of a stopped entry VM. Conclusion: gossip of target events is wired once the membership has it.

--- a/packages/wigeonlead/src/main.ts
+++ b/packages/wigeonlead/src/main.ts
@@ -40,9 +40,11 @@
   const logger = createLogger(settings.logging.level, settings.node.vm)
   try {
     const running = await serveRouter(settings, logger)
-    const stop = (): void => { void running.shutdown().then(() => process.exit(0)) }
-    process.once('SIGTERM', stop)
-    process.once('SIGINT', stop)
+    const stop = (): void => { void running.shutdown() }
+    process.on('SIGTERM', stop)
+    process.on('SIGINT', stop)
+    await running.stopped
+    process.exit(0)
   } catch (error) {
     process.stderr.write(`wigeonlead: ${(error as Error).message}\n`)
     process.exitCode = EXIT_FAILED
--- a/packages/wigeonlead/src/process/in-flight.ts
+++ b/packages/wigeonlead/src/process/in-flight.ts
@@ -1,53 +1,121 @@
 /**
- * Counts the requests in flight so that a graceful shutdown can wait for the last one.
+ * Counts the requests in flight so that a graceful shutdown can wait for the last one, and cuts them off where operators
+ * set a limit.
  */
-import type { CallerHandler, CallerResponse } from '../request/index.js'
+import { OrderState, ProblemType, Submission, createProblem, type Problem } from '@wigeonlead/protocol'
+import { problemResponse, type CallerHandler, type CallerRequest, type CallerResponse } from '../request/index.js'
 
 /** The requests in flight. */
 export interface InFlight {
   /** Wraps a handler so that its requests are counted until their last byte was handed out. */
   track: (handler: CallerHandler) => CallerHandler
+  /** Counts work that goes on without a caller. @returns what ends it. */
+  begin: () => () => void
   count: () => number
   /** Resolves once nothing is in flight. */
   whenIdle: () => Promise<void>
+  /**
+   * Ends every request now: each is answered that this node stops and that its order's state is unknown.
+   * Work without a caller is no longer waited for.
+   */
+  cutOff: () => void
 }
 
-/** Makes an empty count. */
-export function createInFlight (): InFlight {
+type StreamedBody = Exclude<CallerResponse['body'], string | Uint8Array>
+
+/**
+ * Makes an empty count.
+ * @param onCutOff is told of each request that is cut off.
+ */
+export function createInFlight (onCutOff: (request: CallerRequest) => void = () => {}): InFlight {
   const waiting = new Set<() => void>()
-  let count = 0
+  const tracked = new Map<CallerRequest, AbortController>()
+  let background = 0
+  let isCutOff = false
 
-  function end (): void {
-    count -= 1
-    if (count > 0) return
+  function settle (): void {
+    if (tracked.size > 0 || (background > 0 && !isCutOff)) return
     for (const resolve of waiting) resolve()
     waiting.clear()
   }
 
+  function end (request: CallerRequest): void {
+    tracked.delete(request)
+    settle()
+  }
+
   return {
     track: handler => async request => {
-      count += 1
+      const cut = new AbortController()
+      const isCut = whenAborted(cut.signal)
+      tracked.set(request, cut)
       try {
-        const response = await handler(request)
+        const signal = AbortSignal.any([request.signal, cut.signal])
+        const response = await Promise.race([handler({ ...request, signal }), isCut.then(() => problemResponse(cutOffProblem()))])
         if (typeof response.body === 'string' || response.body instanceof Uint8Array) {
-          end()
+          end(request)
           return response
         }
-        return { ...response, body: untilEnd(response.body, end) }
+        return { ...response, body: untilEnd(response.body, isCut, () => end(request)) }
       } catch (error) {
-        end()
+        end(request)
         throw error
       }
     },
-    count: () => count,
-    whenIdle: () => count === 0 ? Promise.resolve() : new Promise(resolve => { waiting.add(resolve) })
+    begin () {
+      background += 1
+      let isEnded = false
+      return () => {
+        if (isEnded) return
+        isEnded = true
+        background -= 1
+        settle()
+      }
+    },
+    count: () => tracked.size,
+    whenIdle: () => new Promise(resolve => {
+      waiting.add(resolve)
+      settle()
+    }),
+    cutOff () {
+      isCutOff = true
+      for (const [request, cut] of [...tracked]) {
+        onCutOff(request)
+        cut.abort()
+      }
+      settle()
+    }
   }
 }
 
-async function * untilEnd (body: Exclude<CallerResponse['body'], string | Uint8Array>, end: () => void): AsyncIterable<string> {
+async function * untilEnd (body: StreamedBody, isCut: Promise<unknown>, end: () => void): AsyncIterable<string> {
+  const pieces = body[Symbol.asyncIterator]()
+  let isWhole = false
   try {
-    yield * body
+    while (true) {
+      const next = await Promise.race([pieces.next(), isCut.then(() => undefined)])
+      if (next === undefined) {
+        yield `event: error\ndata: ${JSON.stringify({ error: cutOffProblem() })}\n\n`
+        return
+      }
+      isWhole = next.done === true
+      if (next.done === true) return
+      yield next.value
+    }
   } finally {
+    if (!isWhole) void pieces.return?.()
     end()
   }
 }
+
+function cutOffProblem (): Problem {
+  return createProblem(ProblemType.NotReady, 'this node stops and cut the request off', {
+    submission: Submission.Sent, order: OrderState.Unknown, retryAfterSeconds: 1
+  })
+}
+
+function whenAborted (signal: AbortSignal): Promise<void> {
+  return new Promise(resolve => {
+    signal.addEventListener('abort', () => resolve(), { once: true })
+  })
+}
--- a/packages/wigeonlead/src/process/reconciler/reconciler.ts
+++ b/packages/wigeonlead/src/process/reconciler/reconciler.ts
@@ -7,7 +7,7 @@
 import type { CompiledVersion } from '../../version/index.js'
 import { LogEvent, type Logger } from '../logging.js'
 import type { Settings } from '../settings.js'
-import { candidateRank, lookIntervalMilliseconds } from './candidates.js'
+import { Duty, candidateRank, lookIntervalMilliseconds } from './candidates.js'
 import { createOrderDispatch, type OrderDispatch } from './dispatch.js'
 import { LeaseAttempt, createFencingLease } from './lease.js'
 import { createObservation } from './observe.js'
@@ -98,7 +98,7 @@
     if (tenure !== undefined) lose()
     const version = parts.current()
     if (version === undefined) return
-    const rank = candidateRank(failureDomain, parts.address, parts.members())
+    const rank = candidateRank(Duty.EngineOrders, failureDomain, parts.address, parts.members())
     const attempt = await lease.acquire({ onlyLook: rank > 0 && absentLooks === 0 })
     lastAttempt = attempt
     absentLooks = attempt === LeaseAttempt.Vacant ? absentLooks + 1 : 0
@@ -204,7 +204,7 @@
   }
 
   function lookInterval (): number {
-    const rank = candidateRank(failureDomain, parts.address, parts.members())
+    const rank = candidateRank(Duty.EngineOrders, failureDomain, parts.address, parts.members())
     return lookIntervalMilliseconds(rank) * (1 + JITTER_SHARE * (parts.random.nextFloat() - 0.5))
   }
 
--- a/packages/wigeonlead/src/process/serve.ts
+++ b/packages/wigeonlead/src/process/serve.ts
@@ -1,9 +1,9 @@
 /**
  * Runs a router on sockets: the HTTP adapters behind its ports, and its three listeners.
  */
-import type { Server } from 'node:http'
 import { createEtcdKeyValue, createVmListClient } from '@wigeonlead/protocol'
 import { createCallerListener, createHttpEngines, createHttpPeers, createHttpServices, createOperatorListener } from '../connection/index.js'
+import { closeNow, createDrainableListener, listen } from './listeners.js'
 import { LogEvent, type Logger } from './logging.js'
 import { createSystemRandom } from './random.js'
 import type { Settings } from './settings.js'
@@ -13,8 +13,10 @@
 export interface RunningRouter {
   settings: Settings
   router: Router
-  /** Shuts down gracefully and closes the listeners. */
+  /** Shuts down gracefully and closes the listeners; a second call changes nothing. */
   shutdown: () => Promise<void>
+  /** Resolves once a shutdown, asked for or planned, is over. */
+  stopped: Promise<void>
 }
 
 /** Starts a router on sockets. */
@@ -33,36 +35,25 @@
   })
   const callers = createCallerListener(settings.callers, router.handle)
   const operators = createOperatorListener(settings.operators.tokenDigests, router)
+  const drainable = createDrainableListener(callers)
   await listen(peers.listener, settings.listen.peers)
   await listen(operators, settings.listen.operators)
   await listen(callers, settings.listen.callers)
-  router.start()
-  logger.info(LogEvent.Started, settings.listen)
-  return {
-    settings,
-    router,
-    async shutdown () {
-      logger.info(LogEvent.Stopping)
-      await router.shutdown()
-      await Promise.all([close(callers), close(operators), close(peers.listener)])
-      logger.info(LogEvent.Stopped)
-    }
-  }
-}
+  let markStopped = (): void => {}
+  const stopped = new Promise<void>(resolve => { markStopped = resolve })
 
-function listen (server: Server, address: string): Promise<void> {
-  const split = address.lastIndexOf(':')
-  const host = address.slice(0, split).replace(/^\[|\]$/g, '')
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(Number(address.slice(split + 1)), host, () => resolve())
-  })
-}
+  async function shutdown (): Promise<void> {
+    if (router.isLeaving()) return await stopped
+    logger.info(LogEvent.Stopping)
+    drainable.announceClose()
+    await router.shutdown(drainable.drain)
+    await Promise.all([closeNow(operators), closeNow(peers.listener)])
+    logger.info(LogEvent.Stopped)
+    markStopped()
+  }
 
-function close (server: Server): Promise<void> {
-  return new Promise(resolve => {
-    server.close(() => resolve())
-    server.closeIdleConnections()
-    setTimeout(() => server.closeAllConnections(), 1000).unref()
-  })
+  router.onPlannedStop(() => { void shutdown() })
+  router.start()
+  logger.info(LogEvent.Started, settings.listen)
+  return { settings, router, shutdown, stopped }
 }
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -8,12 +8,14 @@
 import { createAdmission, createCallerHandler, createClaims, createPathChooser, type CallerHandler } from '../request/index.js'
 import { createConfiguration } from './configuration.js'
 import { createInFlight } from './in-flight.js'
-import { SILENT_LOGGER, type Logger } from './logging.js'
+import { createLeaving } from './leaving/index.js'
+import { LogEvent, SILENT_LOGGER, type Logger } from './logging.js'
 import { createMembership } from './membership.js'
 import { createMetrics } from './metrics.js'
 import { createReconciler } from './reconciler/index.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
+import { createShutdown, type CloseListener } from './shutdown.js'
 import { TargetAvailability, createTargetBoard } from './targets.js'
 
 /** Every outside contact of a router. Time comes from the runtime's clock. */
@@ -38,7 +40,10 @@
   renderMetrics: () => string
   status: () => NodeStatus
   /** Says that this node is leaving, waits for the balancer's lag and for every request in flight, then stops. */
-  shutdown: () => Promise<void>
+  shutdown: (closeListener?: CloseListener) => Promise<void>
+  isLeaving: () => boolean
+  /** Calls back once when a planned stop of this entry VM begins. */
+  onPlannedStop: (callback: () => void) => void
   /** Stops at once, as a death would. */
   halt: () => void
 }
@@ -49,7 +54,7 @@
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
   const targets = createTargetBoard()
-  const inFlight = createInFlight()
+  const inFlight = createInFlight(({ method, url }) => logger.warn(LogEvent.RequestCutOff, { method, path: url.split('?')[0] }))
   const configuration = createConfiguration({ keyValue: ports.keyValue, logger })
   const membership = createMembership({
     peers: ports.peers,
@@ -86,7 +91,18 @@
     failureDomain,
     defaultDeadlineMilliseconds: settings.callers.defaultDeadlineMilliseconds
   }, configuration.current)
-  let isLeaving = false
+  const leaving = createLeaving({
+    vmList: ports.vmList,
+    announcements: { announceTarget: () => {}, onTargetEvent: () => () => {} },
+    logger,
+    vm,
+    failureDomain,
+    address: settings.listen.peers,
+    members: membership.members,
+    current: configuration.current,
+    setState: targets.setState
+  })
+  const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: reconciler.release, halt })
 
   function status (): NodeStatus {
     const current = configuration.current()
@@ -95,6 +111,7 @@
       requestsInFlight: inFlight.count(),
       members: membership.members(),
       reconciler: reconciler.status(),
+      leaving: leaving.status(),
       targets: [...current?.targets.keys() ?? []].map(name => ({
         name, availability: targets.availability(name), inFlight: targets.inFlight(name)
       }))
@@ -104,6 +121,7 @@
 
   function halt (): void {
     reconciler.stop()
+    leaving.stop()
     configuration.stop()
     membership.stop()
   }
@@ -118,18 +136,14 @@
       configuration.start()
       membership.start()
       reconciler.start()
+      leaving.start()
     },
-    isReady: () => !isLeaving && configuration.current() !== undefined,
+    isReady: () => !shutdown.isLeaving() && configuration.current() !== undefined,
     renderMetrics: metrics.render,
     status,
-    async shutdown () {
-      isLeaving = true
-      membership.leave()
-      await new Promise(resolve => setTimeout(resolve, settings.shutdown.balancerLagMilliseconds))
-      await inFlight.whenIdle()
-      await reconciler.release()
-      halt()
-    },
+    shutdown: shutdown.begin,
+    isLeaving: shutdown.isLeaving,
+    onPlannedStop: leaving.onOwnStop,
     halt
   }
 }
--- /dev/null
+++ b/packages/wigeonlead/test/process/shutdown-process.spec.ts
@@ -0,0 +1,197 @@
+/**
+ * Graceful shutdown of the real process: requests of every kind in flight over loopback when SIGTERM comes, twice.
+ */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import type { ServerResponse } from 'node:http'
+import { connect, createServer as createTcpServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createEtcdKeyValue, digestText, manifestSchema, publishManifest } from '@wigeonlead/protocol'
+import {
+  createEngine, createKeyValueStore, listen, loopbackVm, referenceAnswer, startEngineServer, startKeyValueServer, startVmListServer,
+  type RunningServer
+} from '@wigeonlead/stand-ins'
+import { createSeededRandom } from 'wigeonlead'
+
+const MAIN = fileURLToPath(new URL('../../src/main.js', import.meta.url))
+const KEY = 'key-of-the-repair-desk'
+const PROMPT = 'Summarise: the ceiling leaks in block 7'
+const LAYERS = 8
+const LAG_MILLISECONDS = 3000
+
+interface Held {
+  requests: number
+  release: () => void
+}
+
+const processes = suite('shutdown of the process')
+processes('SIGTERM, twice, cuts off no request', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'wigeonlead-'))
+  const held: Held = { requests: 0, release: () => {} }
+  const servers = await startTargets(held)
+  const listens = { callers: await freeAddress(), operators: await freeAddress(), peers: await freeAddress() }
+  writeFileSync(join(folder, 'settings.toml'), renderSettings(listens, servers))
+  const child = spawn(process.execPath, [MAIN, '--settings', join(folder, 'settings.toml')], { stdio: 'ignore' })
+  async function until<T> (read: () => Promise<T>, isWanted: (value: T) => boolean): Promise<void> {
+    while (!isWanted(await read())) {
+      assert.is(child.exitCode ?? child.signalCode, null, 'the process ended too early')
+      await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+
+  try {
+    await until(() => isReady(listens.operators), isTrue => isTrue)
+    const answers = [
+      stream(listens.callers),
+      lookup(listens.callers, 1),
+      lookup(listens.callers, 2),
+      book(listens.callers, 'leak-7-1')
+    ]
+    await until(async () => held.requests, count => count >= 3)
+    child.kill('SIGTERM')
+    await until(() => isReady(listens.operators), isTrue => !isTrue)
+    answers.push(lookup(listens.callers, 3))
+    await until(async () => held.requests, count => count >= 4)
+    child.kill('SIGTERM')
+    await until(() => isAccepting(listens.callers), isTrue => !isTrue)
+    assert.is(child.exitCode, null)
+    const exit = once(child, 'exit')
+    held.release()
+    const texts = await Promise.all(answers)
+    assert.equal(texts, [expectedText(), 'job 1', 'job 2', 'booked', 'job 3'])
+    assert.equal(await exit, [0, null])
+  } finally {
+    await end(child)
+    for (const server of servers) await server.close()
+    rmSync(folder, { recursive: true })
+  }
+})
+processes.run()
+
+async function startTargets (held: Held): Promise<RunningServer[]> {
+  const waiting = new Set<() => void>()
+  const whenReleased = new Promise<void>(resolve => { waiting.add(resolve) })
+  held.release = () => { for (const resolve of waiting) resolve() }
+  const service = await listen((request, response) => {
+    held.requests += 1
+    request.resume()
+    void whenReleased.then(() => answer(response, request.method === 'POST' ? 'booked' : (request.url ?? '').replace('/jobs/', 'job ')))
+  })
+  const engine = createEngine({
+    name: 'stage', held: [{ model: 'assistant', version: 'v1', adapters: [], layers: { from: 0, to: LAYERS } }], stepMilliseconds: 5
+  })
+  const keyValue = await startKeyValueServer(createKeyValueStore())
+  const vmList = await startVmListServer(() => [loopbackVm('entry-1', 'howrah')])
+  const stage = await startEngineServer(engine)
+  const published = await publishManifest(createEtcdKeyValue({ endpoints: [`http://${keyValue.address}`] }), createSeededRandom(1), manifestSchema.parse({
+    format: 1,
+    failureDomains: ['howrah'],
+    models: [{ name: 'assistant', layers: LAYERS, versions: ['v1'] }],
+    targets: [{
+      name: 'stage',
+      address: stage.address,
+      failureDomain: 'howrah',
+      accelerator: 'large',
+      serves: [{ model: 'assistant', version: 'v1', layers: [0, LAYERS] }]
+    }],
+    services: [{
+      name: 'repairs',
+      targets: [{ name: 'repairs-1', address: service.address, failureDomain: 'howrah' }],
+      operations: [{ method: 'GET', path: '/jobs/*', idempotent: true }, { method: 'POST', path: '/orders', idempotent: false }],
+      timeoutMilliseconds: 120_000
+    }],
+    workspaces: [{ name: 'desk', keyDigests: [digestText(KEY)] }]
+  }))
+  assert.is(published.kind, 'accepted')
+  return [keyValue, vmList, service, stage]
+}
+
+function renderSettings (listens: Record<string, string>, [keyValue, vmList]: RunningServer[]): string {
+  return `
+[node]
+vm = "entry-1"
+failureDomain = "howrah"
+[listen]
+callers = "${listens.callers}"
+operators = "${listens.operators}"
+peers = "${listens.peers}"
+[platform]
+keyValue = ["http://${keyValue?.address}"]
+vmList = "http://${vmList?.address}"
+[peers]
+secrets = [{ id = "first", value = "a secret of this test only" }]
+[operators]
+tokenDigests = ["${digestText('operator')}"]
+[shutdown]
+balancerLagMilliseconds = ${LAG_MILLISECONDS}
+`
+}
+
+async function stream (address: string): Promise<string> {
+  const body = { model: 'assistant', prompt: PROMPT, stream: true }
+  const text = await (await call(address, 'POST', '/v1/completions', JSON.stringify(body))).text()
+  assert.ok(text.endsWith('data: [DONE]\n\n'), text)
+  return [...text.matchAll(/^data: (\{.*)$/gm)].map(([, json]) => JSON.parse(json ?? '').choices[0].text).join('')
+}
+
+async function lookup (address: string, job: number): Promise<string> {
+  return await (await call(address, 'GET', `/services/repairs/jobs/${job}`)).text()
+}
+
+async function book (address: string, key: string): Promise<string> {
+  return await (await call(address, 'POST', '/services/repairs/orders', '{}', { 'idempotency-key': key })).text()
+}
+
+function call (address: string, method: string, path: string, body?: string, headers: Record<string, string> = {}): Promise<Response> {
+  return fetch(`http://${address}${path}`, { method, body, headers: { authorization: `Bearer ${KEY}`, ...headers } })
+}
+
+async function isReady (address: string): Promise<boolean> {
+  try {
+    return (await fetch(`http://${address}/readyz`)).status === 200
+  } catch {
+    return false
+  }
+}
+
+function isAccepting (address: string): Promise<boolean> {
+  const [host, port] = address.split(':')
+  return new Promise(resolve => {
+    const socket = connect(Number(port), host ?? '')
+    socket.on('connect', () => {
+      socket.destroy()
+      resolve(true)
+    })
+    socket.on('error', () => resolve(false))
+  })
+}
+
+async function end (child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return
+  const exit = once(child, 'exit')
+  child.kill('SIGKILL')
+  await exit
+}
+
+function answer (response: ServerResponse, text: string): void {
+  response.writeHead(200, { 'content-type': 'text/plain' }).end(text)
+}
+
+function expectedText (): string {
+  return referenceAnswer({ model: 'assistant', version: 'v1' }, LAYERS, PROMPT, 256).map(token => token.text).join('')
+}
+
+function freeAddress (): Promise<string> {
+  return new Promise(resolve => {
+    const server = createTcpServer()
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo
+      server.close(() => resolve(`127.0.0.1:${port}`))
+    })
+  })
+}
