--- a/packages/stand-ins/src/engine/core.ts
+++ b/packages/stand-ins/src/engine/core.ts
@@ -3,7 +3,7 @@
  */
 import {
   EngineEventKind, EngineOrderKind, EngineRole, FinishReason,
-  type CacheExport, type EngineOrder, type EngineReport, type EngineWireEvent, type GenerationRequest, type HeldPart,
+  type CacheExport, type EngineOrder, type EngineReport, type EngineWireEvent, type GenerationRequest, type HeldPart, type LayerRange,
   type PathStage, type StepInput, type StepRequest, type StepResult
 } from '@wigeonlead/protocol'
 import { answerLength, runLayers, startState, tokenText } from './model.js'
@@ -59,6 +59,8 @@
   faults: EngineFaults
   ledger: LedgerEntry[]
   orders: OrderLedgerEntry[]
+  /** Counts of caches handed over; a reused one spared the prefill of its tokens. */
+  caches: { exported: number, imported: number, reused: number }
   step: (request: StepRequest) => Promise<StepResult[]>
   generate: (request: GenerationRequest, forward: ForwardStep, signal: AbortSignal) => AsyncIterable<EngineWireEvent>
   cancel: (session: string, epoch: number) => void
@@ -75,6 +77,7 @@
   epoch: number
   prompt: string
   texts: string[]
+  layers: LayerRange
 }
 
 /** Makes a stand-in engine. */
@@ -82,6 +85,7 @@
   const faults: EngineFaults = { isDead: false, isStalled: false, slowdown: 1 }
   const ledger: LedgerEntry[] = []
   const orders: OrderLedgerEntry[] = []
+  const caches = { exported: 0, imported: 0, reused: 0 }
   const sessions = new Map<string, SessionCache>()
   const cancelled = new Map<string, number>()
   let held = [...options.held]
@@ -128,7 +132,8 @@
   function cacheOf (input: StepInput): SessionCache | undefined {
     if (input.prefill !== undefined) {
       const texts = input.prefill.prefix.map(token => token.text)
-      sessions.set(input.session, { epoch: input.epoch, prompt: input.prefill.prompt, texts })
+      if (isPrefixOf(sessions.get(input.session), input, texts)) caches.reused += 1
+      sessions.set(input.session, { epoch: input.epoch, prompt: input.prefill.prompt, texts, layers: input.layers })
     }
     const cache = sessions.get(input.session)
     if (cache === undefined || cache.epoch !== input.epoch) return undefined
@@ -207,6 +212,7 @@
     faults,
     ledger,
     orders,
+    caches,
     step,
     generate,
     cancel: (session, epoch) => { cancelled.set(session, Math.max(epoch, cancelled.get(session) ?? -1)) },
@@ -225,11 +231,12 @@
     }),
     exportCache (session, epoch) {
       const cache = sessions.get(session)
-      const part = held[0]
-      if (cache === undefined || cache.epoch !== epoch || part === undefined) return undefined
-      return { session, epoch, tokens: cache.texts.length, layers: part.layers, content: JSON.stringify(cache) }
+      if (cache === undefined || cache.epoch !== epoch) return undefined
+      caches.exported += 1
+      return { session, epoch, tokens: cache.texts.length, layers: cache.layers, content: JSON.stringify(cache) }
     },
     importCache (cache, epoch) {
+      caches.imported += 1
       sessions.set(cache.session, { ...JSON.parse(cache.content) as SessionCache, epoch })
     },
     restart () {
@@ -254,6 +261,12 @@
   if (faults.dieAfterSteps !== undefined && --faults.dieAfterSteps < 0) faults.isDead = true
 }
 
+function isPrefixOf (cache: SessionCache | undefined, input: StepInput, texts: string[]): boolean {
+  return cache !== undefined && cache.epoch === input.epoch && cache.prompt === input.prefill?.prompt &&
+    cache.layers.from === input.layers.from && cache.layers.to === input.layers.to &&
+    cache.texts.slice(0, texts.length).every((text, index) => text === texts[index])
+}
+
 function isSamePart (left: HeldPart, right: HeldPart): boolean {
   return left.model === right.model && left.version === right.version &&
     left.layers.from === right.layers.from && left.layers.to === right.layers.to
--- /dev/null
+++ b/packages/wigeonlead/test/process/leaving.spec.ts
@@ -0,0 +1,218 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import {
+  FailureKind, MemberState, Step, StopSubject, VmState, failed, manifestSchema, success,
+  type MemberEntry, type PlannedStop, type TargetEvent, type VmEntry
+} from '@wigeonlead/protocol'
+import { withPausedClock, type PausedClock } from '@wigeonlead/stand-ins'
+import { createLeaving, mergeVmList, vmListIntervalMilliseconds, type Leaving, type TargetAnnouncements } from '../../src/process/leaving/index.js'
+import { SILENT_LOGGER } from '../../src/process/logging.js'
+import { compileVersion, type CompiledVersion } from '../../src/version/index.js'
+
+const NODES = 5
+const GOSSIP_MILLISECONDS = 1000
+const IN_FORCE_MILLISECONDS = 3000
+const SOON = 60_000
+
+/** What the operators and the platform say, and what every entry VM then holds for leaving. */
+interface Case {
+  name: string
+  stops: Array<{ subject: StopSubject, name: string, fromMilliseconds: number }>
+  leavingVms: string[]
+  isVmListOut?: boolean
+  /** Leaving targets once the news had its time. */
+  expected: string[]
+}
+
+const CASES: Case[] = [
+  { name: 'nothing', stops: [], leavingVms: [], expected: [] },
+  { name: 'a stop of a target', stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: 0 }], leavingVms: [], expected: ['one'] },
+  { name: 'a stop that is to come', stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: SOON }], leavingVms: [], expected: [] },
+  { name: 'a stop of a VM', stops: [{ subject: StopSubject.Vm, name: 'vm-1', fromMilliseconds: 0 }], leavingVms: [], expected: ['one', 'two'] },
+  { name: 'a stop of an unknown VM', stops: [{ subject: StopSubject.Vm, name: 'vm-9', fromMilliseconds: 0 }], leavingVms: [], expected: [] },
+  { name: 'a stop of a target of a service', stops: [{ subject: StopSubject.Target, name: 'repairs-1', fromMilliseconds: 0 }], leavingVms: [], expected: ['repairs-1'] },
+  { name: 'a VM that the list shows as leaving', stops: [], leavingVms: ['vm-2'], expected: ['repairs-1', 'three'] },
+  { name: 'both', stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: 0 }], leavingVms: ['vm-2'], expected: ['one', 'repairs-1', 'three'] },
+  {
+    name: 'a stop of a target while the list is out',
+    stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: 0 }],
+    leavingVms: ['vm-2'],
+    isVmListOut: true,
+    expected: ['one']
+  }
+]
+
+interface Fleet {
+  nodes: Array<{ leaving: Leaving, version: CompiledVersion, states: Map<string, MemberState>, ownStops: number }>
+  vms: VmEntry[]
+  polls: number
+  isVmListOut: boolean
+  /** Nodes that the configuration no longer reaches. */
+  publish: (stops: PlannedStop[], nodes?: number[]) => void
+}
+
+const leavings = suite('leaving targets')
+for (const row of CASES) {
+  leavings(`${row.name}: no new work within 3 s, and work again after it is taken back`, () => withFleet(async (fleet, clock) => {
+    fleet.isVmListOut = row.isVmListOut === true
+    fleet.publish(row.stops.map(toStop))
+    for (const vm of fleet.vms) vm.state = row.leavingVms.includes(vm.name) ? VmState.Leaving : VmState.Live
+    await clock.advance(IN_FORCE_MILLISECONDS)
+    for (const node of fleet.nodes) assert.equal(leavingAt(node), row.expected)
+    fleet.publish([])
+    for (const vm of fleet.vms) vm.state = VmState.Live
+    await clock.advance(IN_FORCE_MILLISECONDS)
+    for (const node of fleet.nodes) assert.equal(leavingAt(node), [])
+  }))
+}
+
+leavings('a stop begins at its time on every node', () => withFleet(async (fleet, clock) => {
+  fleet.publish([toStop({ subject: StopSubject.Target, name: 'one', fromMilliseconds: SOON })])
+  await clock.advance(SOON - 1)
+  assert.equal(fleet.nodes.map(leavingAt), Array(NODES).fill([]))
+  await clock.advance(1000)
+  assert.equal(fleet.nodes.map(leavingAt), Array(NODES).fill(['one']))
+}))
+
+leavings('a node that the key-value service does not reach learns a stop by gossip', () => withFleet(async (fleet, clock) => {
+  fleet.publish([toStop({ subject: StopSubject.Target, name: 'one', fromMilliseconds: 0 })], [0, 1, 2, 3])
+  await clock.advance(IN_FORCE_MILLISECONDS)
+  assert.equal(fleet.nodes.map(leavingAt), Array(NODES).fill(['one']))
+}))
+
+leavings('a VM that went stays leaving until it is listed as live', () => withFleet(async (fleet, clock) => {
+  fleet.vms[1]!.state = VmState.Leaving
+  await clock.advance(IN_FORCE_MILLISECONDS)
+  const [gone] = fleet.vms.splice(1, 1)
+  await clock.advance(600_000)
+  assert.equal(fleet.nodes.map(leavingAt), Array(NODES).fill(['repairs-1', 'three']))
+  fleet.vms.push({ ...gone!, state: VmState.Live })
+  await clock.advance(IN_FORCE_MILLISECONDS)
+  assert.equal(fleet.nodes.map(leavingAt), Array(NODES).fill([]))
+}))
+
+leavings('the stop of an entry VM is told once, at its time, to that VM alone', () => withFleet(async (fleet, clock) => {
+  fleet.publish([toStop({ subject: StopSubject.Vm, name: 'entry-3', fromMilliseconds: SOON })])
+  await clock.advance(SOON - 1)
+  assert.equal(fleet.nodes.map(node => node.ownStops), [0, 0, 0, 0, 0])
+  await clock.advance(SOON)
+  assert.equal(fleet.nodes.map(node => node.ownStops), [0, 0, 0, 1, 0])
+}))
+
+leavings('two nodes of a failure domain poll the list, each 2 s', () => withFleet(async (fleet, clock) => {
+  await clock.advance(60_000)
+  assert.is(fleet.polls, 2 * 30)
+}))
+
+leavings('a long list is polled at 12 KB/s', () => {
+  assert.is(vmListIntervalMilliseconds(20), 2000)
+  assert.is(vmListIntervalMilliseconds(2000), 20_000)
+})
+
+leavings('merge keeps only leaving VMs that vanished', () => {
+  const vm = (name: string, state: VmState): VmEntry => ({ name, state, address: '10.0.0.1', failureDomain: 'howrah' })
+  const merged = mergeVmList([vm('a', VmState.Leaving), vm('b', VmState.Live), vm('c', VmState.Leaving)], [vm('c', VmState.Live)])
+  assert.equal(merged, [vm('c', VmState.Live), vm('a', VmState.Leaving)])
+})
+leavings.run()
+
+function withFleet (test: (fleet: Fleet, clock: PausedClock) => Promise<void>): Promise<void> {
+  return withPausedClock(async clock => {
+    const fleet = createFleet()
+    for (const node of fleet.nodes) node.leaving.start()
+    await test(fleet, clock)
+    for (const node of fleet.nodes) node.leaving.stop()
+  })
+}
+
+function createFleet (): Fleet {
+  const hubs = Array.from({ length: NODES }, () => new Set<(event: TargetEvent) => void>())
+  const members = hubs.map((_, index) => toMember(index))
+  let generation = 0
+  const fleet: Fleet = {
+    nodes: [],
+    vms: [toVm('vm-1', '10.0.0.1'), toVm('vm-2', '10.0.0.2'), ...members.map(member => toVm(member.vm, member.address.split(':')[0] ?? ''))],
+    polls: 0,
+    isVmListOut: false,
+    publish (stops, reached = fleet.nodes.map((_, index) => index)) {
+      const version = toVersion(++generation, stops)
+      for (const index of reached) fleet.nodes[index]!.version = version
+    }
+  }
+  for (const [index, member] of members.entries()) {
+    const node: Fleet['nodes'][number] = { version: toVersion(0, []), states: new Map(), ownStops: 0, leaving: undefined as unknown as Leaving }
+    node.leaving = createLeaving({
+      vmList: {
+        async list () {
+          fleet.polls += 1
+          if (!fleet.isVmListOut) return success(structuredClone(fleet.vms))
+          return failed({ kind: FailureKind.Unreachable, step: Step.VmList, peer: 'list', detail: 'no connection' })
+        }
+      },
+      announcements: createAnnouncements(hubs, index, member.address),
+      logger: SILENT_LOGGER,
+      vm: member.vm,
+      failureDomain: 'howrah',
+      address: member.address,
+      members: () => members,
+      current: () => node.version,
+      setState: (target, state) => node.states.set(target, state)
+    })
+    node.leaving.onOwnStop(() => { node.ownStops += 1 })
+    fleet.nodes.push(node)
+  }
+  return fleet
+}
+
+function createAnnouncements (hubs: Array<Set<(event: TargetEvent) => void>>, index: number, reporter: string): TargetAnnouncements {
+  let sequence = 0
+  return {
+    announceTarget (target, state) {
+      const event = { target, state, reporter, sequence: ++sequence, atMilliseconds: Date.now() } as unknown as TargetEvent
+      for (const [other, hub] of hubs.entries()) {
+        setTimeout(() => { for (const callback of hub) callback(event) }, other === index ? 0 : GOSSIP_MILLISECONDS)
+      }
+    },
+    onTargetEvent (callback) {
+      hubs[index]!.add(callback)
+      return () => hubs[index]!.delete(callback)
+    }
+  }
+}
+
+function leavingAt (node: Fleet['nodes'][number]): string[] {
+  const fromStatus = node.leaving.status().map(({ target }) => target).sort()
+  const fromBoard = [...node.states].filter(([, state]) => state === MemberState.Leaving).map(([target]) => target).sort()
+  assert.equal(fromStatus, fromBoard)
+  return fromStatus
+}
+
+function toStop ({ subject, name, fromMilliseconds }: Case['stops'][number]): PlannedStop {
+  const now = Date.now()
+  return { id: name, subject, name, fromMilliseconds: now + fromMilliseconds, untilMilliseconds: now + fromMilliseconds + 3_600_000 }
+}
+
+function toMember (index: number): MemberEntry {
+  const address = `10.0.1.${index}:80`
+  return { address, vm: `entry-${index}`, failureDomain: 'howrah', incarnation: 1, state: MemberState.Alive, generation: 1 }
+}
+
+function toVm (name: string, address: string): VmEntry {
+  return { name, address, failureDomain: 'howrah', state: VmState.Live }
+}
+
+function toVersion (generation: number, stops: PlannedStop[]): CompiledVersion {
+  const manifest = manifestSchema.parse({
+    format: 1,
+    failureDomains: ['howrah'],
+    targets: [['one', '10.0.0.1:1'], ['two', '10.0.0.1:2'], ['three', '10.0.0.2:1']].map(([name, address]) =>
+      ({ name, address, failureDomain: 'howrah', accelerator: 'large', serves: [] })),
+    services: [{
+      name: 'repairs',
+      targets: [{ name: 'repairs-1', address: '10.0.0.2:2', failureDomain: 'howrah' }],
+      operations: [{ method: 'GET', path: '/jobs', idempotent: true }]
+    }],
+    workspaces: [{ name: 'desk', keyDigests: ['0'.repeat(64)] }]
+  })
+  return compileVersion({ generation, nonce: '', publishedAtMilliseconds: 0, parts: [], stops }, manifest)
+}
