--- a/packages/wigeonlead/test/process/leaving.spec.ts
+++ b/packages/wigeonlead/test/process/leaving.spec.ts
@@ -26,13 +26,43 @@
 
 const CASES: Case[] = [
   { name: 'nothing', stops: [], leavingVms: [], expected: [] },
-  { name: 'a stop of a target', stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: 0 }], leavingVms: [], expected: ['one'] },
-  { name: 'a stop that is to come', stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: SOON }], leavingVms: [], expected: [] },
-  { name: 'a stop of a VM', stops: [{ subject: StopSubject.Vm, name: 'vm-1', fromMilliseconds: 0 }], leavingVms: [], expected: ['one', 'two'] },
-  { name: 'a stop of an unknown VM', stops: [{ subject: StopSubject.Vm, name: 'vm-9', fromMilliseconds: 0 }], leavingVms: [], expected: [] },
-  { name: 'a stop of a target of a service', stops: [{ subject: StopSubject.Target, name: 'repairs-1', fromMilliseconds: 0 }], leavingVms: [], expected: ['repairs-1'] },
+  {
+    name: 'a stop of a target',
+    stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: 0 }],
+    leavingVms: [],
+    expected: ['one']
+  },
+  {
+    name: 'a stop that is to come',
+    stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: SOON }],
+    leavingVms: [],
+    expected: []
+  },
+  {
+    name: 'a stop of a VM',
+    stops: [{ subject: StopSubject.Vm, name: 'vm-1', fromMilliseconds: 0 }],
+    leavingVms: [],
+    expected: ['one', 'two']
+  },
+  {
+    name: 'a stop of an unknown VM',
+    stops: [{ subject: StopSubject.Vm, name: 'vm-9', fromMilliseconds: 0 }],
+    leavingVms: [],
+    expected: []
+  },
+  {
+    name: 'a stop of a target of a service',
+    stops: [{ subject: StopSubject.Target, name: 'repairs-1', fromMilliseconds: 0 }],
+    leavingVms: [],
+    expected: ['repairs-1']
+  },
   { name: 'a VM that the list shows as leaving', stops: [], leavingVms: ['vm-2'], expected: ['repairs-1', 'three'] },
-  { name: 'both', stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: 0 }], leavingVms: ['vm-2'], expected: ['one', 'repairs-1', 'three'] },
+  {
+    name: 'both',
+    stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: 0 }],
+    leavingVms: ['vm-2'],
+    expected: ['one', 'repairs-1', 'three']
+  },
   {
     name: 'a stop of a target while the list is out',
     stops: [{ subject: StopSubject.Target, name: 'one', fromMilliseconds: 0 }],
