--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -11,15 +11,18 @@
 import { createConfiguration } from './configuration/index.js'
 import { createFirstTokenTimes } from './first-token-times.js'
 import { createInFlight } from './in-flight.js'
-import { SILENT_LOGGER, type Logger } from './logging.js'
+import { createLeaving } from './leaving/index.js'
+import { LogEvent, SILENT_LOGGER, type Logger } from './logging.js'
 import { createMembership } from './membership/index.js'
 import { createMetrics } from './metrics.js'
 import { createPathTimes } from './path-times.js'
 import { createPrefixMemory } from './prefix-memory.js'
+import { createReconciler } from './reconciler/index.js'
 import { createReports } from './reports.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
-import { createTargetBoard } from './targets.js'
+import { createShutdown, type CloseListener } from './shutdown.js'
+import { TargetAvailability, createTargetBoard } from './targets.js'
 
 /** Every outside contact of a router. Time comes from the runtime's clock. */
 export interface RouterPorts {
@@ -43,7 +46,10 @@
   renderMetrics: () => string
   status: () => NodeStatus
   /** Says that this node is leaving, waits for the balancer's lag and for every request in flight, then stops. */
-  shutdown: () => Promise<void>
+  shutdown: (closeListener?: CloseListener) => Promise<void>
+  isLeaving: () => boolean
+  /** Calls back once when a planned stop of this entry VM begins. */
+  onPlannedStop: (callback: () => void) => void
   /** Stops at once, as a death would. */
   halt: () => void
 }
@@ -53,7 +59,7 @@
   const { failureDomain, vm } = settings.node
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
-  const inFlight = createInFlight()
+  const inFlight = createInFlight(({ method, url }) => logger.warn(LogEvent.RequestCutOff, { method, path: url.split('?')[0] }))
   const membership = createMembership({
     peers: ports.peers,
     address: settings.listen.peers,
@@ -93,6 +99,19 @@
     targets, random: ports.random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes
   })
   const admission = createAdmission()
+  const reconciler = createReconciler({
+    keyValue: ports.keyValue,
+    engines: ports.engines,
+    random: ports.random,
+    logger,
+    settings: settings.reconciler,
+    failureDomain,
+    address: settings.listen.peers,
+    members: membership.members,
+    current: configuration.current,
+    isLeaving: target => targets.availability(target) === TargetAvailability.Leaving,
+    onReport: targets.noteHeld
+  })
   const handle = createCallerHandler({
     engines: ports.engines,
     services: ports.services,
@@ -107,7 +126,18 @@
     failureDomain,
     defaultDeadlineMilliseconds: settings.callers.defaultDeadlineMilliseconds
   }, configuration.current)
-  let isLeaving = false
+  const leaving = createLeaving({
+    vmList: ports.vmList,
+    announcements: { announceTarget: () => {}, onTargetEvent: () => () => {} },
+    logger,
+    vm,
+    failureDomain,
+    address: settings.listen.peers,
+    members: membership.members,
+    current: configuration.current,
+    setState: targets.setState
+  })
+  const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: reconciler.release, halt })
 
   function status (): NodeStatus {
     const current = configuration.current()
@@ -115,6 +145,8 @@
       generation: current?.head.generation ?? 0,
       requestsInFlight: inFlight.count(),
       members: membership.members(),
+      reconciler: reconciler.status(),
+      leaving: leaving.status(),
       targets: [...current?.targets.keys() ?? []].map(name => ({
         name, availability: targets.availability(name), inFlight: targets.inFlight(name)
       }))
@@ -123,6 +155,8 @@
   }
 
   function halt (): void {
+    reconciler.stop()
+    leaving.stop()
     configuration.stop()
     membership.stop()
     reports.stop()
@@ -142,17 +176,15 @@
       configuration.start()
       membership.start()
       reports.start()
+      reconciler.start()
+      leaving.start()
     },
-    isReady: () => !isLeaving && configuration.current() !== undefined,
+    isReady: () => !shutdown.isLeaving() && configuration.current() !== undefined,
     renderMetrics: metrics.render,
     status,
-    async shutdown () {
-      isLeaving = true
-      membership.leave()
-      await new Promise(resolve => setTimeout(resolve, settings.shutdown.balancerLagMilliseconds))
-      await inFlight.whenIdle()
-      halt()
-    },
+    shutdown: shutdown.begin,
+    isLeaving: shutdown.isLeaving,
+    onPlannedStop: leaving.onOwnStop,
     halt
   }
 }
