Claim orders in buckets with group commit; split the service calls

Cause: one key-value write a claim, no settling of ambiguous writes, no takeover, no outcome for a repeat that meets a running order. Change: buckets of claims with sealed segments, group commit at a home, inquiry of the claimant, release with a fence over counted submissions, keys that expire, a key-value relay through peers; service calls in small modules with hedging, the retry budget, admission and the contractual not-accepted answer.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -26,7 +26,7 @@
   type PathStage, type Receipt, type StepInput, type StepRequest, type StepResult, type TargetAddress, type Token
 } from './targets/engine.js'
 export {
-  ServiceResult, type HeaderRecord, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort
+  NOT_ACCEPTED_HEADER, ServiceResult, type HeaderRecord, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort
 } from './targets/service.js'
 export {
   OrderState, PROBLEM_FORMS, ProblemType, Submission, createProblem, type Problem, type ProblemOptions
@@ -50,7 +50,16 @@
   PublishResult, changeHead, parseHead, publishManifest, readHead, type PublishOutcome
 } from './manifest/publish.js'
 export {
-  MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type GossipMessage,
+  MemberState, PeerMethod, type GossipMessage,
   type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus, type PeerHandler,
   type PeerHandlers, type PeerMethods, type PeerPort, type TargetEvent
 } from './peers/messages.js'
+export {
+  ClaimChangeKind, ClaimChangeResult, ClaimInquiryKind, ClaimState, claimChangeSchema, claimEntrySchema, type ClaimChange,
+  type ClaimChangeOutcome, type ClaimCommitParameters, type ClaimCommitResult, type ClaimEntry, type ClaimInquiryParameters,
+  type ClaimInquiryResult, type Claimant, type ClaimedEntry, type FinishedEntry, type RecordedAnswer, type ReleasedEntry
+} from './peers/claims.js'
+export {
+  CLAIM_ANSWER_BYTES, CLAIM_BUCKETS, CLAIM_CLOCK_SKEW_SECONDS, CLAIM_ENTRY_BYTES, CLAIM_SEGMENTS_PER_BUCKET, CLAIM_SEGMENT_BYTES,
+  claimLoads, claimSize, type ClaimLoad, type ClaimSize
+} from './manifest/claim-size.js'
--- a/packages/protocol/src/peers/messages.ts
+++ b/packages/protocol/src/peers/messages.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationHead } from '../manifest/head.js'
 import type { ManifestPartContent } from '../manifest/parts.js'
 import type { Outcome } from '../failure.js'
+import type { ClaimCommitParameters, ClaimCommitResult, ClaimInquiryParameters, ClaimInquiryResult } from './claims.js'
 import type { KeyValueRead, KeyValueWrite, WriteOutcome } from '../platform/key-value.js'
 
 /** The methods between entry VMs. */
@@ -57,21 +58,6 @@
   demand: Record<string, number>
 }
 
-/** Asks a bucket's home to commit claim changes; the shapes are the claim protocol's own. */
-export interface ClaimCommitParameters {
-  bucket: string
-  changes: string[]
-}
-
-/** Asks the node that holds a claim what became of it. */
-export interface ClaimInquiryParameters {
-  bucket: string
-  keyDigest: string
-  attempt: string
-  /** How long the claimant may wait for the outcome, milliseconds. */
-  waitMilliseconds: number
-}
-
 /** A key-value call carried through a peer. */
 export type KeyValueRelayParameters = { kind: 'get', key: string } | { kind: 'compare-and-swap', write: KeyValueWrite }
 
@@ -89,8 +75,8 @@
   [PeerMethod.Gossip]: { parameters: GossipMessage, result: GossipMessage }
   [PeerMethod.ConfigurationHead]: { parameters: Record<string, never>, result: { head?: ConfigurationHead } }
   [PeerMethod.ConfigurationParts]: { parameters: { digests: string[] }, result: { parts: ManifestPartContent[] } }
-  [PeerMethod.ClaimCommit]: { parameters: ClaimCommitParameters, result: { outcomes: string[] } }
-  [PeerMethod.ClaimInquiry]: { parameters: ClaimInquiryParameters, result: { answer: string } }
+  [PeerMethod.ClaimCommit]: { parameters: ClaimCommitParameters, result: ClaimCommitResult }
+  [PeerMethod.ClaimInquiry]: { parameters: ClaimInquiryParameters, result: ClaimInquiryResult }
   [PeerMethod.KeyValueRelay]: { parameters: KeyValueRelayParameters, result: KeyValueRelayResult }
   [PeerMethod.Status]: { parameters: Record<string, never>, result: NodeStatus }
 }
--- a/packages/protocol/src/targets/service.ts
+++ b/packages/protocol/src/targets/service.ts
@@ -4,6 +4,9 @@
 import type { Failure } from '../failure.js'
 import type { TargetAddress } from './engine.js'
 
+/** Header by which a service promises, with status 429 or 503, that it has not run and will not run the order. */
+export const NOT_ACCEPTED_HEADER = 'wigeonlead-not-accepted'
+
 /** Header names in lower case. */
 export type HeaderRecord = Record<string, string>
 
--- a/packages/wigeonlead/src/connection/services.ts
+++ b/packages/wigeonlead/src/connection/services.ts
@@ -1,36 +1,60 @@
 /**
  * Adapter of the service port to HTTP: one request, one whole answer, and the proof of what was not sent.
  */
-import { Agent, request, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
+import { Agent, request, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import {
-  FailureKind, ServiceResult, Step,
-  type Failure, type HeaderRecord, type ServiceCall, type ServiceOutcome, type ServicePort, type TargetAddress
+  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step,
+  type Failure, type HeaderRecord, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort, type TargetAddress
 } from '@wigeonlead/protocol'
 
-/** Makes a service port over HTTP. */
-export function createHttpServices (): ServicePort {
+/** Options of the adapter. */
+export interface HttpServicesOptions {
+  /** How long a connection may take to be made; 1,000 ms by default. */
+  connectTimeoutMilliseconds?: number
+}
+
+interface Exchange {
+  agent: Agent
+  target: TargetAddress
+  call: ServiceCall
+  signal: AbortSignal
+  connectTimeoutMilliseconds: number
+  /** Set once the socket is connected, from when the head may have been sent. */
+  isPossiblySent: boolean
+}
+
+const CONNECT_TIMEOUT_MILLISECONDS = 1000
+const PARSE_ERROR_PREFIX = 'HPE_'
+const NOT_ACCEPTED_STATUSES = new Set([429, 503])
+
+/**
+ * Makes a service port over HTTP. A call that asks for a fresh connection gets a socket of its own: only there does a failure to
+ * connect prove that nothing was sent, since a pooled socket may break after the head was written to it.
+ */
+export function createHttpServices (options: HttpServicesOptions = {}): ServicePort {
   const agent = new Agent({ keepAlive: true, maxFreeSockets: 256 })
-  return { call: (target, call, signal) => callService(agent, target, call, signal) }
+  const { connectTimeoutMilliseconds = CONNECT_TIMEOUT_MILLISECONDS } = options
+  return { call: (target, call, signal) => callService({ agent, target, call, signal, connectTimeoutMilliseconds, isPossiblySent: false }) }
 }
 
-async function callService (agent: Agent, target: TargetAddress, call: ServiceCall, signal: AbortSignal): Promise<ServiceOutcome> {
-  const connection = { isConnected: false }
+async function callService (exchange: Exchange): Promise<ServiceOutcome> {
+  const { target, call, signal } = exchange
+  if (signal.aborted) return notSent(exchange, FailureKind.Aborted, 'given up before it was sent')
   try {
-    const response = await send(agent, target, call, signal, connection)
+    const response = await send(exchange)
     const body = await readBody(response, call.maximumResponseBytes)
-    return { kind: ServiceResult.Answered, answer: { status: response.statusCode ?? 502, headers: flatten(response.headers), body } }
+    return judgeAnswer(target, { status: response.statusCode ?? 502, headers: flatten(response.headers), body })
   } catch (cause) {
     const detail = cause instanceof Error ? cause.message : String(cause)
-    const origin = { step: Step.Service, peer: target.target, detail, cause }
-    if (!connection.isConnected) return { kind: ServiceResult.NotSent, failure: { ...origin, kind: FailureKind.Unreachable } }
-    const failure: Failure = { ...origin, kind: signal.aborted ? FailureKind.Aborted : FailureKind.Broken }
-    return { kind: ServiceResult.Ambiguous, failure }
+    if (!exchange.isPossiblySent) return notSent(exchange, FailureKind.Unreachable, detail, cause)
+    const kind = signal.aborted ? FailureKind.Aborted : isParseError(cause) ? FailureKind.Malformed : FailureKind.Broken
+    return { kind: ServiceResult.Ambiguous, failure: { kind, step: Step.Service, peer: target.target, detail, cause } }
   }
 }
 
-function send (
-  agent: Agent, target: TargetAddress, call: ServiceCall, signal: AbortSignal, connection: { isConnected: boolean }
-): Promise<IncomingMessage> {
+function send (exchange: Exchange): Promise<IncomingMessage> {
+  const { agent, target, call, signal } = exchange
   return new Promise((resolve, reject) => {
     const outgoing = request(`http://${target.address}${call.path}`, {
       method: call.method,
@@ -38,16 +62,59 @@
       signal,
       headers: { ...call.headers, 'content-length': call.body.byteLength }
     })
-    outgoing.on('socket', socket => {
-      if (!socket.connecting) connection.isConnected = true
-      else socket.once('connect', () => { connection.isConnected = true })
-    })
+    outgoing.on('socket', socket => watchConnection(exchange, outgoing, socket))
     outgoing.on('response', resolve)
     outgoing.on('error', reject)
     outgoing.end(call.body)
   })
 }
 
+function watchConnection (exchange: Exchange, outgoing: ClientRequest, socket: Socket): void {
+  if (!socket.connecting) {
+    exchange.isPossiblySent = true
+    return
+  }
+  const timer = setTimeout(() => outgoing.destroy(new Error('no connection in time')), exchange.connectTimeoutMilliseconds)
+  socket.once('close', () => clearTimeout(timer))
+  socket.once('connect', () => {
+    clearTimeout(timer)
+    exchange.isPossiblySent = true
+  })
+}
+
+function judgeAnswer (target: TargetAddress, answer: ServiceAnswer): ServiceOutcome {
+  const isNotAccepted = NOT_ACCEPTED_STATUSES.has(answer.status) && answer.headers[NOT_ACCEPTED_HEADER] === 'true'
+  if (!isNotAccepted) return { kind: ServiceResult.Answered, answer }
+  const failure: Failure = {
+    kind: FailureKind.Refused,
+    step: Step.Service,
+    peer: target.target,
+    detail: 'the service did not accept the call',
+    status: answer.status,
+    retryAfterMilliseconds: readRetryAfter(answer.headers['retry-after'])
+  }
+  return { kind: ServiceResult.NotSent, failure }
+}
+
+/** @returns milliseconds; undefined where the header is absent or not understood. */
+function readRetryAfter (text: string | undefined): number | undefined {
+  if (text === undefined) return undefined
+  if (/^\d{1,6}$/.test(text)) return Number(text) * 1000
+  const at = Date.parse(text)
+  return Number.isNaN(at) ? undefined : Math.max(0, at - Date.now())
+}
+
+function notSent (
+  { target }: Exchange, kind: FailureKind.Aborted | FailureKind.Unreachable, detail: string, cause?: unknown
+): ServiceOutcome {
+  return { kind: ServiceResult.NotSent, failure: { kind, step: Step.Service, peer: target.target, detail, cause } }
+}
+
+function isParseError (cause: unknown): boolean {
+  const { code } = cause as { code?: unknown }
+  return typeof code === 'string' && code.startsWith(PARSE_ERROR_PREFIX)
+}
+
 async function readBody (response: IncomingMessage, maximumBytes: number): Promise<Uint8Array> {
   const chunks: Buffer[] = []
   let bytes = 0
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -6,11 +6,13 @@
   type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
 } from '@wigeonlead/protocol'
 import { createAdmission, createCallerHandler, createClaims, createPathChooser, type CallerHandler } from '../request/index.js'
+import { createRelayedKeyValue } from '../connection/index.js'
 import { createConfiguration } from './configuration.js'
 import { createInFlight } from './in-flight.js'
 import { SILENT_LOGGER, type Logger } from './logging.js'
 import { createMembership } from './membership.js'
 import { createMetrics } from './metrics.js'
+import { createObservedLatency } from './observed-latency.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
 import { createTargetBoard } from './targets.js'
@@ -58,6 +60,10 @@
     seeds: settings.peers.seeds,
     generation: () => configuration.current()?.head.generation ?? 0
   })
+  const relayed = createRelayedKeyValue({ direct: ports.keyValue, peers: ports.peers, self: membership.self, members: membership.members })
+  const claims = createClaims({
+    keyValue: relayed.keyValue, peers: ports.peers, random: ports.random, self: membership.self, members: membership.members
+  })
   const handle = createCallerHandler({
     engines: ports.engines,
     services: ports.services,
@@ -65,8 +71,9 @@
     targets,
     paths: createPathChooser({ targets, random: ports.random, failureDomain }),
     admission: createAdmission(),
-    claims: createClaims({ keyValue: ports.keyValue, random: ports.random }),
+    claims,
     retries: createRetryBudget(),
+    latencies: createObservedLatency(),
     metrics,
     logger,
     failureDomain,
@@ -93,8 +100,11 @@
   }
 
   metrics.gauge('requests_in_flight', inFlight.count)
+  metrics.gauge('orders_running', claims.running)
   metrics.gauge('configuration_generation', () => configuration.current()?.head.generation ?? 0)
-  ports.peers.serve({ ...configuration.handlers, ...membership.handlers, [PeerMethod.Status]: async () => status() })
+  ports.peers.serve({
+    ...configuration.handlers, ...membership.handlers, ...claims.handlers, ...relayed.handlers, [PeerMethod.Status]: async () => status()
+  })
 
   return {
     handle: inFlight.track(handle),
@@ -110,6 +120,7 @@
       membership.leave()
       await new Promise(resolve => setTimeout(resolve, settings.shutdown.balancerLagMilliseconds))
       await inFlight.whenIdle()
+      await claims.whenIdle()
       halt()
     },
     halt
--- a/packages/wigeonlead/src/request/claims/index.ts
+++ b/packages/wigeonlead/src/request/claims/index.ts
@@ -1,4 +1,5 @@
 /**
  * At most once: claims of non-idempotent orders.
  */
-export { ClaimResult, createClaims, type ClaimOutcome, type ClaimedOrder, type Claims, type ClaimsParts } from './claims.js'
+export { createClaims, type Claims, type ClaimsParts } from './claims.js'
+export { ClaimResult, type ClaimOutcome, type ClaimedOrder, type SendOrder } from './outcome.js'
--- a/packages/wigeonlead/src/request/context.ts
+++ b/packages/wigeonlead/src/request/context.ts
@@ -4,6 +4,7 @@
 import type { EnginePort, ManifestWorkspace, RandomSource, ServicePort } from '@wigeonlead/protocol'
 import type { Logger } from '../process/logging.js'
 import type { Metrics } from '../process/metrics.js'
+import type { ObservedLatency } from '../process/observed-latency.js'
 import type { RetryBudget } from '../process/retry-budget.js'
 import type { TargetBoard } from '../process/targets.js'
 import type { CompiledVersion } from '../version/index.js'
@@ -21,6 +22,8 @@
   admission: Admission
   claims: Claims
   retries: RetryBudget
+  /** Latencies of services' operations. */
+  latencies: ObservedLatency
   metrics: Metrics
   logger: Logger
   failureDomain: string
--- a/packages/wigeonlead/src/request/handle.ts
+++ b/packages/wigeonlead/src/request/handle.ts
@@ -7,7 +7,7 @@
 import { jsonResponse, problemResponse, type CallerHandler, type CallerRequest, type CallerResponse } from './caller.js'
 import { CompletionShape, answerCompletion } from './completion.js'
 import type { RequestContext, RequestParts } from './context.js'
-import { answerServiceCall } from './service-call.js'
+import { answerServiceCall, unsentOrderState } from './services/index.js'
 
 type Route = (context: RequestContext, request: CallerRequest) => Promise<CallerResponse>
 
@@ -39,10 +39,11 @@
 
 async function answer (parts: RequestParts, version: CompiledVersion | undefined, request: CallerRequest): Promise<CallerResponse> {
   if (version === undefined) {
-    return problemResponse(createProblem(ProblemType.NotReady, 'no manifest was seen yet', { retryAfterSeconds: 2 }))
+    const options = { retryAfterSeconds: 2, order: unsentOrderState({ request }) }
+    return problemResponse(createProblem(ProblemType.NotReady, 'no manifest was seen yet', options))
   }
   const context = createContext(parts, version, request)
-  if ('type' in context) return problemResponse(context)
+  if ('type' in context) return problemResponse({ ...context, order: unsentOrderState({ request }) })
   try {
     return await dispatch(context, request)
   } catch (error) {
--- /dev/null
+++ b/packages/wigeonlead/src/request/services/responses.ts
@@ -0,0 +1,44 @@
+/**
+ * Answers and refusals of service calls towards callers.
+ */
+import {
+  FailureKind, OrderState, ProblemType, ServiceResult, Submission, createProblem, describeFailure,
+  type Failure, type HeaderRecord, type Problem, type ServiceAnswer, type ServiceOutcome
+} from '@wigeonlead/protocol'
+import { problemResponse, type CallerResponse } from '../caller.js'
+import { forwardedHeaders } from './headers.js'
+import { refuseUnsent, type ServiceOrder } from './order.js'
+
+const DEFAULT_RETRY_SECONDS = 1
+
+/** @returns the answer of a service as the caller gets it. */
+export function answerResponse (answer: ServiceAnswer, headers: HeaderRecord = {}): CallerResponse {
+  return { status: answer.status, headers: { ...forwardedHeaders(answer.headers), ...headers }, body: answer.body }
+}
+
+/**
+ * Turns what is known of a call into an answer.
+ * @param wasSent whether an earlier try may have reached a target.
+ */
+export function outcomeResponse (order: ServiceOrder, outcome: ServiceOutcome, wasSent = false): CallerResponse {
+  if (outcome.kind === ServiceResult.Answered) return answerResponse(outcome.answer)
+  const detail = describeFailure(outcome.failure)
+  const retryAfterSeconds = retryAfter(outcome.failure)
+  if (outcome.kind === ServiceResult.NotSent && !wasSent) {
+    return problemResponse(refuseUnsent(order, ProblemType.NoPath, detail, { retryAfterSeconds }))
+  }
+  const sent = { submission: Submission.Sent, order: OrderState.Unknown }
+  return problemResponse(createProblem(ProblemType.TargetFailed, detail, sent))
+}
+
+/** @returns the refusal of a request that was not admitted. */
+export function admissionRefusal (order: ServiceOrder, failure: Failure): Problem {
+  const type = failure.kind === FailureKind.TimedOut ? ProblemType.DeadlineUnreachable : ProblemType.Overloaded
+  return refuseUnsent(order, type, failure.detail, { retryAfterSeconds: retryAfter(failure) })
+}
+
+/** @returns after how many seconds a try may do better. */
+export function retryAfter (failure: Failure): number {
+  const milliseconds = failure.kind === FailureKind.Refused ? failure.retryAfterMilliseconds : undefined
+  return milliseconds === undefined ? DEFAULT_RETRY_SECONDS : Math.max(1, Math.ceil(milliseconds / 1000))
+}
--- /dev/null
+++ b/packages/wigeonlead/src/request/services/target-call.ts
@@ -0,0 +1,74 @@
+/**
+ * One call of one target of a service: chooses the target, bounds the call in time, and takes note of how it went.
+ */
+import { FailureKind, ServiceResult, Step, type ManifestService, type ServiceOutcome } from '@wigeonlead/protocol'
+import { TargetAvailability } from '../../process/targets.js'
+import type { RequestContext } from '../context.js'
+import type { ServiceOrder } from './order.js'
+
+type ServiceTarget = ManifestService['targets'][number]
+
+/** One call. */
+export interface TargetCall {
+  context: RequestContext
+  order: ServiceOrder
+  /** Targets that were tried; the one chosen now is added. */
+  tried: Set<string>
+  /** Gives the call up. */
+  signal?: AbortSignal
+  /** How long the answer is waited for, milliseconds. */
+  limitMilliseconds: number
+}
+
+const TRIED_RANK = 100
+const SUSPECT_RANK = 10
+const OTHER_DOMAIN_RANK = 1
+
+/** Calls the best target, one that was not tried yet where there is one. */
+export async function callTarget ({ context, order, tried, signal, limitMilliseconds }: TargetCall): Promise<ServiceOutcome> {
+  const { targets, services, latencies } = context.parts
+  const target = chooseTarget(context, order.service, tried)
+  if (target === undefined) return nothingServes(order.service)
+  tried.add(target.name)
+  const startedAt = performance.now()
+  const release = targets.begin(target.name)
+  const limit = new AbortController()
+  const timer = setTimeout(() => limit.abort(), Math.max(0, limitMilliseconds))
+  const either = signal === undefined ? limit.signal : AbortSignal.any([signal, limit.signal])
+  const outcome = await services.call({ target: target.name, address: target.address }, order.call, either)
+  clearTimeout(timer)
+  release()
+  if (outcome.kind === ServiceResult.Answered) {
+    targets.recordSuccess(target.name)
+    latencies.record(latencyName(order), performance.now() - startedAt)
+  } else if (signal?.aborted !== true) targets.recordFailure(target.name, outcome.failure)
+  return outcome
+}
+
+/** @returns whether a target is left that was not tried. */
+export function hasUntriedTarget (context: RequestContext, service: ManifestService, tried: ReadonlySet<string>): boolean {
+  return usableTargets(context, service).some(target => !tried.has(target.name))
+}
+
+/** @returns the name under which the latencies of an operation are kept. */
+export function latencyName ({ service, operation }: ServiceOrder): string {
+  return `${service.name} ${operation.method} ${operation.path}`
+}
+
+function chooseTarget (context: RequestContext, service: ManifestService, tried: ReadonlySet<string>): ServiceTarget | undefined {
+  const { targets, failureDomain } = context.parts
+  const rank = (target: ServiceTarget): number => (tried.has(target.name) ? TRIED_RANK : 0) +
+    (targets.availability(target.name) === TargetAvailability.Suspect ? SUSPECT_RANK : 0) +
+    (target.failureDomain === failureDomain ? 0 : OTHER_DOMAIN_RANK) + targets.inFlight(target.name) / target.capacity
+  return usableTargets(context, service).sort((left, right) => rank(left) - rank(right))[0]
+}
+
+function usableTargets (context: RequestContext, service: ManifestService): ServiceTarget[] {
+  return service.targets.filter(({ name }) => context.parts.targets.availability(name) !== TargetAvailability.Leaving &&
+    !context.version.isTargetStopping(name, Date.now()))
+}
+
+function nothingServes (service: ManifestService): ServiceOutcome {
+  const detail = `no target serves ${service.name}`
+  return { kind: ServiceResult.NotSent, failure: { kind: FailureKind.Refused, step: Step.PathChoice, peer: 'local', detail } }
+}
