Prove at most once: a property over real claims modules and a fault table

Cause: nothing showed that claims hold under death, pause, partition, lost replies, late writes, duplicates and repeats. Change: a small fleet of claims over one store in memory, a table of 23 cases with two runs over sealed segments, and a fast-check property that judges what callers were told by the target's ledger. A repeat whose deadline passes while another attempt runs is now told that the order is unknown, not that it was not sent: the table found it.

--- a/packages/wigeonlead/src/request/claims/claims.ts
+++ b/packages/wigeonlead/src/request/claims/claims.ts
@@ -2,7 +2,8 @@
  * Claims: a non-idempotent order is sent only by the winner of a compare-and-swap on its key, and once.
  */
 import {
-  CLAIM_ANSWER_BYTES, ClaimChangeKind, ClaimChangeResult, ClaimInquiryKind, ClaimState, FailureKind, PeerMethod, ServiceResult, Step,
+  CLAIM_ANSWER_BYTES, CLAIM_CLOCK_SKEW_SECONDS, ClaimChangeKind, ClaimChangeResult, ClaimInquiryKind, ClaimState, FailureKind, PeerMethod,
+  ServiceResult, Step,
   type ClaimChangeOutcome, type ClaimEntry, type ClaimInquiryResult, type ClaimedEntry, type Failure, type FinishedEntry,
   type KeyValuePort, type MemberEntry, type PeerHandlers, type PeerPort, type RandomSource, type ReleasedEntry, type ServiceAnswer
 } from '@wigeonlead/protocol'
@@ -41,8 +42,12 @@
   attempt: Attempt
   entry: ClaimedEntry
   deadline: Deadline
+  /** Whether another attempt was met that may have been sent. */
+  metClaim: boolean
   /** When the claim was begun, on the monotonic clock, milliseconds. */
   begunAt: number
+  /** Until when the claim may be met by others, on the monotonic clock, milliseconds. */
+  heldUntil: number
 }
 
 type Inquired = ClaimInquiryResult | undefined
@@ -54,6 +59,8 @@
 const RECORD_PAUSE_MILLISECONDS = 250
 const MAXIMUM_RECORD_PAUSE_MILLISECONDS = 5000
 const IDLE_RECORDING_MILLISECONDS = 30_000
+const HELD_MARGIN_MILLISECONDS = 2000 * CLAIM_CLOCK_SKEW_SECONDS
+const LONGEST_TIMER_MILLISECONDS = 86_400_000
 
 /** Makes the claims of one process. */
 export function createClaims (parts: ClaimsParts): Claims {
@@ -74,7 +81,9 @@
       claimant: { address, incarnation },
       fence: NO_FENCE
     }
-    return { order, attempt, entry, deadline: createDeadline(order.deadlineAt), begunAt: performance.now() }
+    const begunAt = performance.now()
+    const heldUntil = begunAt + expiresAt - Date.now() + HELD_MARGIN_MILLISECONDS
+    return { order, attempt, entry, deadline: createDeadline(order.deadlineAt), metClaim: false, begunAt, heldUntil }
   }
 
   /** Claims the order, as often as an abandoned claim stands in the way, and runs it once claimed. */
@@ -90,12 +99,15 @@
       const { entry: found } = outcome
       const isReused = found.requestDigest !== entry.requestDigest
       if (found.state !== ClaimState.Claimed || isReused) return giveUp(submission, repeated(found, entry))
+      submission.metClaim = true
       const answer = await inquire(submission, found)
       const known = toOutcome(answer, found)
       if (known !== undefined && (isWord(answer) || ++silences >= MAXIMUM_SILENCES)) return giveUp(submission, known)
-      if (answer?.kind === ClaimInquiryKind.Abandoned) replaces = found.attempt
+      if (answer?.kind !== ClaimInquiryKind.Abandoned) continue
+      replaces = found.attempt
+      submission.metClaim = false
     }
-    return giveUp(submission, { kind: ClaimResult.NotSent, failure: lateFailure() })
+    return giveUp(submission, lateOutcome(submission))
   }
 
   function giveUp (submission: Submission, outcome: ClaimOutcome): ClaimOutcome {
@@ -123,7 +135,7 @@
     }
     attempts.end(attempt, outcome)
     if (outcome.kind === ServiceResult.Ambiguous) {
-      keepUntilExpiry(submission)
+      keepWhileHeld(submission)
       return { kind: ClaimResult.Uncertain, failure: outcome.failure, wasSent: true }
     }
     track(recording, record(submission, outcome.answer))
@@ -144,7 +156,7 @@
   }
 
   /** Records an outcome, however long that takes: until then repeats are answered from memory. */
-  async function record ({ attempt, entry }: Submission, answer: ServiceAnswer): Promise<void> {
+  async function record ({ attempt, entry, heldUntil }: Submission, answer: ServiceAnswer): Promise<void> {
     const { keyDigest, requestDigest, expiresAt } = entry
     const finished: FinishedEntry = {
       state: ClaimState.Finished,
@@ -156,7 +168,7 @@
       answer: answer.body.byteLength > CLAIM_ANSWER_BYTES ? undefined : toRecordedAnswer(answer)
     }
     let pauseMilliseconds = RECORD_PAUSE_MILLISECONDS
-    while (Date.now() < expiresAt) {
+    while (performance.now() < heldUntil) {
       const outcome = await route.commit({ kind: ClaimChangeKind.Finish, entry: finished })
       if (outcome.kind === ClaimChangeResult.Stored || outcome.kind === ClaimChangeResult.Found) break
       await pause(pauseMilliseconds)
@@ -165,8 +177,10 @@
     attempts.forget(attempt)
   }
 
-  function keepUntilExpiry ({ attempt, entry }: Submission): void {
-    setTimeout(() => attempts.forget(attempt), Math.max(0, entry.expiresAt - Date.now())).unref()
+  function keepWhileHeld (submission: Submission): void {
+    const left = submission.heldUntil - performance.now()
+    if (left <= 0) attempts.forget(submission.attempt)
+    else setTimeout(() => keepWhileHeld(submission), Math.min(left, LONGEST_TIMER_MILLISECONDS)).unref()
   }
 
   return {
@@ -179,11 +193,8 @@
       track(sending, work.then(() => {}))
       const outcome = await submission.deadline.race(work)
       if (outcome !== undefined) return outcome
-      const { attempt } = submission
-      attempt.isGivenUp = true
-      return attempt.isPossiblySent
-        ? { kind: ClaimResult.Uncertain, failure: lateFailure(), wasSent: true }
-        : { kind: ClaimResult.NotSent, failure: lateFailure() }
+      submission.attempt.isGivenUp = true
+      return lateOutcome(submission)
     },
     running: () => sending.size + recording.size,
     async whenIdle () {
@@ -237,6 +248,12 @@
   }
 }
 
+function lateOutcome ({ attempt, metClaim }: Submission): ClaimOutcome {
+  const failure = lateFailure()
+  if (!attempt.isPossiblySent && !metClaim) return { kind: ClaimResult.NotSent, failure }
+  return { kind: ClaimResult.Uncertain, failure, wasSent: attempt.isPossiblySent }
+}
+
 function lateFailure (): Failure {
   return { kind: FailureKind.TimedOut, step: Step.Claim, peer: 'local', detail: 'the deadline has passed', afterMilliseconds: 0 }
 }
--- /dev/null
+++ b/packages/wigeonlead/test/claims.spec.ts
@@ -0,0 +1,348 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { KeyValueFault, withPausedClock, type PausedClock } from '@wigeonlead/stand-ins'
+import { ClaimResult, type ClaimOutcome, type ClaimedOrder } from '../src/request/claims/index.js'
+import { PeerFault, TargetFault, createClaimFleet, type ClaimFleet } from './claim-fleet.js'
+
+const START_MILLISECONDS = 1_700_000_000_000
+const HOUR_MILLISECONDS = 3_600_000
+/** By then an order is claimed and its connection refused, but the release is not written yet. */
+const CLAIMED_AFTER_MILLISECONDS = 20
+const ORDER: Omit<ClaimedOrder, 'deadlineAt'> = {
+  workspace: 'desk', service: 'orders', key: 'leak-7', requestDigest: 'request', retentionSeconds: 86_400
+}
+
+interface Scene {
+  fleet: ClaimFleet
+  clock: PausedClock
+  /** Submits the order at a node. */
+  submit: (node: number, change?: Partial<ClaimedOrder>, deadlineMilliseconds?: number) => Promise<ClaimOutcome>
+  /** Submits the order at a node and advances the clock until it is answered. */
+  settle: (node: number, change?: Partial<ClaimedOrder>) => Promise<ClaimOutcome>
+}
+
+interface Case {
+  name: string
+  domains?: number
+  play: (scene: Scene) => Promise<ClaimOutcome>
+  result: ClaimResult
+  /** How often the order has run in the end. */
+  runs: number
+}
+
+const CASES: Case[] = [
+  { name: 'a first submission runs', result: ClaimResult.Answered, runs: 1, play: ({ settle }) => settle(0) },
+  {
+    name: 'a repeat of a finished order gets the recorded outcome',
+    result: ClaimResult.Answered,
+    runs: 1,
+    play: async ({ settle }) => {
+      await settle(0)
+      return await settle(1)
+    }
+  },
+  {
+    name: 'a repeat elsewhere joins a running order',
+    result: ClaimResult.Answered,
+    runs: 1,
+    play: async ({ fleet, clock, submit }) => {
+      fleet.targetFault = TargetFault.Late
+      void submit(0)
+      await clock.advance(1000)
+      const repeat = submit(1, {}, 30_000)
+      await clock.advance(30_000)
+      return await repeat
+    }
+  },
+  {
+    name: 'a repeat whose deadline comes before the answer is told that the order is unknown',
+    result: ClaimResult.Uncertain,
+    runs: 1,
+    play: async ({ fleet, clock, submit }) => {
+      fleet.targetFault = TargetFault.Late
+      void submit(0)
+      await clock.advance(1000)
+      const repeat = submit(1, {}, 5000)
+      await clock.advance(5000)
+      return await repeat
+    }
+  },
+  {
+    name: 'a late answer is recorded after the caller was told that the order is unknown',
+    result: ClaimResult.Answered,
+    runs: 1,
+    play: async ({ fleet, clock, submit, settle }) => {
+      fleet.targetFault = TargetFault.Late
+      const first = submit(0, {}, 5000)
+      await clock.advance(5000)
+      assert.equal(told(await first), { kind: ClaimResult.Uncertain, wasSent: true })
+      await clock.advance(20_000)
+      return await settle(1)
+    }
+  },
+  {
+    name: 'an order whose answer was lost is never sent again',
+    result: ClaimResult.Uncertain,
+    runs: 1,
+    play: async ({ fleet, settle }) => {
+      fleet.targetFault = TargetFault.LostAnswer
+      await settle(0)
+      fleet.targetFault = TargetFault.None
+      return await settle(1)
+    }
+  },
+  {
+    name: 'a claim of a node that was replaced in mid-order stays unknown',
+    result: ClaimResult.Uncertain,
+    runs: 1,
+    play: async ({ fleet, clock, submit, settle }) => {
+      fleet.targetFault = TargetFault.Late
+      void submit(0)
+      await clock.advance(1000)
+      fleet.kill(0)
+      return await settle(1)
+    }
+  },
+  {
+    name: 'a claim whose release was lost is taken over',
+    result: ClaimResult.Answered,
+    runs: 1,
+    play: async ({ fleet, clock, submit, settle }) => {
+      fleet.targetFault = TargetFault.Unreachable
+      const first = submit(0)
+      await clock.advance(CLAIMED_AFTER_MILLISECONDS)
+      for (const node of fleet.nodes) node.keyValueFault = KeyValueFault.Unreachable
+      await clock.advance(3000)
+      assert.is((await first).kind, ClaimResult.NotSent)
+      assert.is(claimsHeld(fleet), 1)
+      restore(fleet)
+      fleet.targetFault = TargetFault.None
+      return await settle(1)
+    }
+  },
+  {
+    name: 'a claim whose commit is later than ten seconds is not sent',
+    result: ClaimResult.NotSent,
+    runs: 0,
+    play: async ({ fleet, clock, submit }) => {
+      const first = submit(0, {}, 60_000)
+      await clock.advance(1)
+      fleet.pause(0, 11_000)
+      await clock.advance(12_000)
+      return await first
+    }
+  },
+  {
+    name: 'during an outage an order is refused',
+    result: ClaimResult.Unavailable,
+    runs: 0,
+    play: async ({ fleet, settle }) => {
+      for (const node of fleet.nodes) node.keyValueFault = KeyValueFault.Unreachable
+      return await settle(0)
+    }
+  },
+  {
+    name: 'an hour after the outage began, five seconds after its end, it runs',
+    result: ClaimResult.Answered,
+    runs: 1,
+    play: async ({ fleet, clock, settle }) => {
+      for (const node of fleet.nodes) node.keyValueFault = KeyValueFault.LostRequest
+      await settle(0)
+      await clock.advance(HOUR_MILLISECONDS)
+      restore(fleet)
+      await clock.advance(5000)
+      return await settle(0)
+    }
+  },
+  {
+    name: 'a claim whose reply was lost is settled and sent once',
+    result: ClaimResult.Answered,
+    runs: 1,
+    play: async ({ fleet, clock, submit }) => {
+      for (const node of fleet.nodes) node.keyValueFault = KeyValueFault.LostReply
+      const first = submit(0)
+      await clock.advance(1001)
+      restore(fleet)
+      await clock.advance(2000)
+      return await first
+    }
+  },
+  {
+    name: 'a home that can\'t be reached is bypassed',
+    result: ClaimResult.Answered,
+    runs: 1,
+    play: async ({ fleet, settle }) => {
+      for (const node of fleet.nodes) node.peerFault = PeerFault.Unreachable
+      return await settle(0)
+    }
+  },
+  {
+    name: 'failure domains that are cut off from each other stay safe',
+    domains: 3,
+    result: ClaimResult.Answered,
+    runs: 1,
+    play: async ({ fleet, clock, submit }) => {
+      for (const node of fleet.nodes) node.peerFault = PeerFault.Unreachable
+      const all = [submit(0), submit(1), submit(2)]
+      await clock.advance(15_000)
+      const outcomes = await Promise.all(all)
+      return outcomes.find(({ kind }) => kind === ClaimResult.Answered) ?? outcomes[0] as ClaimOutcome
+    }
+  },
+  {
+    name: 'a key of another request is refused',
+    result: ClaimResult.KeyReused,
+    runs: 1,
+    play: async ({ settle }) => {
+      await settle(0)
+      return await settle(1, { requestDigest: 'another' })
+    }
+  },
+  {
+    name: 'a UUIDv7 of now runs',
+    result: ClaimResult.Answered,
+    runs: 1,
+    play: ({ settle }) => settle(0, { key: uuidAt(START_MILLISECONDS) })
+  },
+  {
+    name: 'a UUIDv7 older than the retention is refused',
+    result: ClaimResult.KeyExpired,
+    runs: 0,
+    play: ({ settle }) => settle(0, { key: uuidAt(START_MILLISECONDS - 25 * HOUR_MILLISECONDS) })
+  },
+  {
+    name: 'a UUIDv7 that has run is refused once its claim may have been dropped',
+    result: ClaimResult.KeyExpired,
+    runs: 1,
+    play: async ({ clock, settle }) => {
+      await settle(0, { key: uuidAt(START_MILLISECONDS) })
+      await clock.advance(25 * HOUR_MILLISECONDS)
+      return await settle(1, { key: uuidAt(START_MILLISECONDS) })
+    }
+  },
+  {
+    name: 'a UUIDv7 of tomorrow is refused',
+    result: ClaimResult.KeyFromFuture,
+    runs: 0,
+    play: ({ settle }) => settle(0, { key: uuidAt(START_MILLISECONDS + 24 * HOUR_MILLISECONDS) })
+  },
+  {
+    name: 'a released order of a caller that counts is certainly not run',
+    result: ClaimResult.NotRun,
+    runs: 0,
+    play: async ({ fleet, settle }) => {
+      fleet.targetFault = TargetFault.Unreachable
+      return await settle(0, { previousAttempts: 0 })
+    }
+  },
+  {
+    name: 'and a delayed duplicate of the released submission never runs',
+    result: ClaimResult.NotRun,
+    runs: 0,
+    play: async ({ fleet, settle }) => {
+      fleet.targetFault = TargetFault.Unreachable
+      await settle(0, { previousAttempts: 1 })
+      fleet.targetFault = TargetFault.None
+      assert.is((await settle(1, { previousAttempts: 0 })).kind, ClaimResult.NotRun)
+      return await settle(2, { previousAttempts: 1 })
+    }
+  },
+  {
+    name: 'while the caller\'s next submission does',
+    result: ClaimResult.Answered,
+    runs: 1,
+    play: async ({ fleet, settle }) => {
+      fleet.targetFault = TargetFault.Unreachable
+      await settle(0, { previousAttempts: 0 })
+      fleet.targetFault = TargetFault.None
+      return await settle(1, { previousAttempts: 1 })
+    }
+  },
+  {
+    name: 'the fence of a release outlives a later claim whose release was lost',
+    result: ClaimResult.NotRun,
+    runs: 0,
+    play: async ({ fleet, clock, submit, settle }) => {
+      fleet.targetFault = TargetFault.Unreachable
+      await settle(0, { previousAttempts: 0 })
+      const second = submit(0, { previousAttempts: 1 })
+      await clock.advance(CLAIMED_AFTER_MILLISECONDS)
+      for (const node of fleet.nodes) node.keyValueFault = KeyValueFault.Unreachable
+      await clock.advance(3000)
+      assert.is((await second).kind, ClaimResult.NotSent)
+      assert.is(claimsHeld(fleet), 1)
+      restore(fleet)
+      fleet.targetFault = TargetFault.None
+      return await settle(1, { previousAttempts: 0 })
+    }
+  }
+]
+
+const claims = suite('claims')
+for (const { name, domains, play, result, runs } of CASES) {
+  claims(name, () => withPausedClock(async clock => {
+    const scene = createScene(clock, domains)
+    const outcome = await play(scene)
+    await clock.advance(30_000)
+    assert.is(outcome.kind, result)
+    assert.is(scene.fleet.ledger.length, runs)
+  }))
+}
+
+claims('outcomes outlive the sealing of their entries and the nodes that made them', () => withPausedClock(async clock => {
+  const { fleet, submit } = createScene(clock)
+  const orders = Array.from({ length: 3000 }, (_, index) => submit(index % 3, { key: `order-${index}` }))
+  await clock.advance(10_000)
+  await Promise.all(orders)
+  assert.ok(fleet.store.list('/wigeonlead/claims/').some(({ key }) => key.includes('/segments/')))
+  assert.ok(fleet.store.list('/wigeonlead/claims/').every(({ value }) => value.length < 262_144))
+  for (const index of [0, 1, 2]) fleet.kill(index)
+  const repeats = Array.from({ length: 3000 }, (_, index) => submit(index % 3, { key: `order-${index}` }))
+  await clock.advance(10_000)
+  assert.ok((await Promise.all(repeats)).every(({ kind }) => kind === ClaimResult.Answered))
+  assert.is(fleet.ledger.length, 3000)
+}))
+
+claims('what has expired is dropped', () => withPausedClock(async clock => {
+  const { fleet, submit, settle } = createScene(clock)
+  for (let index = 0; index < 3000; index += 1) void submit(index % 3, { key: `order-${index}`, retentionSeconds: 60 })
+  await clock.advance(HOUR_MILLISECONDS)
+  for (let index = 0; index < 40; index += 1) await settle(0, { key: `later-${index}` })
+  const left = fleet.store.list('/wigeonlead/claims/')
+  assert.ok(left.every(({ key }) => !key.includes('/segments/')), `${left.length} values are left`)
+}))
+claims.run()
+
+function createScene (clock: PausedClock, domains = 1): Scene {
+  const fleet = createClaimFleet(3, 1, domains)
+  let submissions = 0
+  const submit: Scene['submit'] = (index, change = {}, deadlineMilliseconds = 12_000) => {
+    const node = fleet.nodes[index] as ClaimFleet['nodes'][number]
+    const order = { ...ORDER, ...change, deadlineAt: clock.now() + deadlineMilliseconds }
+    submissions += 1
+    return node.claims.run(order, fleet.sender(node, { key: order.key, submission: submissions, previousAttempts: order.previousAttempts }))
+  }
+  const settle: Scene['settle'] = async (node, change) => {
+    const outcome = submit(node, change)
+    await clock.advance(12_000)
+    return await outcome
+  }
+  return { fleet, clock, submit, settle }
+}
+
+function told (outcome: ClaimOutcome): object {
+  return outcome.kind === ClaimResult.Uncertain ? { kind: outcome.kind, wasSent: outcome.wasSent } : { kind: outcome.kind }
+}
+
+function restore (fleet: ClaimFleet): void {
+  for (const node of fleet.nodes) node.keyValueFault = undefined
+}
+
+function claimsHeld (fleet: ClaimFleet): number {
+  return fleet.store.list('/wigeonlead/claims/').filter(({ value }) => value.includes('"e":[[0,')).length
+}
+
+function uuidAt (milliseconds: number): string {
+  const time = milliseconds.toString(16).padStart(12, '0')
+  return `${time.slice(0, 8)}-${time.slice(8)}-7abc-8def-0123456789ab`
+}
--- /dev/null
+++ b/packages/wigeonlead/test/properties/claims.ts
@@ -0,0 +1,182 @@
+/**
+ * The promise "at most once": random sequences of faults over several real claims modules, judged by the target's ledger.
+ */
+import fc from 'fast-check'
+import { KeyValueFault, withPausedClock, type PausedClock } from '@wigeonlead/stand-ins'
+import { ClaimResult, type ClaimOutcome } from '../../src/request/claims/index.js'
+import { PeerFault, TargetFault, createClaimFleet, type ClaimFleet, type LedgerEntry } from '../claim-fleet.js'
+import type { PromiseProperty } from './property.js'
+
+enum ActionKind {
+  Submit = 'submit',
+  Kill = 'kill',
+  Pause = 'pause',
+  Target = 'target',
+  KeyValue = 'key-value',
+  LateWrites = 'late-writes',
+  Peer = 'peer',
+  Wait = 'wait'
+}
+
+type Action =
+  | { kind: ActionKind.Submit, node: number, key: number, repeats: number | undefined, waits: number, deadlineMilliseconds: number }
+  | { kind: ActionKind.Kill, node: number }
+  | { kind: ActionKind.Pause, node: number, milliseconds: number }
+  | { kind: ActionKind.Target, fault: TargetFault }
+  | { kind: ActionKind.KeyValue, node: number, fault: KeyValueFault | undefined }
+  | { kind: ActionKind.LateWrites, node: number, isOn: boolean }
+  | { kind: ActionKind.Peer, node: number, fault: PeerFault | undefined }
+  | { kind: ActionKind.Wait, milliseconds: number }
+
+/** One submission and what its caller was told. */
+interface Told extends LedgerEntry {
+  outcome?: ClaimOutcome
+  /** The node died with the submission, so that its caller was told nothing. */
+  isLost?: boolean
+}
+
+const NODES = 3
+const RETENTION_SECONDS = 3600
+const DEADLINE_MILLISECONDS = 12_000
+const SETTLING_MILLISECONDS = 60_000
+/** Callers of these keys count their submissions; those of the others don't. */
+const COUNTED_KEYS = new Set(['key-0', 'key-1'])
+
+const node = fc.nat(NODES - 1)
+const waits = fc.constantFrom(0, 1, 4, 8, 50, 400, 3000, 11_000)
+const pauses = fc.constantFrom(3, 500, 4000, 14_000)
+const targetFaults = fc.constantFrom(...Object.values(TargetFault))
+const action: fc.Arbitrary<Action> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant(ActionKind.Submit as const),
+      node,
+      key: fc.nat(2),
+      repeats: fc.option(fc.nat(3), { nil: undefined }),
+      waits,
+      deadlineMilliseconds: fc.constantFrom(40, 600, 3000, DEADLINE_MILLISECONDS)
+    })
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant(ActionKind.Kill as const), node }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant(ActionKind.Pause as const), node, milliseconds: pauses }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant(ActionKind.Target as const), fault: targetFaults }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant(ActionKind.KeyValue as const), node, fault: fc.constantFrom(undefined, ...Object.values(KeyValueFault))
+    })
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant(ActionKind.LateWrites as const), node, isOn: fc.boolean() }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant(ActionKind.Peer as const), node, fault: fc.constantFrom(undefined, ...Object.values(PeerFault))
+    })
+  },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant(ActionKind.Wait as const), milliseconds: waits }) }
+)
+
+/** An order runs at most once, and what callers are told is true for ever after. */
+export const claimsProperty: PromiseProperty = {
+  name: 'claims',
+  async check ({ seed, runs }) {
+    const property = fc.asyncProperty(fc.array(action, { minLength: 2, maxLength: 16 }), fc.nat(1000), fc.constantFrom(1, NODES),
+      (actions, fleetSeed, domains) => withPausedClock(clock => runSequence(clock, actions, createClaimFleet(NODES, fleetSeed, domains))))
+    await fc.assert(property, { seed, numRuns: runs })
+  }
+}
+
+async function runSequence (clock: PausedClock, actions: Action[], fleet: ClaimFleet): Promise<void> {
+  const told: Told[] = []
+  for (const each of actions) await perform(clock, fleet, told, each)
+  fleet.targetFault = TargetFault.None
+  for (const node of fleet.nodes) Object.assign(node, { keyValueFault: undefined, peerFault: undefined, hasLateWrites: false })
+  await clock.advance(SETTLING_MILLISECONDS)
+  submit(fleet, told, 0, { key: 'key-of-the-recovery', deadlineMilliseconds: DEADLINE_MILLISECONDS })
+  await clock.advance(DEADLINE_MILLISECONDS)
+  const recovery = told.at(-1)
+  expect(recovery?.outcome?.kind === ClaimResult.Answered, `after the faults an order is not answered: ${JSON.stringify(recovery)}`)
+  for (const submission of told) judge(fleet.ledger, submission)
+}
+
+async function perform (clock: PausedClock, fleet: ClaimFleet, told: Told[], action: Action): Promise<void> {
+  switch (action.kind) {
+    case ActionKind.Submit: {
+      const key = `key-${action.key}`
+      const previousAttempts = COUNTED_KEYS.has(key) ? countOf(told, key, action.repeats) : undefined
+      submit(fleet, told, action.node, { key, previousAttempts, deadlineMilliseconds: action.deadlineMilliseconds })
+      return await clock.advance(action.waits)
+    }
+    case ActionKind.Kill: return fleet.kill(action.node)
+    case ActionKind.Pause: return fleet.pause(action.node, action.milliseconds)
+    case ActionKind.Target: fleet.targetFault = action.fault; return
+    case ActionKind.KeyValue: Object.assign(fleet.nodes[action.node] ?? {}, { keyValueFault: action.fault }); return
+    case ActionKind.LateWrites: Object.assign(fleet.nodes[action.node] ?? {}, { hasLateWrites: action.isOn }); return
+    case ActionKind.Peer: Object.assign(fleet.nodes[action.node] ?? {}, { peerFault: action.fault }); return
+    case ActionKind.Wait: return await clock.advance(action.milliseconds)
+  }
+}
+
+/** A caller counts its own submissions; the balancer may repeat any of them, with its count. */
+function countOf (told: Told[], key: string, repeats: number | undefined): number {
+  const next = Math.max(-1, ...told.filter(each => each.key === key).map(each => each.previousAttempts ?? 0)) + 1
+  return repeats === undefined ? next : Math.min(repeats, next)
+}
+
+interface Submission {
+  key: string
+  previousAttempts?: number
+  deadlineMilliseconds: number
+}
+
+function submit (fleet: ClaimFleet, told: Told[], index: number, { key, previousAttempts, deadlineMilliseconds }: Submission): void {
+  const node = fleet.nodes[index] as ClaimFleet['nodes'][number]
+  const entry: Told = { key, submission: told.length, previousAttempts }
+  told.push(entry)
+  const order = {
+    workspace: 'desk',
+    service: 'orders',
+    key,
+    requestDigest: 'request',
+    retentionSeconds: RETENTION_SECONDS,
+    deadlineAt: Date.now() + deadlineMilliseconds,
+    previousAttempts
+  }
+  const { submission } = entry
+  void node.claims.run(order, fleet.sender(node, { key, submission, previousAttempts })).then(outcome => {
+    entry.isLost = node.isDead
+    if (!node.isDead) entry.outcome = outcome
+  })
+}
+
+/** Compares what a caller was told with what really ran, now that everything has settled. */
+function judge (ledger: LedgerEntry[], told: Told): void {
+  const ran = ledger.filter(entry => entry.key === told.key)
+  const seen = JSON.stringify({ told, ran })
+  expect(ran.length <= 1, `run more than once: ${seen}`)
+  if (told.outcome === undefined) {
+    expect(told.isLost === true, `told nothing: ${seen}`)
+    return
+  }
+  const ranHere = ran.some(entry => entry.submission === told.submission)
+  const { outcome } = told
+  switch (outcome.kind) {
+    case ClaimResult.Answered:
+      expect(ran.length === 1 && Buffer.from(outcome.answer.body).toString() === told.key, `answered and not run: ${seen}`)
+      break
+    case ClaimResult.NotRun: {
+      const isFenced = (entry: LedgerEntry): boolean => (entry.previousAttempts ?? 0) <= (told.previousAttempts ?? Infinity)
+      expect(!ran.some(isFenced), `told not-run, and run: ${seen}`)
+      break
+    }
+    case ClaimResult.NotSent:
+    case ClaimResult.Unavailable: expect(!ranHere, `told not-sent, and run by this submission: ${seen}`); break
+    case ClaimResult.Uncertain: expect(outcome.wasSent || !ranHere, `told not-sent, and run by this submission: ${seen}`); break
+    default: expect(false, `an outcome that no submission asked for: ${seen}`)
+  }
+}
+
+function expect (holds: boolean, otherwise: string): void {
+  if (!holds) throw new Error(otherwise)
+}
--- a/packages/wigeonlead/test/properties/index.ts
+++ b/packages/wigeonlead/test/properties/index.ts
@@ -1,7 +1,8 @@
 /**
  * Every property, for the default run and for `npm run explore`.
  */
+import { claimsProperty } from './claims.js'
 import type { PromiseProperty } from './property.js'
 
 /** The properties in the order in which they run. */
-export const PROPERTIES: PromiseProperty[] = []
+export const PROPERTIES: PromiseProperty[] = [claimsProperty]
