Operators' tool whole: check, stops, status, burn report

Cause: wigeonctl had only check for duplicates and publish; nothing told operators what is in force or how fast error budgets go. Change: the manifest check lists every fault of names, addresses, key digests, references, layer ranges, gaps in paths and claims' size, also beside malformed items; stop plan, cancel and list by one compare-and-swap; status and report over all entry VMs; objectives are counted in windows of 5 m, 30 m, 1 h and 6 h and shown in /metrics, /burn and a self-contained page; the operators' listener refuses other methods than GET and HEAD and no longer looks up inherited keys such as /toString. Measured: nothing yet besides the tests.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -46,6 +46,8 @@
 export {
   checkManifest, checkManifestText, type ManifestCheck, type ManifestFault
 } from './manifest/check.js'
+export { CLAIM_RECORD_BYTES, CLAIM_STORE_BYTES } from './manifest/check-claims.js'
+export { listCoverageFaults } from './manifest/check-coverage.js'
 export {
   PublishResult, changeHead, parseHead, publishManifest, readHead, type PublishOutcome
 } from './manifest/publish.js'
@@ -54,3 +56,7 @@
   type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus, type PeerHandler,
   type PeerHandlers, type PeerMethods, type PeerPort, type TargetEvent
 } from './peers/messages.js'
+export {
+  BURN_SERIES_STEP_MINUTES, BURN_WINDOWS_MINUTES, ObjectiveKind, ResourceKind, burnRate, burnReportSchema, nodeStatusSchema,
+  type BurnCounts, type BurnReport, type NodeStatusReport, type ObjectiveBurn
+} from './operators/reports.js'
--- a/packages/protocol/src/manifest/check.ts
+++ b/packages/protocol/src/manifest/check.ts
@@ -1,13 +1,20 @@
 /**
- * Checks a manifest as a whole and lists every fault, not only the first.
+ * Checks a manifest as a whole and lists every fault, not only the first. What is malformed is left out of the
+ * checks of references, so that one slip neither hides other faults nor brings about false ones.
  */
 import { parse, TomlError } from 'smol-toml'
+import { z } from 'zod'
+import { listClaimFaults } from './check-claims.js'
+import { listCoverageFaults } from './check-coverage.js'
+import { listReferenceFaults } from './check-references.js'
+import { listUniquenessFaults } from './check-uniqueness.js'
 import { manifestSchema, type Manifest } from './schema.js'
 
 /** One fault of a manifest. */
 export interface ManifestFault {
-  /** Where: dotted path into the manifest. */
+  /** Where: dotted path into the manifest, or `line N` where the text is no TOML. */
   at: string
+  /** What was found and what was wanted. */
   message: string
 }
 
@@ -21,7 +28,8 @@
     document = parse(text)
   } catch (error) {
     if (!(error instanceof TomlError)) throw error
-    return { ok: false, faults: [{ at: `line ${error.line}`, message: error.message.split('\n')[0] ?? 'malformed TOML' }] }
+    const message = `malformed TOML at column ${error.column}: ${error.message.split('\n')[0]}`
+    return { ok: false, faults: [{ at: `line ${error.line}`, message }] }
   }
   return checkManifest(document)
 }
@@ -29,28 +37,83 @@
 /** Checks a parsed manifest. */
 export function checkManifest (document: unknown): ManifestCheck {
   const parsed = manifestSchema.safeParse(document)
-  if (!parsed.success) {
-    return { ok: false, faults: parsed.error.issues.map(issue => ({ at: issue.path.join('.'), message: issue.message })) }
-  }
-  const faults = listFaults(parsed.data)
+  if (!parsed.success) return { ok: false, faults: [...listShapeFaults(document, parsed.error), ...checkRest(document, parsed.error)] }
+  const faults = listFaults(parsed.data, NOTHING_LEFT_OUT).map(({ path, message }) => ({ at: path.join('.'), message }))
   return faults.length > 0 ? { ok: false, faults } : { ok: true, manifest: parsed.data }
 }
 
-function listFaults (manifest: Manifest): ManifestFault[] {
+/** A fault whose place is a path of keys and indices. */
+export interface PlacedFault {
+  path: Array<string | number>
+  message: string
+}
+
+/** Names of malformed items, which references may name all the same. */
+export interface LeftOut {
+  models: ReadonlySet<string>
+  services: ReadonlySet<string>
+  hasTargets: boolean
+}
+
+const NOTHING_LEFT_OUT: LeftOut = { models: new Set(), services: new Set(), hasTargets: false }
+const REST_SCHEMA = manifestSchema.extend({ workspaces: manifestSchema.shape.workspaces.or(z.array(z.never())) })
+const LISTS = ['models', 'targets', 'services', 'workspaces', 'links'] as const
+
+function listFaults (manifest: Manifest, leftOut: LeftOut): PlacedFault[] {
   return [
-    ...listDuplicates('models', manifest.models),
-    ...listDuplicates('targets', manifest.targets),
-    ...listDuplicates('services', manifest.services),
-    ...listDuplicates('workspaces', manifest.workspaces)
+    ...listUniquenessFaults(manifest),
+    ...listReferenceFaults(manifest, leftOut),
+    ...(leftOut.hasTargets ? [] : listCoverageFaults(manifest)),
+    ...listClaimFaults(manifest)
   ]
 }
 
-function listDuplicates (list: string, items: Array<{ name: string }>): ManifestFault[] {
-  const seen = new Set<string>()
-  const faults: ManifestFault[] = []
-  items.forEach((item, index) => {
-    if (seen.has(item.name)) faults.push({ at: `${list}.${index}.name`, message: `"${item.name}" stands twice` })
-    seen.add(item.name)
-  })
-  return faults
+function listShapeFaults (document: unknown, error: z.ZodError): ManifestFault[] {
+  return error.issues.map(issue => ({
+    at: issue.path.join('.') || 'top level',
+    message: `found ${describeValue(valueAt(document, issue.path))}, wanted: ${issue.message}`
+  }))
+}
+
+function checkRest (document: unknown, error: z.ZodError): ManifestFault[] {
+  if (typeof document !== 'object' || document === null) return []
+  const rest = { ...document as Record<string, unknown> }
+  const dropped: Record<string, unknown[]> = {}
+  const indices: Record<string, number[]> = {}
+  for (const list of LISTS) {
+    const items = rest[list]
+    if (!Array.isArray(items)) continue
+    const malformed = new Set(error.issues.filter(issue => issue.path[0] === list).map(issue => issue.path[1]))
+    indices[list] = [...items.keys()].filter(index => !malformed.has(index))
+    dropped[list] = items.filter((_, index) => malformed.has(index))
+    rest[list] = indices[list].map(index => items[index])
+  }
+  for (const issue of error.issues) {
+    if (issue.code === 'unrecognized_keys' && issue.path.length === 0) issue.keys.forEach(key => { delete rest[key] })
+  }
+  const parsed = REST_SCHEMA.safeParse(rest)
+  if (!parsed.success) return []
+  const leftOut = { models: namesOf(dropped.models), services: namesOf(dropped.services), hasTargets: (dropped.targets ?? []).length > 0 }
+  return listFaults(parsed.data, leftOut).map(({ path, message }) => ({ at: originalPath(path, indices).join('.'), message }))
+}
+
+function originalPath (path: PlacedFault['path'], indices: Record<string, number[]>): PlacedFault['path'] {
+  const [list, index, ...below] = path
+  if (typeof list !== 'string' || typeof index !== 'number') return path
+  return [list, indices[list]?.[index] ?? index, ...below]
+}
+
+function namesOf (items: unknown[] | undefined): Set<string> {
+  return new Set((items ?? []).map(item => String((item as { name?: unknown } | null)?.name)))
+}
+
+function valueAt (document: unknown, path: PropertyKey[]): unknown {
+  return path.reduce<unknown>((value, key) => (value as Record<PropertyKey, unknown> | undefined)?.[key], document)
+}
+
+function describeValue (value: unknown): string {
+  if (value === undefined) return 'nothing'
+  if (Array.isArray(value)) return `a list of ${value.length}`
+  if (typeof value === 'object' && value !== null) return `a table with ${Object.keys(value).join(', ') || 'no keys'}`
+  return JSON.stringify(value)
 }
--- /dev/null
+++ b/packages/wigeonctl/src/command-line.ts
@@ -0,0 +1,165 @@
+/**
+ * The command line of `wigeonctl`: its commands, options and exit codes.
+ */
+import { randomUUID } from 'node:crypto'
+import { readFileSync, writeFileSync } from 'node:fs'
+import { cac, type CAC } from 'cac'
+import { createEtcdKeyValue, createVmListClient } from '@wigeonlead/protocol'
+import { checkCommand } from './commands/check.js'
+import { publishCommand } from './commands/publish.js'
+import { reportCommand } from './commands/report.js'
+import { renderReportPage } from './commands/report-page.js'
+import { statusCommand } from './commands/status.js'
+import { cancelStopCommand, listStopsCommand, planStopCommand } from './commands/stop.js'
+import { findRouters, type RouterQuery } from './routers.js'
+import { ExitCode, failedOutput, faultyArguments, type CommandOutput, type ToolPorts } from './tool.js'
+
+const VERSION = '0.1.0'
+const DEFAULT_KEY_VALUE = 'http://127.0.0.1:2379'
+const TOKEN_VARIABLE = 'WIGEONLEAD_TOKEN'
+const FILE_FAULTS: Record<string, string> = {
+  ENOENT: 'found nothing there, wanted a file',
+  EISDIR: 'found a directory, wanted a file',
+  EACCES: 'found a file that this user may not open, wanted one that it may'
+}
+
+interface Options {
+  json?: boolean
+  keyValue: string
+  vmList?: string
+  router?: string | string[]
+  operatorsPort?: number
+  tokenFile?: string
+  target?: string
+  vm?: string
+  from?: string
+  until?: string
+  html?: string
+}
+
+type Run = (options: Options, argument: string) => CommandOutput | Promise<CommandOutput>
+
+const STOP_ACTIONS: Record<string, Run> = {
+  plan: options => planStopCommand(portsOf(options), textsOf(options)),
+  cancel: (options, id) => id === '' ? faultyArguments(['found no identifier, wanted: stop cancel ID']) : cancelStopCommand(portsOf(options), id),
+  list: options => listStopsCommand(portsOf(options))
+}
+
+/**
+ * Runs the tool.
+ * @param argv as in `process.argv`.
+ * @returns the exit code.
+ */
+export async function runTool (argv: string[]): Promise<ExitCode> {
+  let code = ExitCode.Done
+  const program = createProgram(async (options, run, argument = '') => { code = print(await run(options, argument), options) })
+  try {
+    const parsed = program.parse(argv, { run: false })
+    const isInformation = parsed.options.help === true || parsed.options.version === true
+    if (program.matchedCommand === undefined && !isInformation) {
+      const found = parsed.args[0] === undefined ? 'no command' : `"${parsed.args[0]}"`
+      return print(faultyArguments([`found ${found}, wanted one of: check, publish, stop, status, report; see --help`]), { json: parsed.options.json === true })
+    }
+    await program.runMatchedCommand()
+    return code
+  } catch (error) {
+    return print(faultyArguments([(error as Error).message]), { json: argv.includes('--json') })
+  }
+}
+
+function createProgram (run: (options: Options, run: Run, argument?: string) => Promise<void>): CAC {
+  const program = cac('wigeonctl')
+  program.option('--json', 'Machine-readable output')
+  program.option('--key-value <addresses>', 'Addresses of the key-value service, separated by commas', { default: DEFAULT_KEY_VALUE })
+  program.option('--vm-list <address>', 'Address of the VM list')
+  program.command('check <manifest>', 'Check a manifest and list every fault')
+    .action((file: string, options: Options) => run(options, () => withFile(file, checkCommand)))
+  program.command('publish <manifest>', 'Check a manifest and put it in force')
+    .action((file: string, options: Options) => run(options, () => withFile(file, text => publishCommand(portsOf(options), text))))
+  program.command('stop <action> [id]', 'Plan, cancel or list planned stops: stop plan | stop cancel ID | stop list')
+    .option('--target <name>', 'Target to stop')
+    .option('--vm <name>', 'VM to stop')
+    .option('--from <time>', 'First moment without new work: ISO 8601 or +5m; now by default')
+    .option('--until <time>', 'When it will be gone: ISO 8601 or +20m')
+    .action((action: string, id: string | undefined, options: Options) => run(options, STOP_ACTIONS[action] ?? (() =>
+      faultyArguments([`found "stop ${action}", wanted stop plan, stop cancel or stop list`])), id))
+  for (const [name, summary, command] of [
+    ['status', 'Show what is in force at every entry VM', statusOf], ['report', 'Show the service-level burn over all entry VMs', reportOf]
+  ] as const) {
+    const declared = program.command(name, summary)
+      .option('--router <address>', 'Address of an operators\' listener; may be given again')
+      .option('--operators-port <port>', 'Port of the operators\' listeners of the entry VMs in the VM list')
+      .option('--token-file <file>', `File with the operators' token; the variable ${TOKEN_VARIABLE} by default`)
+    if (name === 'report') declared.option('--html <file>', 'Write a self-contained page')
+    declared.action((options: Options) => run(options, command))
+  }
+  program.help()
+  program.version(VERSION)
+  return program
+}
+
+async function statusOf (options: Options): Promise<CommandOutput> {
+  const query = await queryOf(options)
+  return 'code' in query ? query : await statusCommand(query)
+}
+
+async function reportOf (options: Options): Promise<CommandOutput> {
+  const query = await queryOf(options)
+  if ('code' in query) return query
+  const output = await reportCommand(query)
+  if (options.html === undefined) return output
+  const page = options.html
+  withFileNamed(page, () => writeFileSync(page, renderReportPage(output.value)))
+  return { ...output, text: `${output.text}\nwrote ${page}` }
+}
+
+async function queryOf (options: Options): Promise<RouterQuery | CommandOutput> {
+  const token = options.tokenFile === undefined ? process.env[TOKEN_VARIABLE] ?? '' : readText(options.tokenFile).trim()
+  if (token === '') return faultyArguments([`found no operators' token, wanted --token-file or the variable ${TOKEN_VARIABLE}`])
+  const addresses = [options.router ?? []].flat().flatMap(address => String(address).split(','))
+  if (options.operatorsPort !== undefined) {
+    if (options.vmList === undefined) return faultyArguments(['found --operators-port alone, wanted --vm-list with it'])
+    const found = await findRouters(createVmListClient(options.vmList), Number(options.operatorsPort))
+    if (!found.ok) return failedOutput(found.failure)
+    addresses.push(...found.value)
+  }
+  if (addresses.length === 0) return faultyArguments(['found no entry VM to ask, wanted --router, or --vm-list with --operators-port'])
+  return { addresses: [...new Set(addresses)], token }
+}
+
+function portsOf (options: Options): ToolPorts {
+  return {
+    keyValue: createEtcdKeyValue({ endpoints: options.keyValue.split(',') }),
+    vmList: options.vmList === undefined ? undefined : createVmListClient(options.vmList),
+    random: { nextFloat: Math.random, nextNonce: randomUUID }
+  }
+}
+
+function textsOf ({ target, vm, from, until }: Options): { target?: string, vm?: string, from?: string, until?: string } {
+  const text = (value: unknown): string | undefined => value === undefined ? undefined : String(value)
+  return { target: text(target), vm: text(vm), from: text(from), until: text(until) }
+}
+
+function withFile<T> (file: string, run: (text: string) => T): T {
+  return run(readText(file))
+}
+
+function readText (file: string): string {
+  return withFileNamed(file, () => readFileSync(file, 'utf8'))
+}
+
+function withFileNamed<T> (file: string, run: () => T): T {
+  try {
+    return run()
+  } catch (error) {
+    const code = (error as NodeJS.ErrnoException).code ?? ''
+    throw new Error(`${file}: ${FILE_FAULTS[code] ?? (error as Error).message}`, { cause: error })
+  }
+}
+
+function print (output: CommandOutput, options: Pick<Options, 'json'>): ExitCode {
+  const stream = output.code === ExitCode.Done ? process.stdout : process.stderr
+  if (options.json === true) process.stdout.write(JSON.stringify(output.value) + '\n')
+  else stream.write(output.text + '\n')
+  return output.code
+}
--- /dev/null
+++ b/packages/wigeonctl/src/commands/status.ts
@@ -0,0 +1,85 @@
+/**
+ * `wigeonctl status`: what is in force at every entry VM that can be reached, what is not yet and why.
+ */
+import { nodeStatusSchema, type NodeStatusReport } from '@wigeonlead/protocol'
+import { askRouters, type RouterAnswer, type RouterQuery } from '../routers.js'
+import { ExitCode, type CommandOutput } from '../tool.js'
+
+/** Something that is declared and not yet in force. */
+export interface NotInForce {
+  vm: string
+  section: string
+  what: string
+  why: string
+}
+
+/** Asks every entry VM for its status. Exit code 1 when one could not be reached. */
+export async function statusCommand (query: RouterQuery): Promise<CommandOutput> {
+  const answers = await askRouters(query, '/status', nodeStatusSchema)
+  const reached = answers.flatMap(answer => 'value' in answer ? [{ address: answer.address, ...answer.value }] : [])
+  const unreachable = answers.filter(answer => 'unreachable' in answer)
+  const generation = Math.max(0, ...reached.map(node => node.member.generation))
+  const notInForce = reached.flatMap(node => [...listBehind(node, generation), ...listPending(node)])
+  const unasked = listUnasked(reached)
+  const text = [
+    `generation ${generation} is the highest in force; ${reached.length} of ${answers.length} entry VMs answered`,
+    ...reached.map(describeNode),
+    ...unreachable.map(answer => describeUnreachable(answer)),
+    ...unasked.map(member => `known as a member and not asked: ${member}`),
+    ...(notInForce.length === 0 ? ['all that is declared is in force at the entry VMs that answered'] : ['not yet in force:']),
+    ...notInForce.map(item => `  ${item.vm} ${item.section}: ${item.what}: ${item.why}`)
+  ].join('\n')
+  const value = { generation, routers: reached, unreachable, notAsked: unasked, notInForce }
+  return { code: unreachable.length === 0 && reached.length > 0 ? ExitCode.Done : ExitCode.Failed, text, value }
+}
+
+/** @returns the line of an entry VM that could not be reached. */
+export function describeUnreachable<T> (answer: RouterAnswer<T>): string {
+  return `${answer.address}  could not be reached: ${'unreachable' in answer ? answer.unreachable : ''}`
+}
+
+function describeNode (node: NodeStatusReport & { address: string }): string {
+  const { member, sections, isReady } = node
+  const members = countByState(sections.members)
+  const ready = isReady === false ? 'not ready' : 'ready'
+  const fields = [node.address, member.vm, member.failureDomain, member.state, ready, `generation ${member.generation}`]
+  return [...fields, `in flight ${String(sections.requestsInFlight ?? 'unknown')}`, `members ${members}`].join('  ')
+}
+
+function listBehind (node: NodeStatusReport, generation: number): NotInForce[] {
+  if (node.member.generation >= generation) return []
+  const why = node.member.generation === 0 ? 'it has seen no configuration yet' : `it still has generation ${node.member.generation}`
+  return [{ vm: node.member.vm, section: 'configuration', what: `generation ${generation}`, why }]
+}
+
+function listPending (node: NodeStatusReport): NotInForce[] {
+  return Object.entries(node.sections).flatMap(([section, content]) => {
+    const items = asRecord(content)?.notInForce
+    if (!Array.isArray(items)) return []
+    return items.map(item => {
+      const fields = asRecord(item)
+      return { vm: node.member.vm, section, what: String(fields?.what ?? JSON.stringify(item)), why: String(fields?.why ?? 'no reason is given') }
+    })
+  })
+}
+
+function listUnasked (reached: NodeStatusReport[]): string[] {
+  const asked = new Set(reached.map(node => node.member.vm))
+  const known = reached.flatMap(node => Array.isArray(node.sections.members) ? node.sections.members : [])
+  const names = known.map(asRecord).filter(member => member?.state === 'alive').map(member => String(member?.vm))
+  return [...new Set(names)].filter(name => !asked.has(name)).sort()
+}
+
+function countByState (members: unknown): string {
+  if (!Array.isArray(members)) return 'unknown'
+  const counts = new Map<string, number>()
+  for (const member of members) {
+    const state = String(asRecord(member)?.state)
+    counts.set(state, (counts.get(state) ?? 0) + 1)
+  }
+  return [...counts].map(([state, count]) => `${count} ${state}`).join(', ')
+}
+
+function asRecord (value: unknown): Record<string, unknown> | undefined {
+  return typeof value === 'object' && value !== null ? value as Record<string, unknown> : undefined
+}
--- a/packages/wigeonctl/src/index.ts
+++ b/packages/wigeonctl/src/index.ts
@@ -4,3 +4,8 @@
 export { ExitCode, type CommandOutput, type ToolPorts } from './tool.js'
 export { checkCommand } from './commands/check.js'
 export { publishCommand, renderPublish } from './commands/publish.js'
+export { cancelStopCommand, listStopsCommand, planStopCommand, type StopArguments } from './commands/stop.js'
+export { statusCommand, type NotInForce } from './commands/status.js'
+export { BurnState, mergeReports, reportCommand, type FleetBurn, type FleetReport } from './commands/report.js'
+export { renderReportPage } from './commands/report-page.js'
+export { type RouterQuery } from './routers.js'
--- a/packages/wigeonctl/src/tool.ts
+++ b/packages/wigeonctl/src/tool.ts
@@ -1,7 +1,7 @@
 /**
- * What every command gets and gives: where to write, the platform, and an exit code.
+ * What every command gets and gives: its outside contacts, what it prints, and its exit code.
  */
-import type { KeyValuePort, RandomSource } from '@wigeonlead/protocol'
+import { describeFailure, type Failure, type KeyValuePort, type RandomSource, type VmListPort } from '@wigeonlead/protocol'
 
 /** Exit codes for build pipelines. */
 export enum ExitCode {
@@ -23,8 +23,21 @@
   value: unknown
 }
 
-/** Outside contacts of a command. */
+/** Outside contacts of a command that changes the configuration. */
 export interface ToolPorts {
   keyValue: KeyValuePort
   random: RandomSource
+  /** Shows which VMs there are; what depends on it is left unchecked when absent. */
+  vmList?: VmListPort
+}
+
+/** @returns the output for faulty arguments. */
+export function faultyArguments (faults: string[]): CommandOutput {
+  return { code: ExitCode.Faulty, text: faults.join('\n'), value: { ok: false, faults: faults.map(message => ({ at: 'arguments', message })) } }
+}
+
+/** @returns the output for a failure before anything was changed. */
+export function failedOutput (failure: Failure): CommandOutput {
+  const detail = describeFailure(failure)
+  return { code: ExitCode.Failed, text: `nothing was changed: ${detail}`, value: { ok: false, failure: detail } }
 }
--- /dev/null
+++ b/packages/wigeonctl/test/command-line.spec.ts
@@ -0,0 +1,37 @@
+import { spawnSync } from 'node:child_process'
+import { fileURLToPath } from 'node:url'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { ExitCode } from '../src/index.js'
+
+const PROGRAM = fileURLToPath(new URL('../src/main.js', import.meta.url))
+const FOLDER = fileURLToPath(new URL('.', import.meta.url))
+const NOWHERE = 'http://127.0.0.1:1'
+
+const CASES: Array<{ given: string[], code: ExitCode, output: RegExp }> = [
+  { given: [], code: ExitCode.Faulty, output: /no command/ },
+  { given: ['chek'], code: ExitCode.Faulty, output: /"chek"/ },
+  { given: ['check'], code: ExitCode.Faulty, output: /missing required args/ },
+  { given: ['check', '/no/such/file'], code: ExitCode.Faulty, output: /found nothing there, wanted a file/ },
+  { given: ['check', FOLDER], code: ExitCode.Faulty, output: /found a directory, wanted a file/ },
+  { given: ['check', PROGRAM], code: ExitCode.Faulty, output: /line \d+: malformed TOML/ },
+  { given: ['check', PROGRAM, '--json'], code: ExitCode.Faulty, output: /^\{"ok":false,"faults":\[\{"at":"line/ },
+  { given: ['check', 'x', '--bogus', '--json'], code: ExitCode.Faulty, output: /^\{"ok":false/ },
+  { given: ['stop', 'halt'], code: ExitCode.Faulty, output: /wanted stop plan/ },
+  { given: ['stop', 'cancel'], code: ExitCode.Faulty, output: /no identifier/ },
+  { given: ['stop', 'list', '--key-value', NOWHERE], code: ExitCode.Failed, output: /nothing was changed/ },
+  { given: ['status'], code: ExitCode.Faulty, output: /no operators' token/ },
+  { given: ['report', '--token-file', PROGRAM], code: ExitCode.Faulty, output: /no entry VM to ask/ },
+  { given: ['report', '--token-file', PROGRAM, '--operators-port', '1'], code: ExitCode.Faulty, output: /--vm-list with it/ },
+  { given: ['--version'], code: ExitCode.Done, output: /wigeonctl\/\d/ }
+]
+
+const tool = suite('command line')
+for (const { given, code, output } of CASES) {
+  tool(`wigeonctl ${given.join(' ').replaceAll(FOLDER, 'FOLDER/')} exits ${code}`, () => {
+    const run = spawnSync(process.execPath, [PROGRAM, ...given], { encoding: 'utf8', env: {} })
+    assert.match(run.stdout + run.stderr, output)
+    assert.is(run.status, code)
+  })
+}
+tool.run()
--- /dev/null
+++ b/packages/wigeonctl/test/routers.spec.ts
@@ -0,0 +1,77 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { MemberState, ObjectiveKind, ResourceKind, type BurnReport } from '@wigeonlead/protocol'
+import { answerJson, listen } from '@wigeonlead/stand-ins'
+import { BurnState, ExitCode, mergeReports, renderReportPage, reportCommand, statusCommand } from '../src/index.js'
+
+const TOKEN = 'a token'
+const DEAD = '127.0.0.1:1'
+
+function status (vm: string, generation: number, sections: Record<string, unknown>): unknown {
+  const member = { address: '127.0.0.1:7', vm, failureDomain: 'howrah', incarnation: 1, state: MemberState.Alive, generation }
+  return { member, isReady: true, sections }
+}
+
+function burn (vm: string, good: number, bad: number): BurnReport {
+  const counts = { good, bad }
+  const objective = { resource: ResourceKind.Model, name: 'assistant', objective: ObjectiveKind.Availability, share: 0.99 }
+  return { vm, failureDomain: 'howrah', atMilliseconds: 1, objectives: [{ ...objective, windows: [counts, counts, counts, counts], series: [counts] }] }
+}
+
+async function withRouter<T> (body: unknown, run: (address: string) => Promise<T>): Promise<T> {
+  const server = await listen((request, response) => {
+    if (request.headers.authorization === `Bearer ${TOKEN}`) answerJson(response, 200, body)
+    else answerJson(response, 401, {})
+  })
+  try {
+    return await run(server.address)
+  } finally {
+    await server.close()
+  }
+}
+
+const routers = suite('status and report')
+routers('status names what is behind, what is pending, who was not asked and who can\'t be reached', async () => {
+  const members = [{ vm: 'entry-2', state: 'alive' }, { vm: 'entry-3', state: 'alive' }]
+  const sections = { members, reconciler: { notInForce: [{ what: 'load x', why: 'paced' }] } }
+  await withRouter(status('entry-1', 4, sections), async one => await withRouter(status('entry-2', 3, {}), async two => {
+    const output = await statusCommand({ addresses: [one, two, DEAD], token: TOKEN })
+    assert.is(output.code, ExitCode.Failed)
+    const parts = [
+      /2 of 3/, /could not be reached/, /not asked: entry-3/, /entry-1 reconciler: load x: paced/,
+      /entry-2 configuration: generation 4: it still has generation 3/
+    ]
+    for (const part of parts) {
+      assert.match(output.text, part)
+    }
+  }))
+})
+routers('a wrong token is told as such', async () => {
+  await withRouter(status('entry-1', 4, {}), async address => {
+    const output = await statusCommand({ addresses: [address], token: 'wrong' })
+    assert.is(output.code, ExitCode.Failed)
+    assert.match(output.text, /unauthenticated/)
+  })
+})
+routers('report sums over the entry VMs and names those it can\'t reach, in text and page', async () => {
+  await withRouter(burn('entry-1', 90, 0), async one => await withRouter(burn('<entry>', 0, 10), async two => {
+    const output = await reportCommand({ addresses: [one, two, DEAD], token: TOKEN })
+    assert.is(output.code, ExitCode.Failed)
+    assert.match(output.text, /model assistant +availability +99 % +10\.00 .*10 of 100 +slow-burn/)
+    const page = renderReportPage({ ...output.value, reached: ['<b>'] })
+    for (const part of [/<svg/, /127\.0\.0\.1:1/, /&lt;b&gt;/, /slow-burn/]) assert.match(page, part)
+    assert.not.match(page, /<script|src=|href=|<b>/)
+  }))
+})
+
+const STATES: Array<{ good: number, bad: number, state: BurnState }> = [
+  { good: 100, bad: 0, state: BurnState.Within },
+  { good: 0, bad: 0, state: BurnState.Within },
+  { good: 95, bad: 5, state: BurnState.Within },
+  { good: 92, bad: 8, state: BurnState.Slow },
+  { good: 80, bad: 20, state: BurnState.Fast }
+]
+for (const { good, bad, state } of STATES) {
+  routers(`${bad} bad of ${good + bad} is ${state}`, () => assert.is(mergeReports([burn('entry-1', good, bad)])[0]!.state, state))
+}
+routers.run()
--- /dev/null
+++ b/packages/wigeonctl/test/stop.spec.ts
@@ -0,0 +1,115 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import {
+  CONFIGURATION_HEAD_KEY, StopSubject, VmState, changeHead, checkManifest, publishManifest, readHead, success, type KeyValuePort
+} from '@wigeonlead/protocol'
+import { KeyValueFault, createKeyValueStore, createMemoryKeyValue } from '@wigeonlead/stand-ins'
+import { ExitCode, cancelStopCommand, listStopsCommand, planStopCommand, type StopArguments, type ToolPorts } from '../src/index.js'
+
+let nonces = 0
+const RANDOM = { nextFloat: () => 0.5, nextNonce: () => `${++nonces}`.padStart(8, '0') }
+const DIGEST = 'a'.repeat(64)
+
+function stage (name: string, layers: [number, number], port: number): unknown {
+  return { name, address: `10.0.0.1:${port}`, failureDomain: 'howrah', accelerator: 'large', serves: [{ model: 'assistant', version: 'v1', layers }] }
+}
+
+const MANIFEST = {
+  format: 1,
+  failureDomains: ['howrah'],
+  models: [{ name: 'assistant', layers: 8, versions: ['v1'] }],
+  targets: [stage('one', [0, 8], 1), stage('two', [0, 8], 2)],
+  services: [{
+    name: 'orders',
+    targets: [{ name: 'orders-1', address: '10.0.0.2:3', failureDomain: 'howrah' }],
+    operations: [{ method: 'POST', path: '/orders', idempotent: false }]
+  }],
+  workspaces: [{ name: 'desk', keyDigests: [DIGEST] }]
+}
+const VM = { name: 'vm-1', address: '10.0.0.1', failureDomain: 'howrah', state: VmState.Live }
+
+type ChooseFault = (operation: string, key: string) => KeyValueFault | undefined
+
+async function publishedPorts (fault?: ChooseFault): Promise<ToolPorts & { plain: KeyValuePort }> {
+  const store = createKeyValueStore()
+  const plain = createMemoryKeyValue(store)
+  const check = checkManifest(MANIFEST)
+  if (!check.ok) throw new Error(JSON.stringify(check.faults))
+  await publishManifest(plain, RANDOM, check.manifest)
+  return { plain, keyValue: createMemoryKeyValue(store, { fault }), random: RANDOM, vmList: { list: async () => success([VM]) } }
+}
+
+interface Case {
+  name: string
+  given: StopArguments
+  code: ExitCode
+  text: RegExp
+  fault?: ChooseFault
+  stops: number
+}
+
+const onSwap = (fault: KeyValueFault) => (operation: string) => operation === 'compareAndSwap' ? fault : undefined
+const CASES: Case[] = [
+  { name: 'a target', given: { target: 'one', from: '+5m', until: '+20m' }, code: ExitCode.Done, text: /generation 2 is accepted\nstop-\w+: target one/, stops: 1 },
+  { name: 'a service\'s last target', given: { target: 'orders-1', until: '+20m' }, code: ExitCode.Done, text: /warning: takes the last replica away: no target of service "orders"/, stops: 1 },
+  { name: 'a VM with all replicas', given: { vm: 'vm-1', until: '+20m' }, code: ExitCode.Done, text: /warning: takes the last replica away: no path covers version "v1"/, stops: 1 },
+  { name: 'an unknown target', given: { target: 'three', until: '+20m' }, code: ExitCode.Faulty, text: /"three"/, stops: 0 },
+  { name: 'an unknown VM', given: { vm: 'vm-9', until: '+20m' }, code: ExitCode.Faulty, text: /"vm-9"/, stops: 0 },
+  { name: 'both', given: { vm: 'vm-1', target: 'one', until: '+20m' }, code: ExitCode.Faulty, text: /exactly one/, stops: 0 },
+  { name: 'no end', given: { target: 'one' }, code: ExitCode.Faulty, text: /--until: found nothing/, stops: 0 },
+  { name: 'an end before the start', given: { target: 'one', from: '+20m', until: '+5m' }, code: ExitCode.Faulty, text: /after --from/, stops: 0 },
+  { name: 'an end that has passed', given: { target: 'one', from: '2001-01-01', until: '2001-01-02' }, code: ExitCode.Faulty, text: /a time to come/, stops: 0 },
+  { name: 'a time that is none', given: { target: 'one', until: 'soon' }, code: ExitCode.Faulty, text: /found "soon"/, stops: 0 },
+  { name: 'a lost reply', given: { target: 'one', until: '+20m' }, fault: onSwap(KeyValueFault.LostReply), code: ExitCode.Done, text: /accepted/, stops: 1 },
+  { name: 'a lost request', given: { target: 'one', until: '+20m' }, fault: onSwap(KeyValueFault.LostRequest), code: ExitCode.Unknown, text: /not known/, stops: 0 },
+  { name: 'no service', given: { target: 'one', until: '+20m' }, fault: () => KeyValueFault.Unreachable, code: ExitCode.Failed, text: /nothing was changed/, stops: 0 }
+]
+
+const planning = suite('stop plan')
+for (const { name, given, code, text, fault, stops } of CASES) {
+  planning(name, async () => {
+    const ports = await publishedPorts(fault)
+    const output = await planStopCommand(ports, given)
+    assert.is(output.code, code, output.text)
+    assert.match(output.text, text)
+    const read = await readHead(ports.plain)
+    assert.is(read.ok && read.value.head?.stops.length, stops)
+  })
+}
+planning('the second of two stops that leave no path is warned of, the same target twice is refused', async () => {
+  const ports = await publishedPorts()
+  const first = await planStopCommand(ports, { target: 'one', from: '+5m', until: '+20m' })
+  assert.not.match(first.text, /warning/)
+  const second = await planStopCommand(ports, { target: 'two', from: '+10m', until: '+30m' })
+  assert.match(second.text, /warning: takes the last replica away/)
+  const third = await planStopCommand(ports, { target: 'one', from: '+19m', until: '+30m' })
+  assert.is(third.code, ExitCode.Faulty)
+  const apart = await planStopCommand(ports, { target: 'one', from: '+40m', until: '+50m' })
+  assert.is(apart.code, ExitCode.Done)
+  assert.not.match(apart.text, /warning/)
+})
+planning('an operator who changed the head in between wins', async () => {
+  const ports = await publishedPorts()
+  let reads = 0
+  const racing: KeyValuePort = {
+    ...ports.keyValue,
+    async get (key, options) {
+      const read = await ports.plain.get(key, options)
+      if (key === CONFIGURATION_HEAD_KEY && ++reads === 2) await changeHead(ports.plain, RANDOM, head => head)
+      return read
+    }
+  }
+  const output = await planStopCommand({ ...ports, keyValue: racing }, { target: 'one', until: '+20m' })
+  assert.is(output.code, ExitCode.Superseded, output.text)
+})
+planning('cancel takes one away, an unknown one is refused, list shows what stands', async () => {
+  const ports = await publishedPorts()
+  await planStopCommand(ports, { target: 'one', from: '+5m', until: '+20m' })
+  const listed = await listStopsCommand(ports)
+  assert.match(listed.text, /planned {4}target one/)
+  const id = (listed.value as { stops: Array<{ id: string, subject: StopSubject }> }).stops[0]!.id
+  assert.is((await cancelStopCommand(ports, 'stop-x')).code, ExitCode.Faulty)
+  assert.is((await cancelStopCommand(ports, id)).code, ExitCode.Done)
+  assert.match((await listStopsCommand(ports)).text, /no stop is planned/)
+})
+planning.run()
--- a/packages/wigeonlead/src/connection/operators.ts
+++ b/packages/wigeonlead/src/connection/operators.ts
@@ -3,12 +3,14 @@
  */
 import { createHash } from 'node:crypto'
 import { createServer, type Server } from 'node:http'
+import type { BurnReport, NodeStatus } from '@wigeonlead/protocol'
 
 /** What the operators' listener shows. */
 export interface OperatorViews {
   isReady: () => boolean
   renderMetrics: () => string
-  status: () => unknown
+  status: () => NodeStatus
+  burn: () => BurnReport
 }
 
 type View = (views: OperatorViews) => { status: number, type: string, body: string }
@@ -22,7 +24,8 @@
 
 const GUARDED_VIEWS: Record<string, View> = {
   '/metrics': views => ({ status: 200, type: 'text/plain; version=0.0.4', body: views.renderMetrics() }),
-  '/status': views => ({ status: 200, type: 'application/json', body: JSON.stringify(views.status()) })
+  '/status': views => ({ status: 200, type: 'application/json', body: JSON.stringify({ ...views.status(), isReady: views.isReady() }) }),
+  '/burn': views => ({ status: 200, type: 'application/json', body: JSON.stringify(views.burn()) })
 }
 
 /**
@@ -32,11 +35,13 @@
 export function createOperatorListener (tokenDigests: string[], views: OperatorViews): Server {
   return createServer((request, response) => {
     const path = (request.url ?? '/').split('?')[0] ?? '/'
-    const view = OPEN_VIEWS[path] ?? GUARDED_VIEWS[path]
-    const isOpen = path in OPEN_VIEWS
+    const isOpen = Object.hasOwn(OPEN_VIEWS, path)
+    const view = isOpen ? OPEN_VIEWS[path] : Object.hasOwn(GUARDED_VIEWS, path) ? GUARDED_VIEWS[path] : undefined
     if (view === undefined) response.writeHead(404).end()
-    else if (!isOpen && !isAuthorized(tokenDigests, request.headers.authorization)) response.writeHead(401).end()
-    else {
+    else if (request.method !== 'GET' && request.method !== 'HEAD') response.writeHead(405, { allow: 'GET, HEAD' }).end()
+    else if (!isOpen && !isAuthorized(tokenDigests, request.headers.authorization)) {
+      response.writeHead(401, { 'www-authenticate': 'Bearer' }).end()
+    } else {
       const { status, type, body } = view(views)
       response.writeHead(status, { 'content-type': type }).end(body)
     }
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -3,9 +3,10 @@
  */
 import {
   PeerMethod,
-  type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
+  type BurnReport, type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
 } from '@wigeonlead/protocol'
 import { createAdmission, createCallerHandler, createClaims, createPathChooser, type CallerHandler } from '../request/index.js'
+import { createBurn } from './burn.js'
 import { createConfiguration } from './configuration.js'
 import { createInFlight } from './in-flight.js'
 import { SILENT_LOGGER, type Logger } from './logging.js'
@@ -36,6 +37,8 @@
   isReady: () => boolean
   renderMetrics: () => string
   status: () => NodeStatus
+  /** Service-level burn at this node. */
+  burn: () => BurnReport
   /** Says that this node is leaving, waits for the balancer's lag and for every request in flight, then stops. */
   shutdown: () => Promise<void>
   /** Stops at once, as a death would. */
@@ -47,6 +50,7 @@
   const { failureDomain, vm } = settings.node
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
+  const burn = createBurn()
   const targets = createTargetBoard()
   const inFlight = createInFlight()
   const configuration = createConfiguration({ keyValue: ports.keyValue, logger })
@@ -68,6 +72,7 @@
     claims: createClaims({ keyValue: ports.keyValue, random: ports.random }),
     retries: createRetryBudget(),
     metrics,
+    burn,
     logger,
     failureDomain,
     defaultDeadlineMilliseconds: settings.callers.defaultDeadlineMilliseconds
@@ -103,8 +108,9 @@
       membership.start()
     },
     isReady: () => !isLeaving && configuration.current() !== undefined,
-    renderMetrics: metrics.render,
+    renderMetrics: () => metrics.render() + burn.renderMetrics(),
     status,
+    burn: () => ({ vm, failureDomain, atMilliseconds: Date.now(), objectives: burn.report() }),
     async shutdown () {
       isLeaving = true
       membership.leave()
--- a/packages/wigeonlead/src/request/completion.ts
+++ b/packages/wigeonlead/src/request/completion.ts
@@ -2,7 +2,8 @@
  * OpenAI-compatible completions and chat completions, streamed or whole.
  */
 import { z } from 'zod'
-import { ProblemType, createProblem, type ModelReference, type Problem } from '@wigeonlead/protocol'
+import { ProblemType, ResourceKind, createProblem, type ModelReference, type Problem } from '@wigeonlead/protocol'
+import { RequestEnd, type BurnMeter } from '../process/burn.js'
 import { jsonResponse, problemResponse, type CallerRequest, type CallerResponse } from './caller.js'
 import type { RequestContext } from './context.js'
 import { DeliveryKind, generate, type Delivery, type GenerationOrder } from './generation.js'
@@ -39,6 +40,8 @@
 export async function answerCompletion (context: RequestContext, request: CallerRequest, shape: CompletionShape): Promise<CallerResponse> {
   const parsed = parseCompletion(context, request, shape)
   if ('type' in parsed) return problemResponse(parsed)
+  const { name, objectives } = parsed.order.model.model
+  const meter = context.parts.burn.begin({ kind: ResourceKind.Model, name, objectives })
   const admitted = await context.parts.admission.admit({
     workspace: context.workspace,
     resource: parsed.order.reference.model,
@@ -46,8 +49,11 @@
     deadlineAt: context.deadlineAt,
     signal: context.signal
   })
-  if (!admitted.ok) return problemResponse(createProblem(ProblemType.Overloaded, admitted.failure.detail, { retryAfterSeconds: 1 }))
-  const deliveries = generate(context, parsed.order)[Symbol.asyncIterator]()
+  if (!admitted.ok) {
+    meter.end(RequestEnd.Failed)
+    return problemResponse(createProblem(ProblemType.Overloaded, admitted.failure.detail, { retryAfterSeconds: 1 }))
+  }
+  const deliveries = meterDeliveries(generate(context, parsed.order), meter)[Symbol.asyncIterator]()
   const first = await deliveries.next()
   if (first.done === true || first.value.kind === DeliveryKind.Refusal) {
     admitted.value.release()
@@ -98,6 +104,18 @@
   }
 }
 
+async function * meterDeliveries (deliveries: AsyncIterable<Delivery>, meter: BurnMeter): AsyncIterable<Delivery> {
+  try {
+    for await (const delivery of deliveries) {
+      if (delivery.kind === DeliveryKind.Token) meter.token()
+      else meter.end(delivery.kind === DeliveryKind.Finish ? RequestEnd.Answered : RequestEnd.Failed)
+      yield delivery
+    }
+  } finally {
+    meter.end(RequestEnd.NotCounted)
+  }
+}
+
 async function * resume (first: Delivery, rest: AsyncIterator<Delivery>, release: () => void): AsyncIterable<Delivery> {
   try {
     yield first
--- a/packages/wigeonlead/src/request/context.ts
+++ b/packages/wigeonlead/src/request/context.ts
@@ -2,6 +2,7 @@
  * What every request reads: the version that it began with, its workspace, and the parts of the process that it uses.
  */
 import type { EnginePort, ManifestWorkspace, RandomSource, ServicePort } from '@wigeonlead/protocol'
+import type { Burn } from '../process/burn.js'
 import type { Logger } from '../process/logging.js'
 import type { Metrics } from '../process/metrics.js'
 import type { RetryBudget } from '../process/retry-budget.js'
@@ -22,6 +23,7 @@
   claims: Claims
   retries: RetryBudget
   metrics: Metrics
+  burn: Burn
   logger: Logger
   failureDomain: string
   /** Deadline of a request that names none, milliseconds. */
--- a/packages/wigeonlead/src/request/service-call.ts
+++ b/packages/wigeonlead/src/request/service-call.ts
@@ -3,16 +3,18 @@
  */
 import { createHash } from 'node:crypto'
 import {
-  ClaimKind, FailureKind, OrderState, ProblemType, ServiceResult, Step, Submission, createProblem, describeFailure,
+  ClaimKind, FailureKind, OrderState, ProblemType, ResourceKind, ServiceResult, Step, Submission, createProblem, describeFailure,
   type Failure, type HeaderRecord, type ManifestOperation, type ManifestService, type Problem, type ServiceAnswer,
   type ServiceCall, type ServiceOutcome
 } from '@wigeonlead/protocol'
+import { RequestEnd } from '../process/burn.js'
 import { TargetAvailability } from '../process/targets.js'
 import { problemResponse, type CallerRequest, type CallerResponse } from './caller.js'
 import { ClaimResult, type ClaimOutcome } from './claims/index.js'
 import type { RequestContext } from './context.js'
 
 const MAXIMUM_TRIES = 3
+const TOO_MANY_REQUESTS = 429
 const HOP_BY_HOP_HEADERS = new Set([
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade',
   'host', 'content-length', 'authorization'
@@ -33,6 +35,15 @@
 ): Promise<CallerResponse> {
   const order = findOrder(context, request, serviceName, path)
   if ('type' in order) return problemResponse(order)
+  const { objectives } = order.service
+  const meter = context.parts.burn.begin({ kind: ResourceKind.Service, name: serviceName, objectives })
+  const response = await answerOrder(context, request, order)
+  const isCallersDoing = context.signal.aborted || response.status === TOO_MANY_REQUESTS
+  meter.end(isCallersDoing ? RequestEnd.NotCounted : response.status < 500 ? RequestEnd.Answered : RequestEnd.Failed)
+  return response
+}
+
+async function answerOrder (context: RequestContext, request: CallerRequest, order: ServiceOrder): Promise<CallerResponse> {
   if (order.operation.idempotent) return toResponse(await callIdempotent(context, order))
   if (order.operation.claim === ClaimKind.Keyless) return toResponse(await sendOnce(context, order))
   return await runClaimed(context, request, order)
