Slopes experiment: what the control code of a node costs as the fleet grows

Cause: docs/CAPACITY.md needs slopes that anyone can measure again. Change: npm run bench -- slopes runs fleets of 9 to 120 nodes on real loopback sockets, 15 to a process, the platform and engines in a process of their own; counts bytes at the sockets, processor time, heap, key-value calls, time in force and time until a death is noticed; fits a line to each measure.

--- a/packages/stand-ins/src/bench/experiment.ts
+++ b/packages/stand-ins/src/bench/experiment.ts
@@ -11,6 +11,8 @@
   rows: Cell[][]
   /** What the figures say against the goals, one line each. */
   notes: string[]
+  /** Data beside the table, such as fits and the machine's load; kept in the file, not printed. */
+  details?: Record<string, unknown>
 }
 
 /** Options of a run. */
--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -4,8 +4,11 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
 import type { Experiment, ExperimentResult } from './experiment.js'
+import { slopesExperiment } from './slopes.js'
 
-const EXPERIMENTS: Record<string, Experiment> = {}
+const EXPERIMENTS: Record<string, Experiment> = {
+  slopes: slopesExperiment
+}
 const DEFAULT_FOLDER = 'docs/measurements'
 
 const program = cac('bench')
