--- a/packages/protocol/src/operators/reports.ts
+++ b/packages/protocol/src/operators/reports.ts
@@ -15,7 +15,10 @@
     generation: z.number().int()
   }),
   isReady: z.boolean().optional(),
-  /** Named sections; what a section has not yet brought into force stands in its list `notInForce`. */
+  /**
+   * Named sections; what a section has not yet brought into force stands in its list `pending`,
+   * each item with `target`, `order`, `reason` and `detail` as far as they apply.
+   */
   sections: z.record(z.string(), z.unknown())
 })
 
--- a/packages/wigeonctl/src/command-line.ts
+++ b/packages/wigeonctl/src/command-line.ts
@@ -25,7 +25,7 @@
 
 interface Options {
   json?: boolean
-  keyValue: string
+  keyValue?: string
   vmList?: string
   router?: string | string[]
   operatorsPort?: number
@@ -70,7 +70,7 @@
 function createProgram (run: (options: Options, run: Run, argument?: string) => Promise<void>): CAC {
   const program = cac('wigeonctl')
   program.option('--json', 'Machine-readable output')
-  program.option('--key-value <addresses>', 'Addresses of the key-value service, separated by commas', { default: DEFAULT_KEY_VALUE })
+  program.option('--key-value <addresses>', 'Addresses of the key-value service, separated by commas; ' + DEFAULT_KEY_VALUE + ' by default')
   program.option('--vm-list <address>', 'Address of the VM list')
   program.command('check <manifest>', 'Check a manifest and list every fault')
     .action((file: string, options: Options) => run(options, () => withFile(file, checkCommand)))
@@ -100,7 +100,8 @@
 
 async function statusOf (options: Options): Promise<CommandOutput> {
   const query = await queryOf(options)
-  return 'code' in query ? query : await statusCommand(query)
+  if ('code' in query) return query
+  return await statusCommand(query, options.keyValue === undefined ? undefined : portsOf(options).keyValue)
 }
 
 async function reportOf (options: Options): Promise<CommandOutput> {
@@ -129,7 +130,7 @@
 
 function portsOf (options: Options): ToolPorts {
   return {
-    keyValue: createEtcdKeyValue({ endpoints: options.keyValue.split(',') }),
+    keyValue: createEtcdKeyValue({ endpoints: (options.keyValue ?? DEFAULT_KEY_VALUE).split(',') }),
     vmList: options.vmList === undefined ? undefined : createVmListClient(options.vmList),
     random: { nextFloat: Math.random, nextNonce: randomUUID }
   }
--- a/packages/wigeonctl/src/commands/check.ts
+++ b/packages/wigeonctl/src/commands/check.ts
@@ -18,5 +18,9 @@
 
 function summary (manifest: Manifest): string {
   const { models, targets, services, workspaces } = manifest
-  return `${models.length} models, ${targets.length} targets, ${services.length} services, ${workspaces.length} workspaces`
+  return [count(models, 'model'), count(targets, 'target'), count(services, 'service'), count(workspaces, 'workspace')].join(', ')
+}
+
+function count (items: unknown[], name: string): string {
+  return `${items.length} ${name}${items.length === 1 ? '' : 's'}`
 }
--- a/packages/wigeonctl/src/commands/status.ts
+++ b/packages/wigeonctl/src/commands/status.ts
@@ -1,7 +1,7 @@
 /**
  * `wigeonctl status`: what is in force at every entry VM that can be reached, what is not yet and why.
  */
-import { nodeStatusSchema, type NodeStatusReport } from '@wigeonlead/protocol'
+import { describeFailure, nodeStatusSchema, readHead, type KeyValuePort, type NodeStatusReport } from '@wigeonlead/protocol'
 import { askRouters, type RouterAnswer, type RouterQuery } from '../routers.js'
 import { ExitCode, type CommandOutput } from '../tool.js'
 
@@ -13,26 +13,38 @@
   why: string
 }
 
-/** Asks every entry VM for its status. Exit code 1 when one could not be reached. */
-export async function statusCommand (query: RouterQuery): Promise<CommandOutput> {
+/**
+ * Asks every entry VM for its status. Exit code 1 when one could not be reached.
+ * @param keyValue tells which generation was accepted last; when absent, the highest in force stands for it.
+ */
+export async function statusCommand (query: RouterQuery, keyValue?: KeyValuePort): Promise<CommandOutput> {
   const answers = await askRouters(query, '/status', nodeStatusSchema)
   const reached = answers.flatMap(answer => 'value' in answer ? [{ address: answer.address, ...answer.value }] : [])
   const unreachable = answers.filter(answer => 'unreachable' in answer)
-  const generation = Math.max(0, ...reached.map(node => node.member.generation))
+  const accepted = keyValue === undefined ? undefined : await readAccepted(keyValue)
+  const inForce = Math.max(0, ...reached.map(node => node.member.generation))
+  const generation = Math.max(inForce, accepted?.generation ?? 0)
   const notInForce = reached.flatMap(node => [...listBehind(node, generation), ...listPending(node)])
   const unasked = listUnasked(reached)
   const text = [
-    `generation ${generation} is the highest in force; ${reached.length} of ${answers.length} entry VMs answered`,
+    `generation ${inForce} is the highest in force${accepted?.text ?? ''}; ${reached.length} of ${answers.length} entry VMs answered`,
     ...reached.map(describeNode),
     ...unreachable.map(answer => describeUnreachable(answer)),
     ...unasked.map(member => `known as a member and not asked: ${member}`),
     ...(notInForce.length === 0 ? ['all that is declared is in force at the entry VMs that answered'] : ['not yet in force:']),
     ...notInForce.map(item => `  ${item.vm} ${item.section}: ${item.what}: ${item.why}`)
   ].join('\n')
-  const value = { generation, routers: reached, unreachable, notAsked: unasked, notInForce }
+  const value = { generation: inForce, accepted: accepted?.generation, routers: reached, unreachable, notAsked: unasked, notInForce }
   return { code: unreachable.length === 0 && reached.length > 0 ? ExitCode.Done : ExitCode.Failed, text, value }
 }
 
+async function readAccepted (keyValue: KeyValuePort): Promise<{ generation?: number, text: string }> {
+  const read = await readHead(keyValue)
+  if (!read.ok) return { text: `, which was accepted last is not known (${describeFailure(read.failure)})` }
+  const generation = read.value.head?.generation ?? 0
+  return { generation, text: `, generation ${generation} was accepted last` }
+}
+
 /** @returns the line of an entry VM that could not be reached. */
 export function describeUnreachable<T> (answer: RouterAnswer<T>): string {
   return `${answer.address}  could not be reached: ${'unreachable' in answer ? answer.unreachable : ''}`
@@ -54,15 +66,17 @@
 
 function listPending (node: NodeStatusReport): NotInForce[] {
   return Object.entries(node.sections).flatMap(([section, content]) => {
-    const items = asRecord(content)?.notInForce
-    if (!Array.isArray(items)) return []
-    return items.map(item => {
-      const fields = asRecord(item)
-      return { vm: node.member.vm, section, what: String(fields?.what ?? JSON.stringify(item)), why: String(fields?.why ?? 'no reason is given') }
-    })
+    const items = asRecord(content)?.pending
+    return Array.isArray(items) ? items.map(item => describePending(node.member.vm, section, asRecord(item) ?? {})) : []
   })
 }
 
+function describePending (vm: string, section: string, item: Record<string, unknown>): NotInForce {
+  const what = [item.target, item.order].filter(part => part !== undefined).join(' ')
+  const why = [item.reason, item.detail].filter(part => part !== undefined).join(': ')
+  return { vm, section, what: what === '' ? JSON.stringify(item) : what, why: why === '' ? 'no reason is given' : why }
+}
+
 function listUnasked (reached: NodeStatusReport[]): string[] {
   const asked = new Set(reached.map(node => node.member.vm))
   const known = reached.flatMap(node => Array.isArray(node.sections.members) ? node.sections.members : [])
--- a/packages/wigeonctl/src/commands/stop.ts
+++ b/packages/wigeonctl/src/commands/stop.ts
@@ -39,7 +39,7 @@
   const stop: PlannedStop = { ...asked, id: `stop-${ports.random.nextNonce().slice(0, 8)}` }
   const outcome = await changeHead(ports.keyValue, ports.random, before => ({ ...before, stops: [...keepCurrent(before.stops), stop] }))
   if (outcome.kind === PublishResult.Accepted) warnings.push(...listChangesMeanwhile(head, outcome.head, stop))
-  return withStop(renderPublish(outcome), stop, warnings)
+  return withStop(renderPublish(outcome), 'planned', stop, warnings)
 }
 
 /** Cancels a planned stop. */
@@ -52,7 +52,7 @@
   const outcome = await changeHead(ports.keyValue, ports.random, before => ({
     ...before, stops: keepCurrent(before.stops).filter(each => each.id !== id)
   }))
-  return withStop(renderPublish(outcome), stop, [])
+  return withStop(renderPublish(outcome), 'cancelled', stop, [])
 }
 
 /** Lists the planned stops. */
@@ -122,8 +122,9 @@
   return left.fromMilliseconds < right.untilMilliseconds && right.fromMilliseconds < left.untilMilliseconds
 }
 
-function withStop (output: CommandOutput, stop: PlannedStop, warnings: string[]): CommandOutput {
-  const lines = [`${stop.id}: ${stop.subject} ${stop.name}, ${isoTime(stop.fromMilliseconds)} to ${isoTime(stop.untilMilliseconds)}`]
+function withStop (output: CommandOutput, done: string, stop: PlannedStop, warnings: string[]): CommandOutput {
+  const result = output.code === ExitCode.Done ? done : `not certainly ${done}`
+  const lines = [`${result} ${stop.id}: ${stop.subject} ${stop.name}, ${isoTime(stop.fromMilliseconds)} to ${isoTime(stop.untilMilliseconds)}`]
   const text = [output.text, ...lines, ...warnings.map(warning => `warning: ${warning}`)].join('\n')
   return { ...output, text, value: { ...output.value as object, stop, warnings } }
 }
--- a/packages/wigeonctl/test/routers.spec.ts
+++ b/packages/wigeonctl/test/routers.spec.ts
@@ -1,7 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { MemberState, ObjectiveKind, ResourceKind, type BurnReport } from '@wigeonlead/protocol'
-import { answerJson, listen } from '@wigeonlead/stand-ins'
+import { MemberState, ObjectiveKind, ResourceKind, changeHead, type BurnReport } from '@wigeonlead/protocol'
+import { KeyValueFault, answerJson, createKeyValueStore, createMemoryKeyValue, listen } from '@wigeonlead/stand-ins'
 import { BurnState, ExitCode, mergeReports, renderReportPage, reportCommand, statusCommand } from '../src/index.js'
 
 const TOKEN = 'a token'
@@ -33,12 +33,12 @@
 const routers = suite('status and report')
 routers('status names what is behind, what is pending, who was not asked and who can\'t be reached', async () => {
   const members = [{ vm: 'entry-2', state: 'alive' }, { vm: 'entry-3', state: 'alive' }]
-  const sections = { members, reconciler: { notInForce: [{ what: 'load x', why: 'paced' }] } }
+  const sections = { members, reconciler: { pending: [{ target: 'engine-1', order: 'load x', reason: 'paced' }] } }
   await withRouter(status('entry-1', 4, sections), async one => await withRouter(status('entry-2', 3, {}), async two => {
     const output = await statusCommand({ addresses: [one, two, DEAD], token: TOKEN })
     assert.is(output.code, ExitCode.Failed)
     const parts = [
-      /2 of 3/, /could not be reached/, /not asked: entry-3/, /entry-1 reconciler: load x: paced/,
+      /2 of 3/, /could not be reached/, /not asked: entry-3/, /entry-1 reconciler: engine-1 load x: paced/,
       /entry-2 configuration: generation 4: it still has generation 3/
     ]
     for (const part of parts) {
@@ -46,6 +46,18 @@
     }
   }))
 })
+routers('status tells a generation that was accepted and is in force nowhere, and a key-value service that can\'t be asked', async () => {
+  const store = createKeyValueStore()
+  const nonces = { nextFloat: () => 0.5, nextNonce: () => String(store.revision()) }
+  await changeHead(createMemoryKeyValue(store), nonces, head => head)
+  await withRouter(status('entry-1', 0, {}), async address => {
+    const output = await statusCommand({ addresses: [address], token: TOKEN }, createMemoryKeyValue(store))
+    assert.match(output.text, /generation 1 was accepted last/)
+    assert.match(output.text, /generation 1: it has seen no configuration yet/)
+    const cut = createMemoryKeyValue(store, { fault: () => KeyValueFault.Unreachable })
+    assert.match((await statusCommand({ addresses: [address], token: TOKEN }, cut)).text, /accepted last is not known/)
+  })
+})
 routers('a wrong token is told as such', async () => {
   await withRouter(status('entry-1', 4, {}), async address => {
     const output = await statusCommand({ addresses: [address], token: 'wrong' })
--- a/packages/wigeonctl/test/stop.spec.ts
+++ b/packages/wigeonctl/test/stop.spec.ts
@@ -50,7 +50,7 @@
 
 const onSwap = (fault: KeyValueFault) => (operation: string) => operation === 'compareAndSwap' ? fault : undefined
 const CASES: Case[] = [
-  { name: 'a target', given: { target: 'one', from: '+5m', until: '+20m' }, code: ExitCode.Done, text: /generation 2 is accepted\nstop-\w+: target one/, stops: 1 },
+  { name: 'a target', given: { target: 'one', from: '+5m', until: '+20m' }, code: ExitCode.Done, text: /generation 2 is accepted\nplanned stop-\w+: target one/, stops: 1 },
   { name: 'a service\'s last target', given: { target: 'orders-1', until: '+20m' }, code: ExitCode.Done, text: /warning: takes the last replica away: no target of service "orders"/, stops: 1 },
   { name: 'a VM with all replicas', given: { vm: 'vm-1', until: '+20m' }, code: ExitCode.Done, text: /warning: takes the last replica away: no path covers version "v1"/, stops: 1 },
   { name: 'an unknown target', given: { target: 'three', until: '+20m' }, code: ExitCode.Faulty, text: /"three"/, stops: 0 },
