--- a/packages/stand-ins/src/bench/slopes.ts
+++ b/packages/stand-ins/src/bench/slopes.ts
@@ -21,6 +21,7 @@
   workspaces: number
   models: number
   changesPerSecond: number
+  nodesPerProcess: number
 }
 
 /** What grows. */
@@ -41,7 +42,13 @@
   vmListBytesPerSecond: number
   enginesBytesPerSecond: number
   processorPercent: number
+  /** Of the process whose nodes took most. */
+  processorPercentMost: number
+  /** Sent and received by a node of the process whose nodes exchanged most. */
+  bytesPerSecondMost: number
   heapMegabytes: number
+  /** Of the largest process, whatever its number of nodes. */
+  residentMegabytesMost: number
   keyValueReadsPerSecond: number
   keyValueWritesPerSecond: number
   engineReportsPerSecond: number
@@ -50,16 +57,18 @@
   deathNoticedMilliseconds: number
 }
 
-const BASE: Omit<Point, 'slope'> = { failureDomains: 3, nodesInDomain: 3, targets: 30, workspaces: 10, models: 2, changesPerSecond: 0 }
-const VALUES: Record<Slope, number[]> = {
-  [Slope.NodesInDomain]: [3, 10, 20, 40],
-  [Slope.FailureDomains]: [3, 5, 8, 11],
-  [Slope.Targets]: [30, 60, 120, 240],
-  [Slope.Workspaces]: [10, 400, 1200, 3600],
-  [Slope.Models]: [2, 7, 13, 19],
-  [Slope.ChangesPerSecond]: [0, 0.1, 0.3, 1]
+const MANY: Omit<Point, 'slope'> = {
+  failureDomains: 3, nodesInDomain: 10, targets: 30, workspaces: 10, models: 2, changesPerSecond: 0, nodesPerProcess: 15
+}
+const FEW: Omit<Point, 'slope'> = { ...MANY, nodesInDomain: 1, nodesPerProcess: 1 }
+const SLOPES: Record<Slope, { values: number[], base: Omit<Point, 'slope'> }> = {
+  [Slope.NodesInDomain]: { values: [3, 10, 20, 40], base: MANY },
+  [Slope.FailureDomains]: { values: [3, 5, 8, 11], base: MANY },
+  [Slope.Targets]: { values: [50, 100, 200, 400], base: { ...FEW, failureDomains: 1, nodesInDomain: 3 } },
+  [Slope.Workspaces]: { values: [10, 400, 1200, 3600], base: FEW },
+  [Slope.Models]: { values: [2, 7, 13, 19], base: FEW },
+  [Slope.ChangesPerSecond]: { values: [0, 0.1, 0.3, 1], base: { ...FEW, targets: 200, workspaces: 3600, models: 19 } }
 }
-const NODES_PER_PROCESS = 15
 const WARM_UP_MILLISECONDS = 8000
 const MEASURE_MILLISECONDS = 15_000
 const QUICK_DIVISOR = 5
@@ -71,7 +80,8 @@
 export const slopesExperiment: Experiment = {
   summary: 'bytes, processor time, memory, key-value calls and time in force of a node as the fleet grows',
   async run (options) {
-    const points = Object.values(Slope).flatMap(slope => VALUES[slope].map(value => ({ ...BASE, slope, [slope]: value })))
+    const points = Object.values(Slope).flatMap(slope =>
+      SLOPES[slope].values.map((value): Point => ({ ...SLOPES[slope].base, slope, [slope]: value })))
     const measured: Array<{ point: Point, measures: Measures }> = []
     for (const point of points) {
       const measures = await measurePoint(point, options)
@@ -88,7 +98,7 @@
         ...fits.filter(({ fit }) => Math.abs(fit.slope) > 0).map(describeFit),
         `load average of the machine over a minute at the end: ${loadavg()[0]?.toFixed(1)}`
       ],
-      details: { base: BASE, fits, loadAverage: loadavg() }
+      details: { slopes: SLOPES, fits, loadAverage: loadavg() }
     }
   }
 }
@@ -143,10 +153,10 @@
     vm: `entry-${index}`, failureDomain: slopeDomain(index % point.failureDomains)
   }))
   const opened: Array<{ node: FleetNode, address: string }> = []
-  for (let start = 0; start < nodes.length; start += NODES_PER_PROCESS) {
+  for (let start = 0; start < nodes.length; start += point.nodesPerProcess) {
     const child = forkChild('slopes-fleet.js')
     fleet.push(child)
-    const own = nodes.slice(start, start + NODES_PER_PROCESS)
+    const own = nodes.slice(start, start + point.nodesPerProcess)
     const addresses = await askChild(child, 'open', { nodes: own })
     opened.push(...own.map((node, index) => ({ node, address: addresses[index] ?? '' })))
   }
@@ -224,6 +234,9 @@
     vmListBytesPerSecond: perNode(sample => sample.bytes[TrafficKind.VmList]),
     enginesBytesPerSecond: perNode(sample => sample.bytes[TrafficKind.Engines]),
     processorPercent: perNode(sample => sample.processorSeconds) * 100,
+    processorPercentMost: Math.max(...samples.map(sample => sample.processorSeconds / sample.seconds / sample.nodes * 100)),
+    bytesPerSecondMost: Math.max(...samples.map(sample => allBytes(sample) / sample.seconds / sample.nodes)),
+    residentMegabytesMost: Math.max(...samples.map(sample => sample.residentBytes)) / 1e6,
     heapMegabytes: total(samples, sample => sample.heapBytes) / nodes / 1e6,
     keyValueReadsPerSecond: perNode(sample => sample.keyValueReads),
     keyValueWritesPerSecond: perNode(sample => sample.keyValueWrites),
@@ -233,6 +246,10 @@
   }
 }
 
+function allBytes (sample: FleetSample): number {
+  return Object.values(sample.bytes).reduce((sum, bytes) => sum + bytes, 0)
+}
+
 function total (samples: FleetSample[], read: (sample: FleetSample) => number): number {
   return samples.reduce((sum, sample) => sum + read(sample), 0)
 }
