Slopes: points apart from the run, and one fleet of the planned size as a check

Cause: one file held everything; a line through small fleets wants a check at the real size. Change: slopes-points.ts; npm run bench -- fleet measures 462 nodes in 11 failure domains. Measured: nothing here.

--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -4,10 +4,11 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
 import type { Experiment, ExperimentResult } from './experiment.js'
-import { slopesExperiment } from './slopes.js'
+import { fleetExperiment, slopesExperiment } from './slopes.js'
 
 const EXPERIMENTS: Record<string, Experiment> = {
-  slopes: slopesExperiment
+  slopes: slopesExperiment,
+  fleet: fleetExperiment
 }
 const DEFAULT_FOLDER = 'docs/measurements'
 
--- /dev/null
+++ b/packages/stand-ins/src/bench/slopes-points.ts
@@ -0,0 +1,134 @@
+/**
+ * What the slopes experiment measures: its points, the measures of a point, and the line through the points of a slope.
+ */
+import { fitLine, type LinearFit } from './linear-fit.js'
+import { TrafficKind, type FleetSample } from './slopes-messages.js'
+
+/** One measured point: a fleet and its configuration. */
+export interface Point {
+  slope: Slope
+  failureDomains: number
+  nodesInDomain: number
+  targets: number
+  workspaces: number
+  models: number
+  changesPerSecond: number
+  nodesPerProcess: number
+  isDeathMeasured: boolean
+}
+
+/** What grows. */
+export enum Slope {
+  NodesInDomain = 'nodesInDomain',
+  FailureDomains = 'failureDomains',
+  Targets = 'targets',
+  Workspaces = 'workspaces',
+  Models = 'models',
+  ChangesPerSecond = 'changesPerSecond'
+}
+
+/** What was measured at a point, for one node unless the name says otherwise. */
+export interface Measures {
+  manifestKilobytes: number
+  peersBytesPerSecond: number
+  keyValueBytesPerSecond: number
+  vmListBytesPerSecond: number
+  enginesBytesPerSecond: number
+  processorPercent: number
+  /** Of the process whose nodes took most. */
+  processorPercentMost: number
+  /** Sent and received by a node of the process whose nodes exchanged most. */
+  bytesPerSecondMost: number
+  heapMegabytes: number
+  /** Of the largest process, whatever its number of nodes. */
+  residentMegabytesMost: number
+  keyValueReadsPerSecond: number
+  keyValueWritesPerSecond: number
+  engineReportsPerSecond: number
+  inForceMedianMilliseconds: number
+  inForceWorstMilliseconds: number
+  deathNoticedMilliseconds: number
+}
+
+const MANY: Omit<Point, 'slope'> = {
+  failureDomains: 3,
+  nodesInDomain: 10,
+  targets: 30,
+  workspaces: 10,
+  models: 2,
+  changesPerSecond: 0,
+  nodesPerProcess: 15,
+  isDeathMeasured: true
+}
+const FEW: Omit<Point, 'slope'> = { ...MANY, nodesInDomain: 1, nodesPerProcess: 1, isDeathMeasured: false }
+/** The values of each slope, and what stays the same along it. */
+export const SLOPES: Record<Slope, { values: number[], base: Omit<Point, 'slope'> }> = {
+  [Slope.NodesInDomain]: { values: [3, 10, 20, 40], base: MANY },
+  [Slope.FailureDomains]: { values: [3, 5, 8, 11], base: MANY },
+  [Slope.Targets]: { values: [50, 140, 270, 409], base: { ...FEW, failureDomains: 1, nodesInDomain: 42 } },
+  [Slope.Workspaces]: { values: [10, 400, 1200, 3600], base: FEW },
+  [Slope.Models]: { values: [2, 7, 13, 19], base: FEW },
+  [Slope.ChangesPerSecond]: { values: [0, 0.1, 0.3, 1], base: { ...FEW, targets: 200, workspaces: 3600, models: 19 } }
+}
+/** A fleet of the size that the users plan: 460 nodes, rounded up to whole failure domains. */
+export const PLANNED_FLEET: Omit<Point, 'slope'> = { ...MANY, failureDomains: 11, nodesInDomain: 42, nodesPerProcess: 14 }
+
+/** A point and what was measured there. */
+export interface MeasuredPoint {
+  point: Point
+  measures: Measures
+}
+
+/** The line of one measure along one slope. */
+export interface Fit {
+  slope: Slope
+  measure: keyof Measures
+  fit: LinearFit
+}
+
+/** Fits the line of a measure along a slope. */
+export function fitOf (slope: Slope, measure: keyof Measures, measured: MeasuredPoint[]): Fit {
+  const own = measured.filter(({ point }) => point.slope === slope)
+  return { slope, measure, fit: fitLine(own.map(({ point, measures }) => [point[slope], measures[measure]])) }
+}
+
+/** @returns a fit in one line. */
+export function describeFit ({ slope, measure, fit }: Fit): string {
+  const { intercept, largestResidual, rSquared } = fit
+  return `${measure} = ${round(intercept)} + ${round(fit.slope)} * ${slope} (largest residual ${round(largestResidual)}, r2 ${rSquared.toFixed(3)})`
+}
+
+/** Sums up the samples of all processes of a fleet. */
+export function summarise (samples: FleetSample[], delays: number[]): Omit<Measures, 'manifestKilobytes' | 'deathNoticedMilliseconds'> {
+  const nodes = total(samples, sample => sample.nodes)
+  const perNode = (read: (sample: FleetSample) => number): number => total(samples, sample => read(sample) / sample.seconds) / nodes
+  const sorted = [...delays].sort((left, right) => left - right)
+  return {
+    peersBytesPerSecond: perNode(sample => sample.bytes[TrafficKind.Peers]),
+    keyValueBytesPerSecond: perNode(sample => sample.bytes[TrafficKind.KeyValue]),
+    vmListBytesPerSecond: perNode(sample => sample.bytes[TrafficKind.VmList]),
+    enginesBytesPerSecond: perNode(sample => sample.bytes[TrafficKind.Engines]),
+    processorPercent: perNode(sample => sample.processorSeconds) * 100,
+    processorPercentMost: Math.max(...samples.map(sample => sample.processorSeconds / sample.seconds / sample.nodes * 100)),
+    bytesPerSecondMost: Math.max(...samples.map(sample => allBytes(sample) / sample.seconds / sample.nodes)),
+    residentMegabytesMost: Math.max(...samples.map(sample => sample.residentBytes)) / 1e6,
+    heapMegabytes: total(samples, sample => sample.heapBytes) / nodes / 1e6,
+    keyValueReadsPerSecond: perNode(sample => sample.keyValueReads),
+    keyValueWritesPerSecond: perNode(sample => sample.keyValueWrites),
+    engineReportsPerSecond: perNode(sample => sample.engineReports),
+    inForceMedianMilliseconds: sorted[Math.floor(sorted.length / 2)] ?? NaN,
+    inForceWorstMilliseconds: sorted.at(-1) ?? NaN
+  }
+}
+
+function allBytes (sample: FleetSample): number {
+  return Object.values(sample.bytes).reduce((sum, bytes) => sum + bytes, 0)
+}
+
+function total (samples: FleetSample[], read: (sample: FleetSample) => number): number {
+  return samples.reduce((sum, sample) => sum + read(sample), 0)
+}
+
+function round (value: number): number {
+  return Number(value.toPrecision(4))
+}
