--- a/packages/wigeonlead/src/request/service-call.ts
+++ b/packages/wigeonlead/src/request/service-call.ts
@@ -7,14 +7,13 @@
   type Failure, type HeaderRecord, type ManifestOperation, type ManifestService, type Problem, type ServiceAnswer,
   type ServiceCall, type ServiceOutcome
 } from '@wigeonlead/protocol'
-import { RequestEnd } from '../process/burn.js'
 import { TargetAvailability } from '../process/targets.js'
 import { problemResponse, type CallerRequest, type CallerResponse } from './caller.js'
 import { ClaimResult, type ClaimOutcome } from './claims/index.js'
 import type { RequestContext } from './context.js'
+import { endOfStatus } from './metered.js'
 
 const MAXIMUM_TRIES = 3
-const TOO_MANY_REQUESTS = 429
 const HOP_BY_HOP_HEADERS = new Set([
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade',
   'host', 'content-length', 'authorization'
@@ -38,8 +37,7 @@
   const { objectives } = order.service
   const meter = context.parts.burn.begin({ kind: ResourceKind.Service, name: serviceName, objectives })
   const response = await answerOrder(context, request, order)
-  const isCallersDoing = context.signal.aborted || response.status === TOO_MANY_REQUESTS
-  meter.end(isCallersDoing ? RequestEnd.NotCounted : response.status < 500 ? RequestEnd.Answered : RequestEnd.Failed)
+  meter.end(endOfStatus(response.status, context.signal))
   return response
 }
 
