--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -46,6 +46,8 @@
 export {
   checkManifest, checkManifestText, type ManifestCheck, type ManifestFault
 } from './manifest/check.js'
+export { CLAIM_RECORD_BYTES, CLAIM_STORE_BYTES } from './manifest/check-claims.js'
+export { listCoverageFaults } from './manifest/check-coverage.js'
 export {
   PublishResult, changeHead, parseHead, publishManifest, readHead, writeParts, type HeadContent, type HeadRead, type PublishOutcome
 } from './manifest/publish.js'
@@ -64,3 +66,7 @@
   CLAIM_ANSWER_BYTES, CLAIM_BUCKETS, CLAIM_CLOCK_SKEW_SECONDS, CLAIM_ENTRY_BYTES, CLAIM_SEGMENTS_PER_BUCKET, CLAIM_SEGMENT_BYTES,
   claimLoads, claimSize, type ClaimLoad, type ClaimSize
 } from './manifest/claim-size.js'
+export {
+  BURN_SERIES_STEP_MINUTES, BURN_WINDOWS_MINUTES, ObjectiveKind, ResourceKind, burnRate, burnReportSchema, nodeStatusSchema,
+  type BurnCounts, type BurnReport, type NodeStatusReport, type ObjectiveBurn
+} from './operators/reports.js'
--- a/packages/wigeonlead/src/process/index.ts
+++ b/packages/wigeonlead/src/process/index.ts
@@ -9,4 +9,5 @@
 export { TargetAvailability, createTargetBoard, type TargetBoard } from './targets.js'
 export { createConfiguration, type Configuration } from './configuration/index.js'
 export { createMembership, type DemandShare, type Membership, type MembershipParts } from './membership/index.js'
+export { RequestEnd, createBurn, type Burn, type BurnMeter, type BurnResource } from './burn.js'
 export { createRouter, type Router, type RouterPorts } from './wire.js'
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -3,12 +3,13 @@
  */
 import {
   PeerMethod,
-  type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
+  type BurnReport, type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
 } from '@wigeonlead/protocol'
 import {
   createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts, type CallerHandler
 } from '../request/index.js'
 import { createRelayedKeyValue } from '../connection/index.js'
+import { createBurn } from './burn.js'
 import { createConfiguration } from './configuration/index.js'
 import { createFirstTokenTimes } from './first-token-times.js'
 import { createInFlight } from './in-flight.js'
@@ -47,6 +48,8 @@
   isReady: () => boolean
   renderMetrics: () => string
   status: () => NodeStatus
+  /** Service-level burn at this node. */
+  burn: () => BurnReport
   /** Says that this node is leaving, waits for the balancer's lag and for every request in flight, then stops. */
   shutdown: (closeListener?: CloseListener) => Promise<void>
   isLeaving: () => boolean
@@ -61,6 +64,7 @@
   const { failureDomain, vm } = settings.node
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
+  const burn = createBurn()
   const inFlight = createInFlight(({ method, url }) => logger.warn(LogEvent.RequestCutOff, { method, path: url.split('?')[0] }))
   const membership = createMembership({
     peers: ports.peers,
@@ -129,6 +133,7 @@
     retries: createRetryBudget(),
     latencies: createObservedLatency(),
     metrics,
+    burn,
     logger,
     failureDomain,
     defaultDeadlineMilliseconds: settings.callers.defaultDeadlineMilliseconds
@@ -200,8 +205,9 @@
       leaving.start()
     },
     isReady: () => !shutdown.isLeaving() && configuration.current() !== undefined,
-    renderMetrics: metrics.render,
+    renderMetrics: () => metrics.render() + burn.renderMetrics(),
     status,
+    burn: () => ({ vm, failureDomain, atMilliseconds: Date.now(), objectives: burn.report() }),
     shutdown: shutdown.begin,
     isLeaving: shutdown.isLeaving,
     onPlannedStop: leaving.onOwnStop,
--- a/packages/wigeonlead/src/request/completion.ts
+++ b/packages/wigeonlead/src/request/completion.ts
@@ -2,12 +2,14 @@
  * OpenAI-compatible completions and chat completions, streamed or whole.
  */
 import { z } from 'zod'
-import { ProblemType, createProblem, type ModelReference, type Problem } from '@wigeonlead/protocol'
+import { ProblemType, ResourceKind, createProblem, type ModelReference, type Problem } from '@wigeonlead/protocol'
+import type { BurnMeter } from '../process/burn.js'
 import { refuseAdmission } from './admission.js'
 import { jsonResponse, problemResponse, type CallerRequest, type CallerResponse } from './caller.js'
 import { createStart, type CompletionStart } from './completion-start.js'
 import type { RequestContext } from './context.js'
 import { DeliveryKind, generate, type Delivery, type GenerationOrder } from './generation.js'
+import { endOfRefusal, meterDeliveries } from './metered.js'
 
 /** The two shapes of completions. */
 export enum CompletionShape {
@@ -42,6 +44,8 @@
 export async function answerCompletion (context: RequestContext, request: CallerRequest, shape: CompletionShape): Promise<CallerResponse> {
   const parsed = parseCompletion(context, request, shape)
   if ('type' in parsed) return problemResponse(parsed)
+  const { name, objectives } = parsed.order.model.model
+  const meter = context.parts.burn.begin({ kind: ResourceKind.Model, name, objectives })
   const start = createStart(context, parsed, () => parseCompletion(start.context, request, shape))
   const admitted = await context.parts.admission.admit({
     workspace: context.workspace,
@@ -52,15 +56,19 @@
     tokens: parsed.order.maximumTokens,
     start: start.tryStart
   })
-  if (!admitted.ok) return problemResponse(start.problem ?? refuseAdmission(admitted.failure))
-  return await answerAdmitted(start, parsed.stream, shape, admitted.value.release)
+  if (!admitted.ok) {
+    const problem = start.problem ?? refuseAdmission(admitted.failure)
+    meter.end(endOfRefusal(problem, context.signal))
+    return problemResponse(problem)
+  }
+  return await answerAdmitted(start, meter, parsed.stream, shape, admitted.value.release)
 }
 
 async function answerAdmitted (
-  start: CompletionStart, isStreamed: boolean, shape: CompletionShape, release: (tokens: number) => void
+  start: CompletionStart, meter: BurnMeter, isStreamed: boolean, shape: CompletionShape, release: (tokens: number) => void
 ): Promise<CallerResponse> {
   const { context, order } = start
-  const deliveries = generate(context, order)[Symbol.asyncIterator]()
+  const deliveries = meterDeliveries(generate(context, order), meter, context.signal)[Symbol.asyncIterator]()
   const coming = deliveries.next()
   start.release()
   const first = await coming
--- a/packages/wigeonlead/src/request/services/service-call.ts
+++ b/packages/wigeonlead/src/request/services/service-call.ts
@@ -1,9 +1,10 @@
 /**
  * Requests to plain services: idempotent ones are retried elsewhere, the others run at most once.
  */
-import { ClaimKind } from '@wigeonlead/protocol'
+import { ClaimKind, ResourceKind } from '@wigeonlead/protocol'
 import { problemResponse, type CallerRequest, type CallerResponse } from '../caller.js'
 import type { RequestContext } from '../context.js'
+import { endOfStatus } from '../metered.js'
 import { answerClaimed } from './claimed.js'
 import { answerIdempotent } from './idempotent.js'
 import { answerKeyless } from './once.js'
@@ -33,6 +34,14 @@
 ): Promise<CallerResponse> {
   const order = findOrder(context, request, serviceName, path)
   if ('type' in order) return problemResponse(order)
+  const { name, objectives } = order.service
+  const meter = context.parts.burn.begin({ kind: ResourceKind.Service, name, objectives })
+  const response = await answerOrder(context, order)
+  meter.end(endOfStatus(response.status, context.signal))
+  return response
+}
+
+async function answerOrder (context: RequestContext, order: ServiceOrder): Promise<CallerResponse> {
   const admitted = await context.parts.admission.admit({
     workspace: context.workspace,
     resource: order.service.name,
