Callers' contract: every refusal in a table, and none says more than is known

Change: the default of a problem is now 'unknown'; only a completion that was not submitted, and what the claims prove, say 'not-run'. The event iterator of an epoch is always returned.

--- a/packages/protocol/src/callers/problem.ts
+++ b/packages/protocol/src/callers/problem.ts
@@ -95,9 +95,9 @@
 
 /**
  * Makes a problem.
- * @param options by default nothing was sent and nothing of the order ran; pass what differs.
+ * @param options by default this router sent nothing, and of the order nothing is known; pass what differs.
  */
 export function createProblem (type: ProblemType, detail: string, options: ProblemOptions = {}): Problem {
-  const { submission = Submission.NotSent, order = OrderState.NotRun, retryAfterSeconds } = options
+  const { submission = Submission.NotSent, order = OrderState.Unknown, retryAfterSeconds } = options
   return { type, ...PROBLEM_FORMS[type], detail, submission, order, retryAfterSeconds }
 }
--- a/packages/wigeonlead/src/connection/callers.ts
+++ b/packages/wigeonlead/src/connection/callers.ts
@@ -2,25 +2,34 @@
  * The callers' listener: reads a request within its limits, hands it on, and writes the answer.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { ProblemType, createProblem, type HeaderRecord } from '@wigeonlead/protocol'
+import type { Socket } from 'node:net'
+import { ProblemType, createProblem, type HeaderRecord, type Problem } from '@wigeonlead/protocol'
 import { problemResponse, type CallerHandler, type CallerResponse } from '../request/index.js'
 import type { Settings } from '../process/settings.js'
 
+const KEEP_ALIVE_MILLISECONDS = 60_000
+const TIMEOUT_CHECK_INTERVAL_MILLISECONDS = 500
+
 /** Makes the callers' listener, not yet listening. */
 export function createCallerListener (limits: Settings['callers'], handle: CallerHandler): Server {
   const options = {
     maxHeaderSize: limits.maximumHeaderBytes,
     headersTimeout: limits.headerTimeoutMilliseconds,
     requestTimeout: limits.requestTimeoutMilliseconds,
-    keepAliveTimeout: 60_000,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MILLISECONDS,
+    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
     noDelay: true
   }
-  return createServer(options, (request, response) => {
+  const server = createServer(options, (request, response) => {
     serve(limits, handle, request, response).catch(() => response.destroy())
   })
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuseConnection(error, socket as Socket))
+  return server
 }
 
-async function serve (limits: Settings['callers'], handle: CallerHandler, request: IncomingMessage, response: ServerResponse): Promise<void> {
+async function serve (
+  limits: Settings['callers'], handle: CallerHandler, request: IncomingMessage, response: ServerResponse
+): Promise<void> {
   const hungUp = new AbortController()
   response.on('close', () => {
     if (!response.writableFinished) hungUp.abort()
@@ -28,7 +37,8 @@
   const body = await readBody(request, limits.maximumBodyBytes)
   if (body === undefined) {
     response.setHeader('connection', 'close')
-    await write(response, problemResponse(createProblem(ProblemType.BodyTooLarge, `the body is over ${limits.maximumBodyBytes} bytes`)))
+    const problem = createProblem(ProblemType.BodyTooLarge, `the body is over ${limits.maximumBodyBytes} bytes`)
+    await write(response, problemResponse(problem))
     return
   }
   const answer = await handle({
@@ -44,17 +54,27 @@
     return
   }
   for await (const piece of answer.body) {
-    if (!response.write(piece) && !response.destroyed) {
-      await new Promise<void>(resolve => {
-        response.once('drain', resolve)
-        response.once('close', resolve)
-      })
-    }
+    if (response.destroyed) return
+    if (!response.write(piece)) await whenDrained(response)
   }
   response.end()
 }
 
+function whenDrained (response: ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    const settle = (): void => {
+      response.off('drain', settle)
+      response.off('close', settle)
+      resolve()
+    }
+    response.once('drain', settle)
+    response.once('close', settle)
+    if (response.destroyed) settle()
+  })
+}
+
 async function readBody (request: IncomingMessage, maximumBytes: number): Promise<Uint8Array | undefined> {
+  if (Number(request.headers['content-length'] ?? 0) > maximumBytes) return undefined
   const chunks: Buffer[] = []
   let bytes = 0
   for await (const chunk of request as AsyncIterable<Buffer>) {
@@ -72,3 +92,21 @@
   }
   return flat
 }
+
+const CONNECTION_PROBLEMS: Record<string, Problem> = {
+  HPE_HEADER_OVERFLOW: createProblem(ProblemType.HeadersTooLarge, 'the header is over the limit'),
+  ERR_HTTP_REQUEST_TIMEOUT: createProblem(ProblemType.RequestTimeout, 'the request did not arrive within the time limit')
+}
+const MALFORMED_PROBLEM = createProblem(ProblemType.MalformedRequest, 'not an HTTP/1.1 request')
+
+function refuseConnection (error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const answer = problemResponse(CONNECTION_PROBLEMS[error.code ?? ''] ?? MALFORMED_PROBLEM)
+  const body = answer.body as string
+  const headers = { ...answer.headers, 'content-length': String(Buffer.byteLength(body)), connection: 'close' }
+  const lines = Object.entries(headers).map(([key, value]) => `${key}: ${value}`)
+  socket.end(`HTTP/1.1 ${answer.status} Refused\r\n${lines.join('\r\n')}\r\n\r\n${body}`)
+}
--- a/packages/wigeonlead/src/request/completion-start.ts
+++ b/packages/wigeonlead/src/request/completion-start.ts
@@ -3,7 +3,7 @@
  * generation has begun.
  */
 import { FailureKind, ProblemType, Step, createProblem, failed, success, type Outcome, type Problem } from '@wigeonlead/protocol'
-import type { ParsedCompletion } from './completion.js'
+import type { CompletionInput } from './completion-input.js'
 import type { RequestContext } from './context.js'
 import type { GenerationOrder } from './generation.js'
 
@@ -23,7 +23,7 @@
 
 /** @param parseAgain reads the request under the context of the start. */
 export function createStart (
-  context: RequestContext, parsed: ParsedCompletion, parseAgain: () => ParsedCompletion | Problem
+  context: RequestContext, parsed: CompletionInput, parseAgain: () => CompletionInput | Problem
 ): CompletionStart {
   const start: CompletionStart = { tryStart, context, order: parsed.order, release: () => {} }
 
--- a/packages/wigeonlead/src/request/generation-epoch.ts
+++ b/packages/wigeonlead/src/request/generation-epoch.ts
@@ -64,7 +64,8 @@
     ended.abort()
     for (const release of releases) release()
     run.end()
-    if (!isWhole) leaveBehind(context, request, events)
+    void Promise.resolve(events.return?.()).catch(() => {})
+    if (!isWhole) cancelStages(context, request)
   }
 }
 
@@ -130,7 +131,6 @@
   return { kind: 'failed', failure: { kind: FailureKind.Broken, step: Step.Engine, peer, detail: 'the stream ended early' } }
 }
 
-function leaveBehind (context: RequestContext, request: GenerationRequest, events: AsyncIterator<EngineEvent>): void {
+function cancelStages (context: RequestContext, request: GenerationRequest): void {
   for (const stage of request.stages) void context.parts.engines.cancel(stage, request.session, request.epoch)
-  void Promise.resolve(events.return?.()).catch(() => {})
 }
--- a/packages/wigeonlead/src/request/handle.ts
+++ b/packages/wigeonlead/src/request/handle.ts
@@ -5,7 +5,8 @@
 import type { CompiledVersion } from '../version/index.js'
 import { LogEvent } from '../process/logging.js'
 import { jsonResponse, problemResponse, type CallerHandler, type CallerRequest, type CallerResponse } from './caller.js'
-import { CompletionShape, answerCompletion } from './completion.js'
+import { answerCompletion } from './completion.js'
+import { CompletionShape } from './completion-input.js'
 import type { RequestContext, RequestParts } from './context.js'
 import { answerServiceCall, unsentOrderState } from './services/index.js'
 
--- a/packages/wigeonlead/src/request/services/order.ts
+++ b/packages/wigeonlead/src/request/services/order.ts
@@ -58,12 +58,18 @@
 
 /** @returns whether an order certainly has not run, given that this entry VM sent nothing of it and never will. */
 export function unsentOrderState ({ request, service, operation }: UnsentOrder): OrderState {
-  const mayBeRepeated = operation === undefined ? request.headers[KEY_HEADER] !== undefined : !operation.idempotent
+  const mayBeRepeated = operation === undefined ? mayBeOrder(request) : !operation.idempotent
   if (!mayBeRepeated) return OrderState.NotRun
   const isOnlySubmission = service?.balancerNeverRepeats === true && readPreviousAttempts(request) === 0
   return isOnlySubmission ? OrderState.NotRun : OrderState.Unknown
 }
 
+/** What can't be served now may have been an order under another version of the manifest. */
+function mayBeOrder (request: CallerRequest): boolean {
+  const isSafeMethod = request.method === 'GET' || request.method === 'HEAD'
+  return request.headers[KEY_HEADER] !== undefined || (!isSafeMethod && request.url.startsWith('/services/'))
+}
+
 /** @returns the stated count, undefined where none is stated, NaN where it is not a count. */
 function readPreviousAttempts (request: CallerRequest): number | undefined {
   const text = request.headers[PREVIOUS_ATTEMPTS_HEADER]
