--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -4,9 +4,11 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
 import type { Experiment, ExperimentResult } from './experiment.js'
+import { relay } from './relay.js'
 import { fleetExperiment, slopesExperiment } from './slopes.js'
 
 const EXPERIMENTS: Record<string, Experiment> = {
+  relay,
   slopes: slopesExperiment,
   fleet: fleetExperiment
 }
