Resumption property, accelerated experiments, load that routers learn of one another

Cause: the resumption of streams had no property, and the policy no measurement.

Change: the property runs the real generation over replicas with random faults; the experiments run real routers over batching accelerators of three kinds under a clock that jumps. Found by trials: a cost of load over rate counted time that a session spends at other stages; reports of other failure domains arrived too rarely to be smoothed.

--- a/packages/stand-ins/src/bench/experiment.ts
+++ b/packages/stand-ins/src/bench/experiment.ts
@@ -5,12 +5,21 @@
 /** A cell of a result table. */
 export type Cell = string | number
 
+/** Figures for a plot: one value a group in each series. */
+export interface ExperimentPlot {
+  title: string
+  unit: string
+  groups: string[]
+  series: Array<{ name: string, values: number[] }>
+}
+
 /** The result of an experiment: rows under named columns, with the units in the names. */
 export interface ExperimentResult {
   columns: string[]
   rows: Cell[][]
   /** What the figures say against the goals, one line each. */
   notes: string[]
+  plot?: ExperimentPlot
 }
 
 /** Options of a run. */
--- /dev/null
+++ b/packages/stand-ins/src/bench/fleet.ts
@@ -0,0 +1,137 @@
+/**
+ * A fleet for an experiment: real routers over stand-in engines in memory, with lagging reports and delayed links.
+ */
+import {
+  FailureKind, PublishResult, Step, digestText, failed, manifestSchema, publishManifest, success,
+  type Manifest, type PeerHandlers, type PeerPort, type ServicePort
+} from '@wigeonlead/protocol'
+import {
+  checkSettings, createRouter, createSeededRandom, type PathChooser, type PathPolicyParts, type Router
+} from 'wigeonlead'
+import { createEngine, type Engine } from '../engine/core.js'
+import { createMemoryEngines } from '../engine/memory.js'
+import { createMemoryKeyValue } from '../platform/memory.js'
+import { createKeyValueStore } from '../platform/store.js'
+import { pause } from './clock.js'
+import { DOMAINS, LAYERS, createHardware, linkMilliseconds, tokenRate, type HardwareTarget } from './hardware.js'
+
+/** Options of a fleet. */
+export interface FleetOptions {
+  seed: number
+  /** Age of the engines' reports, milliseconds. */
+  reportLagMilliseconds: number
+  /** Names of workspaces, each with a bearer key of the same name. */
+  workspaces: string[]
+  /** Makes each router's path chooser; the router's own by default. */
+  createPaths?: (parts: PathPolicyParts) => PathChooser
+  routersADomain?: number
+  changeManifest?: (manifest: Manifest) => void
+}
+
+/** A running fleet. */
+export interface Fleet {
+  routers: Router[]
+  engines: Map<string, Engine>
+  hardware: HardwareTarget[]
+  /** Factor on the delays between two failure domains. */
+  degrade: (from: string, to: string, factor: number) => void
+  stop: () => void
+}
+
+/** The model that the fleet serves. */
+export const MODEL = { model: 'estate-assistant', version: 'v1' }
+const SETTLE_MILLISECONDS = 3000
+
+/** Starts a fleet and waits until its routers are ready. */
+export async function startFleet (options: FleetOptions): Promise<Fleet> {
+  const hardware = createHardware(options.reportLagMilliseconds)
+  const engines = new Map(hardware.map(target => [target.name, createTargetEngine(target)]))
+  const degraded = new Map<string, number>()
+  const keyValue = createMemoryKeyValue(createKeyValueStore())
+  const manifest = createManifest(hardware, options.workspaces)
+  options.changeManifest?.(manifest)
+  const published = await publishManifest(keyValue, createSeededRandom(options.seed), manifest)
+  if (published.kind !== PublishResult.Accepted) throw new Error('the manifest was not accepted')
+  const network = new Map<string, PeerHandlers>()
+  const domainOf = new Map(hardware.map(target => [target.name, target.domain]))
+  const homes = DOMAINS.flatMap(domain => Array.from({ length: options.routersADomain ?? 1 }, () => domain))
+  const addresses = homes.map((_, position) => `127.0.0.1:${7000 + position}`)
+  const routers = homes.map((home, position) => {
+    const delayMilliseconds = (from: string | undefined, to: string | undefined): number => {
+      const [fromDomain, toDomain] = [domainOf.get(from ?? '') ?? home, domainOf.get(to ?? '') ?? home]
+      return linkMilliseconds(fromDomain, toDomain) * (degraded.get(`${fromDomain} ${toDomain}`) ?? 1)
+    }
+    const ports = {
+      keyValue,
+      vmList: { list: async () => success([]) },
+      engines: createMemoryEngines(engines, { delayMilliseconds }),
+      services: NO_SERVICES,
+      peers: createMemoryPeers(network, addresses[position] ?? ''),
+      random: createSeededRandom(options.seed * 100 + position)
+    }
+    return createRouter(createSettings(home, addresses, position), ports, { createPaths: options.createPaths })
+  })
+  for (const router of routers) router.start()
+  await pause(SETTLE_MILLISECONDS)
+  return {
+    routers,
+    engines,
+    hardware,
+    degrade (from, to, factor) {
+      degraded.set(`${from} ${to}`, factor)
+      degraded.set(`${to} ${from}`, factor)
+    },
+    stop: () => { for (const router of routers) router.halt() }
+  }
+}
+
+function createTargetEngine (target: HardwareTarget): Engine {
+  const held = [{ ...MODEL, adapters: [], layers: { from: target.from, to: target.to } }]
+  return createEngine({ name: target.name, held, accelerator: target.timing })
+}
+
+function createManifest (hardware: HardwareTarget[], workspaces: string[]): Manifest {
+  return manifestSchema.parse({
+    format: 1,
+    failureDomains: DOMAINS,
+    models: [{ name: MODEL.model, layers: LAYERS, versions: [MODEL.version] }],
+    targets: hardware.map((target, position) => ({
+      name: target.name,
+      address: `127.0.0.1:${9000 + position}`,
+      failureDomain: target.domain,
+      accelerator: target.kind,
+      capacity: target.capacity,
+      tokensPerSecond: tokenRate(target),
+      serves: [{ ...MODEL, layers: [target.from, target.to] }]
+    })),
+    workspaces: workspaces.map(name => ({ name, keyDigests: [digestText(name)] })),
+    links: DOMAINS.flatMap((from, position) => DOMAINS.slice(position + 1).map(to => ({
+      from, to, delayMilliseconds: linkMilliseconds(from, to), megabytesPerSecond: 100
+    })))
+  })
+}
+
+function createSettings (failureDomain: string, addresses: string[], position: number) {
+  const checked = checkSettings({
+    node: { vm: `entry-${position}`, failureDomain },
+    listen: { callers: '127.0.0.1:1', operators: '127.0.0.1:2', peers: addresses[position] },
+    platform: { keyValue: ['http://127.0.0.1:3'], vmList: 'http://127.0.0.1:4' },
+    peers: { seeds: addresses, secrets: [{ id: 'one', value: 'a-secret-of-the-bench' }] },
+    operators: { tokenDigests: [digestText('operator')] }
+  }, 'bench')
+  if (!checked.ok) throw new Error(checked.faults.join('; '))
+  return checked.settings
+}
+
+function createMemoryPeers (network: Map<string, PeerHandlers>, own: string): PeerPort {
+  return {
+    serve: handlers => { network.set(own, handlers) },
+    async call (address, method, parameters) {
+      const handler = network.get(address)?.[method] as ((parameters: unknown, peer: string) => Promise<never>) | undefined
+      if (handler === undefined) return failed({ kind: FailureKind.Unreachable, step: Step.Peer, peer: address, detail: 'no such peer' })
+      return success(await handler(parameters, own))
+    }
+  }
+}
+
+const NO_SERVICES: ServicePort = { call: async () => { throw new Error('the experiments have no services') } }
--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -4,8 +4,22 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
 import type { Experiment, ExperimentResult } from './experiment.js'
+import { HERDING } from './experiments/herding.js'
+import { LATENCY } from './experiments/latency.js'
+import { NOISY_NEIGHBOUR } from './experiments/noisy-neighbour.js'
+import { RECOVERY } from './experiments/recovery.js'
+import { RETRY_STORM } from './experiments/retry-storm.js'
+import { THROUGHPUT } from './experiments/throughput.js'
+import { renderPlot } from './plot.js'
 
-const EXPERIMENTS: Record<string, Experiment> = {}
+const EXPERIMENTS: Record<string, Experiment> = {
+  throughput: THROUGHPUT,
+  latency: LATENCY,
+  recovery: RECOVERY,
+  herding: HERDING,
+  'noisy-neighbour': NOISY_NEIGHBOUR,
+  'retry-storm': RETRY_STORM
+}
 const DEFAULT_FOLDER = 'docs/measurements'
 
 const program = cac('bench')
@@ -29,7 +43,9 @@
   const result = await experiment.run({ seed: options.seed, quick: options.quick === true })
   process.stdout.write(renderTable(result))
   mkdirSync(options.out, { recursive: true })
-  writeFileSync(`${options.out}/${name}.json`, JSON.stringify({ experiment: name, seed: options.seed, ...result }, null, 2) + '\n')
+  const { plot, ...data } = result
+  writeFileSync(`${options.out}/${name}.json`, JSON.stringify({ experiment: name, seed: options.seed, ...data }, null, 2) + '\n')
+  if (plot !== undefined) writeFileSync(`${options.out}/${name}.svg`, renderPlot(plot))
   process.exit(0)
 }
 
--- a/packages/stand-ins/src/engine/core.ts
+++ b/packages/stand-ins/src/engine/core.ts
@@ -6,6 +6,7 @@
   type CacheExport, type EngineOrder, type EngineReport, type EngineWireEvent, type GenerationRequest, type HeldPart,
   type PathStage, type StepInput, type StepRequest, type StepResult
 } from '@wigeonlead/protocol'
+import { createAccelerator, type AcceleratorTiming } from './accelerator.js'
 import { answerLength, runLayers, startState, tokenText } from './model.js'
 
 /** One run of a layer range, as the engine's ledger keeps it. */
@@ -35,6 +36,8 @@
   held: HeldPart[]
   /** Time of one step, milliseconds; 0 by default. */
   stepMilliseconds?: number
+  /** Batches steps as an accelerator does, instead of `stepMilliseconds`. */
+  accelerator?: AcceleratorTiming
   /** The engine refuses orders with an old fencing token. */
   checksFencing?: boolean
 }
@@ -53,6 +56,8 @@
   /** @returns what was refused, or undefined. */
   order: (fencingToken: number, order: EngineOrder) => string | undefined
   report: () => EngineReport
+  /** Sessions that run now, without the lag of a report; for measurements. */
+  sessions: () => number
   exportCache: (session: string, epoch: number) => CacheExport | undefined
   importCache: (cache: CacheExport, epoch: number) => void
   /** Comes back empty, as after a restart. */
@@ -76,10 +81,12 @@
   let highestFencingToken = 0
   let incarnation = 1
   let running = 0
+  const accelerator = options.accelerator === undefined ? undefined : createAccelerator(options.accelerator, faults)
 
   async function step (request: StepRequest): Promise<StepResult[]> {
     countDown(faults)
-    await pause((options.stepMilliseconds ?? 0) * faults.slowdown)
+    if (accelerator !== undefined) await accelerator.run(request.inputs)
+    else await pause((options.stepMilliseconds ?? 0) * faults.slowdown)
     while (faults.isStalled) await pause(20)
     if (faults.isDead) throw new Error('the engine is dead')
     return request.inputs.map(input => {
@@ -98,7 +105,9 @@
     const state = runLayers(before, input.layers)
     ledger.push({ ...base, ...input.layers })
     const receipt = { target: options.name, layers: input.layers }
+    if (input.index + 1 >= answerLength(cache.prompt)) accelerator?.leave(input.session)
     if (!input.isLast) return { ...base, receipt, activation: writeActivation(state) }
+    if (input.index >= answerLength(cache.prompt)) return { ...base, receipt, finish: FinishReason.Stop }
     const finish = input.index + 1 >= answerLength(cache.prompt) ? FinishReason.Stop : undefined
     return { ...base, receipt, token: tokenText(state), finish }
   }
@@ -161,7 +170,11 @@
         receipts.push(last.receipt)
         activation = last.activation
       }
-      const token = { index, text: last?.token ?? '' }
+      if (last?.token === undefined) {
+        yield { kind: EngineEventKind.Finish, attempt, reason: last?.finish ?? FinishReason.Stop, tokens: index }
+        return
+      }
+      const token = { index, text: last.token }
       yield { kind: EngineEventKind.Token, attempt, token, receipt: { session, epoch, index, stages: receipts } }
       previousToken = token.text
       if (last?.finish !== undefined) {
@@ -187,8 +200,12 @@
     ledger,
     step,
     generate,
-    cancel: (session, epoch) => { cancelled.set(session, Math.max(epoch, cancelled.get(session) ?? -1)) },
+    cancel (session, epoch) {
+      accelerator?.leave(session)
+      cancelled.set(session, Math.max(epoch, cancelled.get(session) ?? -1))
+    },
     order,
+    sessions: () => accelerator?.sessions() ?? running,
     report: () => ({
       target: options.name,
       incarnation: `${options.name}-${incarnation}`,
@@ -199,7 +216,8 @@
       role,
       held,
       fencingToken: options.checksFencing === true ? highestFencingToken : undefined,
-      cacheEvents: []
+      cacheEvents: [],
+      ...accelerator?.report()
     }),
     exportCache (session, epoch) {
       const cache = sessions.get(session)
--- a/packages/stand-ins/src/engine/memory.ts
+++ b/packages/stand-ins/src/engine/memory.ts
@@ -5,11 +5,18 @@
   EngineEventKind, FailureKind, Step, failed, success,
   type EngineEvent, type EnginePort, type EngineWireEvent, type Failure, type GenerationRequest, type Outcome, type TargetAddress
 } from '@wigeonlead/protocol'
+import { createCarry } from '../carry.js'
 import type { Engine, ForwardStep } from './core.js'
 
+/** Options of the memory port. */
+export interface MemoryEnginesOptions {
+  /** One-way delay between two targets, or between the router (`undefined`) and a target, milliseconds; none by default. */
+  delayMilliseconds?: (from: string | undefined, to: string | undefined) => number
+}
+
 /** Makes an engine port over engines by target name. */
-export function createMemoryEngines (engines: ReadonlyMap<string, Engine>): EnginePort {
-  const forward: ForwardStep = async (stage, request) => await alive(engines, stage.target).step(request)
+export function createMemoryEngines (engines: ReadonlyMap<string, Engine>, options: MemoryEnginesOptions = {}): EnginePort {
+  const pass = createPass(options)
 
   async function call<T> (target: TargetAddress, step: Step, run: (engine: Engine) => T | Promise<T>): Promise<Outcome<T>> {
     const engine = engines.get(target.target)
@@ -22,8 +29,13 @@
   }
 
   return {
-    generate: (target, request, signal) => generate(engines, forward, target, request, signal),
-    step: (target, request) => call(target, Step.Engine, engine => engine.step(request)),
+    generate: (target, request, signal) => generate(engines, pass, target, request, signal),
+    step: (target, request) => call(target, Step.Engine, async engine => {
+      await pass(undefined, target.target)
+      const results = await engine.step(request)
+      await pass(target.target, undefined)
+      return results
+    }),
     cancel: (target, session, epoch) => call(target, Step.Engine, engine => engine.cancel(session, epoch)),
     report: target => call(target, Step.Engine, engine => engine.report()),
     async order (target, fencingToken, order) {
@@ -43,8 +55,14 @@
 }
 
 async function * generate (
-  engines: ReadonlyMap<string, Engine>, forward: ForwardStep, target: TargetAddress, request: GenerationRequest, signal: AbortSignal
+  engines: ReadonlyMap<string, Engine>, pass: Pass, target: TargetAddress, request: GenerationRequest, signal: AbortSignal
 ): AsyncIterable<EngineEvent> {
+  const forward: ForwardStep = async (stage, call) => {
+    const position = request.stages.findIndex(({ target }) => target === stage.target)
+    await pass(request.stages[position - 1]?.target, stage.target)
+    return await alive(engines, stage.target).step(call)
+  }
+  await pass(undefined, target.target)
   const engine = engines.get(target.target)
   if (engine === undefined || engine.faults.isDead) {
     yield { kind: EngineEventKind.Failure, attempt: request.attempt, failure: unreachable(target, Step.Engine) }
@@ -52,6 +70,7 @@
   }
   try {
     for await (const event of engine.generate(request, forward, signal)) {
+      await pass(request.stages.at(-1)?.target, target.target)
       if (engine.faults.isDead) break
       yield toEvent(event, target)
     }
@@ -62,6 +81,16 @@
   yield { kind: EngineEventKind.Failure, attempt: request.attempt, failure }
 }
 
+type Pass = (from: string | undefined, to: string | undefined) => Promise<void> | undefined
+
+function createPass ({ delayMilliseconds }: MemoryEnginesOptions): Pass {
+  const carry = createCarry()
+  return (from, to) => {
+    const delay = carry(delayMilliseconds?.(from, to) ?? 0)
+    return delay > 0 ? new Promise(resolve => setTimeout(resolve, delay)) : undefined
+  }
+}
+
 function toEvent (event: EngineWireEvent, target: TargetAddress): EngineEvent {
   if (event.kind !== EngineEventKind.Failure) return event
   const kind = event.notAccepted === true ? FailureKind.Refused : FailureKind.Broken
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,7 +8,8 @@
 export {
   createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry
 } from './engine/core.js'
-export { createMemoryEngines } from './engine/memory.js'
+export { createMemoryEngines, type MemoryEnginesOptions } from './engine/memory.js'
+export type { AcceleratorTiming } from './engine/accelerator.js'
 export { startEngineServer } from './engine/server.js'
 export { answerLength, referenceAnswer } from './engine/model.js'
 export { withPausedClock, type PausedClock } from './paused-clock.js'
--- a/packages/wigeonlead/src/index.ts
+++ b/packages/wigeonlead/src/index.ts
@@ -4,7 +4,10 @@
 export {
   SILENT_LOGGER, checkSettings, createLogger, createRouter, createSeededRandom, createSystemRandom, readSettings, serveRouter,
   settingsSchema,
-  type Logger, type Router, type RouterPorts, type RunningRouter, type Settings, type SettingsCheck, type SettingsInput
+  type Logger, type PathPolicyParts, type Router, type RouterOptions, type RouterPorts, type RunningRouter, type Settings,
+  type SettingsCheck, type SettingsInput
 } from './process/index.js'
-export type { CallerHandler, CallerRequest, CallerResponse } from './request/index.js'
+export { createPathChooser } from './request/index.js'
+export type { CallerHandler, CallerRequest, CallerResponse, PathChooser, PathQuery, PathRun } from './request/index.js'
+export type { CompiledVersion, StageOption } from './version/index.js'
 export { createHttpEngines, createHttpPeers, createHttpServices } from './connection/index.js'
--- a/packages/wigeonlead/src/process/index.ts
+++ b/packages/wigeonlead/src/process/index.ts
@@ -9,4 +9,4 @@
 export { TargetAvailability, createTargetBoard, type TargetBoard } from './targets.js'
 export { createConfiguration, type Configuration } from './configuration.js'
 export { createMembership, type Membership } from './membership.js'
-export { createRouter, type Router, type RouterPorts } from './wire.js'
+export { createRouter, type PathPolicyParts, type Router, type RouterOptions, type RouterPorts } from './wire.js'
--- a/packages/wigeonlead/src/process/path-times.ts
+++ b/packages/wigeonlead/src/process/path-times.ts
@@ -9,6 +9,8 @@
   key: string
   /** Estimate before the first observation, milliseconds a token. */
   priorMilliseconds: number
+  /** How often a token passes it; 1 by default. */
+  times?: number
 }
 
 /** The times of one path while one epoch runs along it. */
@@ -33,6 +35,7 @@
 const STALL_MEANS = 4
 const STALL_DEVIATIONS = 8
 const PART_GAIN = 0.05
+const MOST_CORRECTION = 4
 const PATH_GAIN = 0.125
 const LEAST_PART_MILLISECONDS = 0.01
 const MOST_PARTS = 20_000
@@ -41,19 +44,22 @@
 export function createPathTimes (): PathTimes {
   const estimates = new Map<string, number>()
 
+  function timeOf (part: PathPart): number {
+    return (estimates.get(part.key) ?? part.priorMilliseconds) * (part.times ?? 1)
+  }
+
   function correct (parts: PathPart[], milliseconds: number): void {
-    const current = parts.map(part => estimates.get(part.key) ?? part.priorMilliseconds)
-    const predicted = current.reduce((sum, value) => sum + value, 0)
-    const factor = 1 + PART_GAIN * Math.max(-1, Math.min(4, (milliseconds - predicted) / predicted))
-    for (const [position, part] of parts.entries()) {
-      estimates.set(part.key, Math.max(LEAST_PART_MILLISECONDS, (current[position] ?? 0) * factor))
+    const predicted = parts.reduce((sum, part) => sum + timeOf(part), 0)
+    const factor = 1 + PART_GAIN * Math.max(-1, Math.min(MOST_CORRECTION, (milliseconds - predicted) / predicted))
+    for (const part of parts) {
+      estimates.set(part.key, Math.max(LEAST_PART_MILLISECONDS, (estimates.get(part.key) ?? part.priorMilliseconds) * factor))
     }
     while (estimates.size > MOST_PARTS) estimates.delete(estimates.keys().next().value ?? '')
   }
 
   return {
     follow (parts) {
-      let mean = parts.reduce((sum, part) => sum + (estimates.get(part.key) ?? part.priorMilliseconds), 0)
+      let mean = parts.reduce((sum, part) => sum + timeOf(part), 0)
       let deviation = mean / 2
       return {
         record (milliseconds) {
--- a/packages/wigeonlead/src/process/reports.ts
+++ b/packages/wigeonlead/src/process/reports.ts
@@ -49,12 +49,14 @@
 const EXCHANGE_DEADLINE_MILLISECONDS = 500
 /** Peers of the own failure domain in each interval. */
 const DOMAIN_PEERS = 2
-/** Every so many intervals a peer of another failure domain. */
-const OTHER_DOMAIN_INTERVALS = 5
+/** Every so many intervals a peer of another failure domain, which then hears of the targets of this one. */
+const OTHER_DOMAIN_INTERVALS = 2
+/** Bounds the control traffic of a large fleet; targets of the own failure domain go first. */
+const MOST_REPORTS_A_MESSAGE = 60
 /** Reports older than this are not passed on and not used, milliseconds. */
 const OLDEST_MILLISECONDS = 30_000
-/** Weight of a new report in the smoothed load of others. */
-const OTHERS_GAIN = 0.3
+/** Time constant of the smoothed load of others, milliseconds. */
+const OTHERS_SMOOTHING_MILLISECONDS = 2000
 
 /** Makes a collection without reports. */
 export function createReports (parts: ReportsParts): Reports {
@@ -69,7 +71,8 @@
     if (report.ageMilliseconds > OLDEST_MILLISECONDS) return
     const madeAt = Date.now() - Math.max(0, report.ageMilliseconds)
     const seen = Math.max(0, report.running - parts.inFlightAt(report.target, madeAt))
-    const others = before === undefined ? seen : before.load.others + OTHERS_GAIN * (seen - before.load.others)
+    const gain = before === undefined ? 1 : 1 - Math.exp((before.load.madeAt - madeAt) / OTHERS_SMOOTHING_MILLISECONDS)
+    const others = (before?.load.others ?? 0) * (1 - gain) + seen * gain
     const { running, queued, tokensPerSecond } = report
     known.set(report.target, { report, load: { running, queued, tokensPerSecond, madeAt, others } })
   }
@@ -83,14 +86,20 @@
     take({ target: target.name, atMilliseconds, ageMilliseconds, running, queued, tokensPerSecond })
   }
 
+  function isOwn (target: string): boolean {
+    return parts.current()?.targets.get(target)?.failureDomain === parts.failureDomain
+  }
+
   function freshFor (peer: string): CompactReport[] {
     const sent = passedOn.get(peer) ?? new Map<string, number>()
     passedOn.set(peer, sent)
     const now = Date.now()
     const fresh = [...known.values()].filter(({ report, load }) =>
       report.atMilliseconds > (sent.get(report.target) ?? 0) && now - load.madeAt < OLDEST_MILLISECONDS)
-    for (const { report } of fresh) sent.set(report.target, report.atMilliseconds)
-    return fresh.map(({ report, load }) => ({ ...report, ageMilliseconds: now - load.madeAt }))
+    const [own, others] = [fresh.filter(({ report }) => isOwn(report.target)), fresh.filter(({ report }) => !isOwn(report.target))]
+    const chosen = [...own, ...others].slice(0, MOST_REPORTS_A_MESSAGE)
+    for (const { report } of chosen) sent.set(report.target, report.atMilliseconds)
+    return chosen.map(({ report, load }) => ({ ...report, ageMilliseconds: now - load.madeAt }))
   }
 
   async function exchange (peer: MemberEntry): Promise<void> {
--- a/packages/wigeonlead/src/process/targets.ts
+++ b/packages/wigeonlead/src/process/targets.ts
@@ -29,7 +29,7 @@
   ejectSlow: (target: string) => void
   /** Widens or narrows a target's window by how slow it is; 1 is as declared. */
   recordPace: (target: string, slowness: number) => void
-  /** @returns how much work this node may have in flight at a target of that capacity. */
+  /** @returns how much work of all entry VMs a target of that capacity may have in flight. */
   window: (target: string, capacity: number) => number
   /** Takes note of a state learnt from peers, planned stops or the VM list. */
   setState: (target: string, state: MemberState) => void
@@ -88,11 +88,11 @@
     },
     recordSuccess: target => { ejections.recordSuccess(target) },
     recordFailure (target, failure) {
-      if (failure.kind === FailureKind.Refused) windowOf(target, UNLIMITED_CAPACITY).recordRefusal(loads.get(target)?.inFlight ?? 0)
+      if (failure.kind === FailureKind.Refused) windowOf(target, UNLIMITED_CAPACITY).recordRefusal()
       else ejections.eject(target)
     },
     ejectSlow: target => { ejections.eject(target) },
-    recordPace: (target, slowness) => { windowOf(target, UNLIMITED_CAPACITY).recordPace(slowness, loads.get(target)?.inFlight ?? 0) },
+    recordPace: (target, slowness) => { windowOf(target, UNLIMITED_CAPACITY).recordPace(slowness) },
     window: (target, capacity) => windowOf(target, capacity).size(capacity),
     setState: (target, state) => { states.set(target, state) }
   }
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -6,7 +6,8 @@
   type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
 } from '@wigeonlead/protocol'
 import {
-  createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts, type CallerHandler
+  createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts,
+  type CallerHandler, type PathChooser, type PathChooserParts
 } from '../request/index.js'
 import { createConfiguration } from './configuration.js'
 import { createFirstTokenTimes } from './first-token-times.js'
@@ -16,7 +17,7 @@
 import { createMetrics } from './metrics.js'
 import { createPathTimes } from './path-times.js'
 import { createPrefixMemory } from './prefix-memory.js'
-import { createReports } from './reports.js'
+import { createReports, type Reports } from './reports.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
 import { createTargetBoard } from './targets.js'
@@ -48,8 +49,19 @@
   halt: () => void
 }
 
+/** What a path policy is made of. */
+export interface PathPolicyParts extends PathChooserParts {
+  reports: Pick<Reports, 'load'>
+}
+
+/** Parts of a router that another one may take the place of. */
+export interface RouterOptions {
+  /** Makes the path chooser; the router's own by default. */
+  createPaths?: (parts: PathPolicyParts) => PathChooser
+}
+
 /** Makes a router. */
-export function createRouter (settings: Settings, ports: RouterPorts): Router {
+export function createRouter (settings: Settings, ports: RouterPorts, options: RouterOptions = {}): Router {
   const { failureDomain, vm } = settings.node
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
@@ -78,8 +90,8 @@
   })
   const times = createPathTimes()
   const costs = createStageCosts({ targets, reports, times, prefixes })
-  const paths = createPathChooser({
-    targets, random: ports.random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes
+  const paths = (options.createPaths ?? createPathChooser)({
+    targets, random: ports.random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes, reports
   })
   const admission = createAdmission()
   const handle = createCallerHandler({
--- a/packages/wigeonlead/src/request/drivers/step.ts
+++ b/packages/wigeonlead/src/request/drivers/step.ts
@@ -24,6 +24,9 @@
       if (result.receipt === undefined) return yield failureEvent(attempt, refusal(stage, result))
       receipts.push(result.receipt)
     }
+    if (result?.token === undefined && result?.finish !== undefined) {
+      return yield { kind: EngineEventKind.Finish, attempt, reason: result.finish, tokens: index }
+    }
     if (result?.token === undefined) return yield failureEvent(attempt, refusal(request.stages.at(-1), result))
     const token = { index, text: result.token }
     yield { kind: EngineEventKind.Token, attempt, token, receipt: { session, epoch, index, stages: receipts } }
--- a/packages/wigeonlead/src/request/generation-watch.ts
+++ b/packages/wigeonlead/src/request/generation-watch.ts
@@ -52,14 +52,15 @@
     if (signal.aborted) return Promise.resolve({ interruption: Interruption.HungUp })
     if (Date.now() >= deadlineAt) return Promise.resolve({ interruption: Interruption.Deadline })
     return new Promise((resolve, reject) => {
-      dueAt = Date.now() + milliseconds
-      interrupt = interruption => {
+      const own = (interruption: Interruption): void => {
         interrupt = undefined
         resolve({ interruption })
       }
+      interrupt = own
+      dueAt = Date.now() + milliseconds
       arm()
       promise.then(value => {
-        interrupt = undefined
+        if (interrupt === own) interrupt = undefined
         resolve({ interruption: undefined, value })
       }, reject)
     })
--- a/packages/wigeonlead/src/request/generation.ts
+++ b/packages/wigeonlead/src/request/generation.ts
@@ -3,8 +3,8 @@
  * with the tokens already delivered as prefix. Each token index is delivered once.
  */
 import {
-  FailureKind, isCertainlyNotSent,
-  type Failure, type FinishReason, type GenerationRequest, type ModelReference, type Outcome, type PathStage, type Problem, type Token
+  FailureKind, FinishReason, isCertainlyNotSent,
+  type Failure, type GenerationRequest, type ModelReference, type Outcome, type PathStage, type Problem, type Token
 } from '@wigeonlead/protocol'
 import type { CompiledModel } from '../version/index.js'
 import { LogEvent } from '../process/logging.js'
@@ -81,6 +81,9 @@
     if (end.kind === 'whole') return yield { kind: DeliveryKind.Finish, reason: end.reason, tokens: end.tokens }
     if (end.kind === 'interrupted') return yield refusal(refuseLate(progress.delivered.length, progress.wasSent))
     if (path.ok) await takeFailure(context, progress, path.value, end)
+    if (progress.delivered.length >= order.maximumTokens) {
+      return yield { kind: DeliveryKind.Finish, reason: FinishReason.Length, tokens: progress.delivered.length }
+    }
     progress.fruitless = progress.delivered.length > before ? 1 : progress.fruitless + 1
     if (!mayGoOn(context, order, progress)) return yield refusal(refuseFailed(progress.lastFailure ?? end.failure, progress.wasSent))
     const interruption = await holdBack(progress, watch)
--- a/packages/wigeonlead/src/request/path-cost.ts
+++ b/packages/wigeonlead/src/request/path-cost.ts
@@ -7,6 +7,7 @@
 import type { PrefixMemory } from '../process/prefix-memory.js'
 import type { Reports } from '../process/reports.js'
 import { TargetAvailability, type TargetBoard } from '../process/targets.js'
+import type { StageOption } from '../version/index.js'
 
 /** How much each part of the cost weighs. */
 export interface LeanWeights {
@@ -40,8 +41,8 @@
   /** Whether this node may start one more request at a target. */
   hasRoom: (target: ManifestTarget, weights: LeanWeights) => boolean
   /** @returns the cost of a stage, milliseconds a token. */
-  cost: (target: ManifestTarget, prefix: string, weights: LeanWeights) => number
-  /** @returns observed time a token over the time that its load explains, at least 1. */
+  cost: (option: StageOption, prefix: string, weights: LeanWeights) => number
+  /** @returns observed time a token at a target over its time when it runs as many as it is declared for. */
   slowness: (target: ManifestTarget) => number
 }
 
@@ -52,10 +53,16 @@
 /** The smoothed load of others fades with this time constant, milliseconds. */
 const LOAD_FADING_MILLISECONDS = 20_000
 /** Lag below this is noise. */
-const LEAST_SLOWNESS = 1.5
+const LEAST_LAG = 1.5
+/** Cost of an idle stage, as a share of its cost in full use. */
+const IDLE_SHARE = 0.5
+/** How much a nearly full stage costs more. */
+const STEEPNESS = 2
 
 /** Makes the costs of stages. */
 export function createStageCosts ({ targets, reports, times, prefixes }: StageCostParts): StageCosts {
+  const shares = new WeakMap<ManifestTarget, number>()
+
   function load (target: ManifestTarget): number {
     const known = reports.load(target.name)
     const others = known === undefined ? 0 : known.others * Math.exp((known.madeAt - Date.now()) / LOAD_FADING_MILLISECONDS)
@@ -64,30 +71,37 @@
 
   function slowness (target: ManifestTarget): number {
     const observed = times.estimate(targetKey(target.name))
-    if (observed === undefined) return 1
-    const full = 1000 * target.capacity / target.tokensPerSecond
-    const ratio = observed / Math.max(full, 1000 * load(target) / target.tokensPerSecond)
-    return ratio < LEAST_SLOWNESS ? 1 : ratio
+    return observed === undefined ? 1 : observed / (fullMilliseconds(target) * (shares.get(target) ?? 1))
+  }
+
+  function lag (target: ManifestTarget): number {
+    const ratio = slowness(target)
+    return ratio < LEAST_LAG ? 1 : ratio
   }
 
   return {
     load,
     slowness,
     hasRoom (target, weights) {
-      const window = Math.max(1, Math.floor(targets.window(target.name, target.capacity) * weights.windowShare))
-      const ceiling = Math.max(1, target.capacity * weights.windowShare)
-      return targets.inFlight(target.name) < window && load(target) < ceiling
+      return load(target) < Math.max(1, Math.floor(targets.window(target.name, target.capacity) * weights.windowShare))
     },
-    cost (target, prefix, weights) {
-      const share = 1000 * (load(target) + 1) / target.tokensPerSecond
+    cost ({ target, share }, prefix, weights) {
+      shares.set(target, share)
+      const use = weights.load * (load(target) + 1) / target.capacity
+      const congestion = IDLE_SHARE + use + STEEPNESS * use ** 4
       const saving = prefixes.isHeld(prefix, target.name) ? 1 - PREFIX_SAVING : 1
       const suspicion = targets.availability(target.name) === TargetAvailability.Suspect ? SUSPECT_MILLISECONDS : 0
       const role = target.role === EngineRole.Prefill ? PREFILL_ROLE_MILLISECONDS : 0
-      return share * weights.load * saving * slowness(target) + weights.stageMilliseconds + suspicion + role
+      return fullMilliseconds(target) * share * congestion * saving * lag(target) + weights.stageMilliseconds + suspicion + role
     }
   }
 }
 
+/** @returns the time between tokens of a session when a target runs as many as it is declared for, milliseconds. */
+export function fullMilliseconds (target: ManifestTarget): number {
+  return 1000 * target.capacity / target.tokensPerSecond
+}
+
 /** @returns the name under which a target's times are kept. */
 export function targetKey (target: string): string {
   return `target ${target}`
--- a/packages/wigeonlead/src/request/path-search.ts
+++ b/packages/wigeonlead/src/request/path-search.ts
@@ -3,14 +3,16 @@
  */
 import type { StageOption } from '../version/index.js'
 
-/** Costs of a path, in any one unit. */
+/** Costs of a path, in any one unit. Failure domains are given by position. */
 export interface PathCosts {
   /** Cost of a stage by itself; `Infinity` keeps it out. */
   stage: (option: StageOption) => number
-  /** Cost of the way between two failure domains by position. */
-  link: (from: number, to: number) => number
-  /** Position of the failure domain in which the path begins and ends. */
-  home: number
+  /** Cost of the way to the first stage. */
+  enter: (first: number) => number
+  /** Cost of the way from one stage to the next. */
+  pass: (from: number, to: number) => number
+  /** Cost of the way from the last stage back to the first. */
+  close: (last: number, first: number) => number
 }
 
 /** A path with its cost. */
@@ -21,8 +23,9 @@
 
 interface Reached {
   cost: number
+  first: number
   domain: number
-  option?: StageOption
+  option: StageOption
   before?: Reached
 }
 
@@ -31,23 +34,21 @@
  * @param options ordered by their first layer.
  */
 export function cheapestPath (options: readonly StageOption[], layerCount: number, costs: PathCosts): PricedPath | undefined {
-  const reached = new Map<number, Reached[]>([[0, [{ cost: 0, domain: costs.home }]]])
+  const reached = new Map<number, Reached[]>()
   for (const option of options) {
-    const befores = reached.get(option.from)
-    if (befores === undefined) continue
     const own = costs.stage(option)
     if (own === Infinity) continue
-    let best: Reached | undefined
-    for (const before of befores) {
-      const cost = before.cost + own + costs.link(before.domain, option.domain)
-      if (best === undefined || cost < best.cost) best = { cost, domain: option.domain, option, before }
+    const { domain } = option
+    if (option.from === 0) keep(reached, option.to, { cost: costs.enter(domain) + own, first: domain, domain, option })
+    for (const before of reached.get(option.from) ?? []) {
+      const cost = before.cost + own + costs.pass(before.domain, domain)
+      keep(reached, option.to, { cost, first: before.first, domain, option, before })
     }
-    if (best !== undefined) keep(reached, option.to, best)
   }
   let end: Reached | undefined
   let endCost = Infinity
   for (const last of reached.get(layerCount) ?? []) {
-    const cost = last.cost + costs.link(last.domain, costs.home)
+    const cost = last.cost + costs.close(last.domain, last.first)
     if (cost < endCost) [end, endCost] = [last, cost]
   }
   return end === undefined ? undefined : { options: unwind(end), cost: endCost }
@@ -59,13 +60,13 @@
     reached.set(boundary, [candidate])
     return
   }
-  const position = others.findIndex(other => other.domain === candidate.domain)
+  const position = others.findIndex(other => other.domain === candidate.domain && other.first === candidate.first)
   if (position < 0) others.push(candidate)
   else if (candidate.cost < (others[position]?.cost ?? Infinity)) others[position] = candidate
 }
 
 function unwind (end: Reached): StageOption[] {
   const options: StageOption[] = []
-  for (let at: Reached | undefined = end; at?.option !== undefined; at = at.before) options.unshift(at.option)
+  for (let at: Reached | undefined = end; at !== undefined; at = at.before) options.unshift(at.option)
   return options
 }
--- a/packages/wigeonlead/src/request/path.ts
+++ b/packages/wigeonlead/src/request/path.ts
@@ -2,7 +2,7 @@
  * Path choice: an ordered list of stages that covers a model's layers exactly, with no gap and no overlap.
  */
 import {
-  FailureKind, Step, failed, prefixDigest, success,
+  DriverKind, FailureKind, Step, failed, prefixDigest, success,
   type ModelReference, type Outcome, type PathStage, type RandomSource
 } from '@wigeonlead/protocol'
 import type { FirstTokenTimes } from '../process/first-token-times.js'
@@ -11,7 +11,7 @@
 import type { PrefixMemory } from '../process/prefix-memory.js'
 import type { CompiledModel, CompiledVersion, StageOption } from '../version/index.js'
 import { beginPathRun, type PathRun } from './path-run.js'
-import { LEAN_WEIGHTS, linkKey, targetKey, type StageCosts } from './path-cost.js'
+import { LEAN_WEIGHTS, fullMilliseconds, linkKey, targetKey, type StageCosts } from './path-cost.js'
 import { cheapestPath, type PathCosts, type PricedPath } from './path-search.js'
 
 /** What a path is wanted for. */
@@ -50,6 +50,9 @@
 const NEAR_BEST_SHARE = 0.5
 /** Of a full target's time between tokens, what a lightly loaded one takes before anything was observed. */
 const PRIOR_SHARE = 0.5
+/** Tokens of a usual answer, over which the way to the first stage is spread. */
+const USUAL_TOKENS = 64
+const LEAST_LINK_MILLISECONDS = 0.01
 
 /** Makes a path chooser. */
 export function createPathChooser (parts: PathChooserParts): PathChooser {
@@ -69,25 +72,25 @@
     follow ({ version, model, prompt }, stages, characters) {
       const prefix = prefixDigest(prompt)
       for (const stage of stages) parts.prefixes.remember(prefix, stage.target)
-      const pathParts = partsOf(version, stages, parts.failureDomain)
+      const pathParts = partsOf(version, model.model.driver, stages, parts.failureDomain)
       return beginPathRun(parts, { version, model: model.model.name, stages, pathParts, characters })
     }
   }
 }
 
-function partsOf (version: CompiledVersion, stages: PathStage[], home: string): PathPart[] {
-  const all: PathPart[] = []
-  let before = home
-  for (const stage of stages) {
-    const target = version.targets.get(stage.target)
-    const domain = target?.failureDomain ?? before
-    all.push(linkPart(version, before, domain))
-    const full = target === undefined ? 1 : 1000 * target.capacity / target.tokensPerSecond
-    all.push({ key: targetKey(stage.target), priorMilliseconds: full * PRIOR_SHARE })
-    before = domain
-  }
-  all.push(linkPart(version, before, home))
-  return all
+/** The targets and links that a token passes on a path, for its times. */
+function partsOf (version: CompiledVersion, driver: DriverKind, stages: PathStage[], home: string): PathPart[] {
+  const domains = stages.map(stage => version.targets.get(stage.target)?.failureDomain ?? home)
+  const layers = stages.at(-1)?.layers.to ?? 1
+  const targets = stages.map(({ target: name, layers: { from, to } }) => {
+    const target = version.targets.get(name)
+    const full = target === undefined ? 1 : fullMilliseconds(target) * (to - from) / layers
+    return { key: targetKey(name), priorMilliseconds: full * PRIOR_SHARE }
+  })
+  const links = domains.map((domain, position) => driver === DriverKind.Stream
+    ? linkPart(version, domain, domains[(position + 1) % domains.length] ?? domain, 1)
+    : linkPart(version, home, domain, 2))
+  return [...targets, ...links]
 }
 
 function costsOf (parts: PathChooserParts, query: PathQuery): PathCosts {
@@ -96,23 +99,41 @@
   const prefix = prefixDigest(query.prompt)
   const priced = new Map<string, number>()
   const names = version.manifest.failureDomains
-  return {
-    home: version.domains.get(parts.failureDomain) ?? 0,
-    link: (from, to) => {
-      const observed = from === to ? undefined : parts.times.estimate(linkKey(names[from] ?? '', names[to] ?? ''))
-      return (observed ?? version.linkMilliseconds(from, to)) * weights.link
-    },
-    stage (option) {
-      const { target } = option
-      if (query.needsRoom === true && !parts.costs.hasRoom(target, weights)) return Infinity
-      let cost = priced.get(target.name)
-      if (cost === undefined) {
-        cost = parts.costs.cost(target, prefix, weights)
-        priced.set(target.name, cost)
-      }
-      return cost
+  const home = version.domains.get(parts.failureDomain) ?? 0
+
+  function link (from: number, to: number): number {
+    const observed = from === to ? undefined : parts.times.estimate(linkKey(names[from] ?? '', names[to] ?? ''))
+    return (observed ?? version.linkMilliseconds(from, to)) * weights.link
+  }
+
+  function stage (option: StageOption): number {
+    const { target } = option
+    let cost = priced.get(target.name)
+    if (cost === undefined) {
+      const isFull = query.needsRoom === true && !parts.costs.hasRoom(target, weights)
+      cost = isFull ? Infinity : parts.costs.cost(option, prefix, weights)
+      priced.set(target.name, cost)
     }
+    return cost
   }
+
+  return { stage, ...LINK_COSTS[query.model.model.driver](link, home) }
+}
+
+type LinkCosts = Pick<PathCosts, 'enter' | 'pass' | 'close'>
+
+/** With engines that forward, a token goes round the stages; with steps, the router stands between them. */
+const LINK_COSTS: Record<DriverKind, (link: (from: number, to: number) => number, home: number) => LinkCosts> = {
+  [DriverKind.Stream]: (link, home) => ({
+    enter: first => 2 * link(home, first) / USUAL_TOKENS,
+    pass: link,
+    close: link
+  }),
+  [DriverKind.Step]: (link, home) => ({
+    enter: first => 2 * link(home, first),
+    pass: (_, to) => 2 * link(home, to),
+    close: () => 0
+  })
 }
 
 function withoutCostliest (
@@ -130,9 +151,9 @@
     !query.version.isTargetStopping(option.target.name, Date.now())
 }
 
-function linkPart (version: CompiledVersion, from: string, to: string): PathPart {
+function linkPart (version: CompiledVersion, from: string, to: string, times: number): PathPart {
   const delay = version.linkMilliseconds(version.domains.get(from) ?? 0, version.domains.get(to) ?? 0)
-  return { key: linkKey(from, to), priorMilliseconds: Math.max(delay, 0.01) }
+  return { key: linkKey(from, to), priorMilliseconds: Math.max(delay, LEAST_LINK_MILLISECONDS), times }
 }
 
 function noPath (query: PathQuery) {
--- a/packages/wigeonlead/src/version/compile.ts
+++ b/packages/wigeonlead/src/version/compile.ts
@@ -15,6 +15,8 @@
   to: number
   /** Position of the target's failure domain in the manifest. */
   domain: number
+  /** Share of the model's layers. */
+  share: number
 }
 
 /** A model with the targets that hold parts of it. */
@@ -85,7 +87,8 @@
     adapters: part.adapters,
     from: part.layers[0],
     to: part.layers[1],
-    domain: domains.get(target.failureDomain) ?? 0
+    domain: domains.get(target.failureDomain) ?? 0,
+    share: (part.layers[1] - part.layers[0]) / model.layers
   })))
   options.sort((left, right) => left.from - right.from)
   return { model, options, defaultVersion: model.defaultVersion ?? model.versions.at(-1) ?? '' }
--- a/packages/wigeonlead/test/properties/index.ts
+++ b/packages/wigeonlead/test/properties/index.ts
@@ -2,6 +2,7 @@
  * Every property, for the default run and for `npm run explore`.
  */
 import type { PromiseProperty } from './property.js'
+import { RESUMPTION } from './resumption.js'
 
 /** The properties in the order in which they run. */
-export const PROPERTIES: PromiseProperty[] = []
+export const PROPERTIES: PromiseProperty[] = [RESUMPTION]
--- /dev/null
+++ b/packages/wigeonlead/test/routing-parts.ts
@@ -0,0 +1,79 @@
+/**
+ * The parts of a router that a generation uses, for tests: the real ones over an engine port and a manifest.
+ */
+import type { EnginePort, Manifest } from '@wigeonlead/protocol'
+import { createFirstTokenTimes } from '../src/process/first-token-times.js'
+import { SILENT_LOGGER, createMetrics, createSeededRandom, createTargetBoard, type TargetBoard } from '../src/process/index.js'
+import { createPathTimes } from '../src/process/path-times.js'
+import { createPrefixMemory } from '../src/process/prefix-memory.js'
+import { createRetryBudget } from '../src/process/retry-budget.js'
+import {
+  createAdmission, createPathChooser, createStageCosts, type GenerationOrder, type PathChooser, type RequestContext
+} from '../src/request/index.js'
+import { compileVersion, type CompiledVersion } from '../src/version/index.js'
+
+/** What the parts are made of. */
+export interface RoutingPartsOptions {
+  engines: EnginePort
+  manifest: Manifest
+  seed?: number
+}
+
+/** A generation as a test wants it. */
+export interface WantedGeneration {
+  model: string
+  version: string
+  prompt: string
+  maximumTokens: number
+  signal: AbortSignal
+  deadlineAt: number
+}
+
+/** The parts, and what begins a request on them. */
+export interface RoutingParts {
+  version: CompiledVersion
+  targets: TargetBoard
+  paths: PathChooser
+  request: (wanted: WantedGeneration) => { context: RequestContext, order: GenerationOrder }
+}
+
+/** Makes the parts. */
+export function createRoutingParts ({ engines, manifest, seed = 1 }: RoutingPartsOptions): RoutingParts {
+  const version = compileVersion({ generation: 1, parts: [], stops: [], nonce: 'n', publishedAtMilliseconds: 0 }, manifest)
+  const random = createSeededRandom(seed)
+  const targets = createTargetBoard({ groupOf: version.groupOf })
+  const times = createPathTimes()
+  const prefixes = createPrefixMemory()
+  const costs = createStageCosts({ targets, reports: { load: () => undefined }, times, prefixes })
+  const failureDomain = manifest.failureDomains[0] ?? ''
+  const paths = createPathChooser({ targets, random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes })
+  const parts = {
+    engines,
+    services: { call: async () => { throw new Error('no services here') } },
+    random,
+    targets,
+    paths,
+    admission: createAdmission(),
+    claims: { run: async () => { throw new Error('no claims here') } },
+    retries: createRetryBudget(),
+    metrics: createMetrics(),
+    logger: SILENT_LOGGER,
+    failureDomain,
+    defaultDeadlineMilliseconds: 60_000
+  } as unknown as RequestContext['parts']
+
+  return {
+    version,
+    targets,
+    paths,
+    request ({ model: name, version: modelVersion, prompt, maximumTokens, signal, deadlineAt }) {
+      const model = version.models.get(name)
+      const workspace = manifest.workspaces[0]
+      if (model === undefined || workspace === undefined) throw new Error('the manifest lacks the model or a workspace')
+      return {
+        context: { parts, version, versionInForce: () => version, workspace, signal, deadlineAt, priority: 1 },
+        order: { model, reference: { model: name, version: modelVersion }, prompt, maximumTokens }
+      }
+    }
+  }
+}
