--- a/packages/stand-ins/src/bench/baselines.ts
+++ b/packages/stand-ins/src/bench/baselines.ts
@@ -84,8 +84,14 @@
 }
 
 function chooseStagewise (parts: PathPolicyParts, query: PathQuery, pick: Pick): Outcome<PathStage[]> {
+  const struck = new Set(query.strikes?.keys())
+  const sound = struck.size === 0 ? undefined : tryStagewise(parts, query, pick, struck)
+  return sound?.ok === true ? sound : tryStagewise(parts, query, pick, new Set())
+}
+
+function tryStagewise (parts: PathPolicyParts, query: PathQuery, pick: Pick, avoided: ReadonlySet<string>): Outcome<PathStage[]> {
   const { layers } = query.model.model
-  const usable = query.model.options.filter(({ target }) => !query.excluded.has(target.name) &&
+  const usable = query.model.options.filter(({ target }) => !query.excluded.has(target.name) && !avoided.has(target.name) &&
     (query.needsRoom !== true || parts.targets.inFlight(target.name) < parts.targets.window(target.name, target.capacity)))
   const leading = new Set([layers])
   for (const option of [...usable].reverse()) if (leading.has(option.to)) leading.add(option.from)
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -2,7 +2,7 @@
  * The one construction module: makes a router of its settings and its ports.
  */
 import {
-  PeerMethod,
+  MemberState, PeerMethod,
   type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
 } from '@wigeonlead/protocol'
 import {
@@ -89,7 +89,7 @@
     onReport: prefixes.learn
   })
   const times = createPathTimes()
-  const costs = createStageCosts({ targets, reports, times, prefixes })
+  const costs = createStageCosts({ targets, reports, times, prefixes, random: ports.random, nodes: countNodes })
   const paths = (options.createPaths ?? createPathChooser)({
     targets, random: ports.random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes, reports
   })
@@ -110,6 +110,10 @@
   }, configuration.current)
   let isLeaving = false
 
+  function countNodes (): number {
+    return Math.max(1, membership.members().filter(member => member.state === MemberState.Alive).length)
+  }
+
   function status (): NodeStatus {
     const current = configuration.current()
     const sections = {
--- a/packages/wigeonlead/src/request/admission.ts
+++ b/packages/wigeonlead/src/request/admission.ts
@@ -7,6 +7,7 @@
 } from '@wigeonlead/protocol'
 import { createFairQueue, type FairQueue, type QueuedItem } from './admission-queue.js'
 import { createLimits } from './admission-limits.js'
+import { createShares } from './admission-shares.js'
 
 /** What is asked for at admission. */
 export interface AdmissionRequest {
@@ -28,6 +29,8 @@
 
 /** A request that was let in. */
 export interface AdmissionTicket {
+  /** The workspace runs more than its share while others run too: its work yields to theirs. */
+  isOverShare: boolean
   /** Ends the request. @param tokens that it really took. */
   release: (tokens?: number) => void
 }
@@ -69,6 +72,7 @@
 /** Makes an admission with empty queues. */
 export function createAdmission (parts: AdmissionParts = {}): Admission {
   const resources = new Map<string, ResourceState>()
+  const shares = createShares()
   const limits = createLimits(parts.shareOf ?? (() => 1))
   let timer: NodeJS.Timeout | undefined
 
@@ -86,11 +90,14 @@
     const expected = request.tokens ?? 1
     let isOpen = true
     state.running += 1
+    shares.begin(request.workspace)
     return {
+      isOverShare: shares.isOver(request.workspace),
       release (tokens = expected) {
         if (!isOpen) return
         isOpen = false
         state.running -= 1
+        shares.end(request.workspace)
         limits.settle(request.workspace, expected, tokens)
         recordEnd(state, tokens, Date.now() - startedAt)
         wake()
--- a/packages/wigeonlead/src/request/completion.ts
+++ b/packages/wigeonlead/src/request/completion.ts
@@ -30,6 +30,8 @@
 const chatSchema = commonSchema.extend({
   messages: z.array(z.object({ role: z.enum(['system', 'user', 'assistant']), content: z.string() })).min(1)
 })
+/** Added to the priority of a workspace that runs more than its share, so that engines serve the others first. */
+const YIELDING_PRIORITY = 4
 const DEFAULT_MAXIMUM_TOKENS = 256
 
 /** A completion request that was read and may be served. */
@@ -53,6 +55,7 @@
     start: start.tryStart
   })
   if (!admitted.ok) return problemResponse(start.problem ?? refuseAdmission(admitted.failure))
+  if (admitted.value.isOverShare) start.context = { ...start.context, priority: start.context.priority + YIELDING_PRIORITY }
   return await answerAdmitted(start, parsed.stream, shape, admitted.value.release)
 }
 
--- a/packages/wigeonlead/src/request/generation-epoch.ts
+++ b/packages/wigeonlead/src/request/generation-epoch.ts
@@ -79,6 +79,8 @@
   return toEvent(awaited, request)
 }
 
+const STALLED = { interruption: Interruption.Stalled } as const
+
 /** Without a stage to blame, a second try is taken from the retry budget: a slow path in an overload is waited for instead. */
 async function waitOutStall (
   context: RequestContext, next: Promise<IteratorResult<EngineEvent>>, request: GenerationRequest, timeout: number, watch: Watch
@@ -86,10 +88,11 @@
   const { engines, retries } = context.parts
   const probing = probeStages(engines, request.stages).then(blamed => ({ blamed }))
   const probed = await watch.wait(Promise.race([next, probing]), timeout + PROBE_TIMEOUT_MILLISECONDS)
-  if (probed.interruption === undefined && 'blamed' in probed.value && probed.value.blamed.length > 0) {
-    return stalled(request, timeout, probed.value.blamed)
+  if (probed.interruption === undefined) {
+    if (!('blamed' in probed.value)) return toEvent({ interruption: undefined, value: probed.value }, request)
+    if (probed.value.blamed.length > 0) return stalled(request, timeout, probed.value.blamed)
   }
-  let awaited = await watch.wait(next, timeout)
+  let awaited: Awaited<IteratorResult<EngineEvent>> = request.epoch > 0 ? STALLED : await watch.wait(next, timeout)
   for (let longer = timeout * 2; awaited.interruption === Interruption.Stalled; longer *= 2) {
     if (retries.take(request.model)) return stalled(request, timeout, [])
     awaited = await watch.wait(next, longer)
--- a/packages/wigeonlead/src/request/generation.ts
+++ b/packages/wigeonlead/src/request/generation.ts
@@ -43,6 +43,9 @@
 const MOST_FRUITLESS_EPOCHS = 10
 /** Fruitless epochs before the next one is held back. */
 const EPOCHS_AT_ONCE = 2
+/** A target that is known to have failed counts as much as so many failures that it may have caused. */
+const BLAMED_STRIKES = 3
+const NONE: ReadonlySet<string> = new Set()
 const FIRST_PAUSE_MILLISECONDS = 25
 const LONGEST_PAUSE_MILLISECONDS = 1000
 
@@ -59,7 +62,8 @@
 interface Progress {
   session: string
   delivered: Token[]
-  excluded: Set<string>
+  /** How often each target was part of a failure. */
+  strikes: Map<string, number>
   epoch: number
   /** Epochs in a row without a token. */
   fruitless: number
@@ -70,7 +74,7 @@
 async function * runEpochs (context: RequestContext, order: GenerationOrder, watch: Watch): AsyncGenerator<Delivery> {
   const { parts } = context
   const progress: Progress = {
-    session: parts.random.nextNonce(), delivered: [], excluded: new Set(), epoch: 0, fruitless: 0, wasSent: false
+    session: parts.random.nextNonce(), delivered: [], strikes: new Map(), epoch: 0, fruitless: 0, wasSent: false
   }
   parts.retries.recordFirstTry(order.reference.model)
   for (; ; progress.epoch += 1) {
@@ -94,11 +98,7 @@
 function choosePath (context: RequestContext, order: GenerationOrder, progress: Progress): Outcome<PathStage[]> {
   if (progress.epoch === 0 && order.firstPath !== undefined) return { ok: true, value: order.firstPath }
   const { model, reference, prompt } = order
-  const query = { version: context.version, model, reference, prompt, excluded: progress.excluded }
-  const path = context.parts.paths.choose(query)
-  if (path.ok || progress.excluded.size === 0) return path
-  progress.excluded.clear()
-  return context.parts.paths.choose(query)
+  return context.parts.paths.choose({ version: context.version, model, reference, prompt, excluded: NONE, strikes: progress.strikes })
 }
 
 async function * deliverEpoch (
@@ -125,7 +125,11 @@
   const { failure } = end
   const blamed = end.blamed ?? await findFailedTargets(engines, stages, failure)
   for (const target of blamed) targets.recordFailure(target, failure)
-  for (const target of blamed.length > 0 ? blamed : stages.map(stage => stage.target)) progress.excluded.add(target)
+  const isUnclear = blamed.length === 0 || failure.kind === FailureKind.TimedOut
+  for (const { target } of stages) {
+    const strikes = blamed.includes(target) ? BLAMED_STRIKES : isUnclear ? 1 : 0
+    if (strikes > 0) progress.strikes.set(target, (progress.strikes.get(target) ?? 0) + strikes)
+  }
   progress.lastFailure = failure
   metrics.count('stage_failures_total', { kind: failure.kind })
   const { peer, step, kind, detail } = failure
--- a/packages/wigeonlead/src/request/path-cost.ts
+++ b/packages/wigeonlead/src/request/path-cost.ts
@@ -2,7 +2,7 @@
  * What a stage costs a request, in milliseconds a token: its share of a busy accelerator, the lag that was observed, less the
  * prefill that a held prompt prefix saves.
  */
-import { EngineRole, RoutingLean, type ManifestTarget } from '@wigeonlead/protocol'
+import { EngineRole, RoutingLean, type ManifestTarget, type RandomSource } from '@wigeonlead/protocol'
 import type { PathTimes } from '../process/path-times.js'
 import type { PrefixMemory } from '../process/prefix-memory.js'
 import type { Reports } from '../process/reports.js'
@@ -32,13 +32,19 @@
   reports: Pick<Reports, 'load'>
   times: PathTimes
   prefixes: PrefixMemory
+  random: RandomSource
+  /** Entry VMs that share the targets, this one included. */
+  nodes: () => number
 }
 
 /** Costs of a stage. */
 export interface StageCosts {
   /** @returns requests at a target, this node's and others'. */
   load: (target: ManifestTarget) => number
-  /** Whether this node may start one more request at a target. */
+  /**
+   * Whether this node may start one more request at a target: while the target's window has room, and always within this node's
+   * even share of it, so that nodes which hold the window don't keep the others out.
+   */
   hasRoom: (target: ManifestTarget, weights: LeanWeights) => boolean
   /** @returns the cost of a stage, milliseconds a token. */
   cost: (option: StageOption, prefix: string, weights: LeanWeights) => number
@@ -60,7 +66,7 @@
 const STEEPNESS = 2
 
 /** Makes the costs of stages. */
-export function createStageCosts ({ targets, reports, times, prefixes }: StageCostParts): StageCosts {
+export function createStageCosts ({ targets, reports, times, prefixes, random, nodes }: StageCostParts): StageCosts {
   const shares = new WeakMap<ManifestTarget, number>()
 
   function load (target: ManifestTarget): number {
@@ -83,7 +89,8 @@
     load,
     slowness,
     hasRoom (target, weights) {
-      return load(target) < Math.max(1, Math.floor(targets.window(target.name, target.capacity) * weights.windowShare))
+      const window = Math.max(1, Math.floor(targets.window(target.name, target.capacity) * weights.windowShare))
+      return load(target) < window || targets.inFlight(target.name) + random.nextFloat() < window / nodes()
     },
     cost ({ target, share }, prefix, weights) {
       shares.set(target, share)
--- a/packages/wigeonlead/src/request/path.ts
+++ b/packages/wigeonlead/src/request/path.ts
@@ -22,6 +22,8 @@
   prompt: string
   /** Targets that failed for this request. */
   excluded: ReadonlySet<string>
+  /** How often targets were part of a failure of this request; they are used only where nothing else serves. */
+  strikes?: ReadonlyMap<string, number>
   /** Only targets whose window has room. */
   needsRoom?: boolean
 }
@@ -52,6 +54,9 @@
 const PRIOR_SHARE = 0.5
 /** Tokens of a usual answer, over which the way to the first stage is spread. */
 const USUAL_TOKENS = 64
+const STRIKE_MILLISECONDS = 20_000
+/** By how much a path of another failure domain has to be quicker before it is taken, milliseconds a token. */
+const SPILL_OVER_MILLISECONDS = 2
 const LEAST_LINK_MILLISECONDS = 0.01
 
 /** Makes a path chooser. */
@@ -111,7 +116,8 @@
     let cost = priced.get(target.name)
     if (cost === undefined) {
       const isFull = query.needsRoom === true && !parts.costs.hasRoom(target, weights)
-      cost = isFull ? Infinity : parts.costs.cost(option, prefix, weights)
+      const strikes = (query.strikes?.get(target.name) ?? 0) * STRIKE_MILLISECONDS
+      cost = isFull ? Infinity : parts.costs.cost(option, prefix, weights) + strikes
       priced.set(target.name, cost)
     }
     return cost
@@ -125,17 +131,21 @@
 /** With engines that forward, a token goes round the stages; with steps, the router stands between them. */
 const LINK_COSTS: Record<DriverKind, (link: (from: number, to: number) => number, home: number) => LinkCosts> = {
   [DriverKind.Stream]: (link, home) => ({
-    enter: first => 2 * link(home, first) / USUAL_TOKENS,
+    enter: first => 2 * link(home, first) / USUAL_TOKENS + spillOver(home, first),
     pass: link,
     close: link
   }),
   [DriverKind.Step]: (link, home) => ({
-    enter: first => 2 * link(home, first),
+    enter: first => 2 * link(home, first) + spillOver(home, first),
     pass: (_, to) => 2 * link(home, to),
     close: () => 0
   })
 }
 
+function spillOver (home: number, first: number): number {
+  return first === home ? 0 : SPILL_OVER_MILLISECONDS
+}
+
 function withoutCostliest (
   options: readonly StageOption[], layers: number, costs: PathCosts, best: PricedPath
 ): PricedPath | undefined {
--- a/packages/wigeonlead/test/routing-parts.ts
+++ b/packages/wigeonlead/test/routing-parts.ts
@@ -44,7 +44,7 @@
   const targets = createTargetBoard({ groupOf: version.groupOf })
   const times = createPathTimes()
   const prefixes = createPrefixMemory()
-  const costs = createStageCosts({ targets, reports: { load: () => undefined }, times, prefixes })
+  const costs = createStageCosts({ targets, reports: { load: () => undefined }, times, prefixes, random, nodes: () => 1 })
   const failureDomain = manifest.failureDomains[0] ?? ''
   const paths = createPathChooser({ targets, random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes })
   const parts = {
