--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,7 +6,10 @@
 export { createMemoryKeyValue, KeyValueFault, type MemoryKeyValueOptions } from './platform/memory.js'
 export { loopbackVm, startKeyValueServer, startVmListServer, type KeyValueServerOptions } from './platform/server.js'
 export {
-  createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry
+  PeerFault, createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerOptions, type MemoryPeerTraffic, type PeerCall
+} from './peers/memory.js'
+export {
+  createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry, type OrderLedgerEntry
 } from './engine/core.js'
 export { createMemoryEngines, type MemoryEnginesOptions } from './engine/memory.js'
 export type { AcceleratorTiming } from './engine/accelerator.js'
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -9,18 +9,21 @@
   createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts,
   type CallerHandler, type PathChooser, type PathChooserParts
 } from '../request/index.js'
-import { createConfiguration } from './configuration.js'
+import { createConfiguration } from './configuration/index.js'
 import { createFirstTokenTimes } from './first-token-times.js'
 import { createInFlight } from './in-flight.js'
-import { SILENT_LOGGER, type Logger } from './logging.js'
-import { createMembership } from './membership.js'
+import { createLeaving } from './leaving/index.js'
+import { LogEvent, SILENT_LOGGER, type Logger } from './logging.js'
+import { createMembership } from './membership/index.js'
 import { createMetrics } from './metrics.js'
 import { createPathTimes } from './path-times.js'
 import { createPrefixMemory } from './prefix-memory.js'
+import { createReconciler } from './reconciler/index.js'
 import { createReports, type Reports } from './reports.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
-import { createTargetBoard } from './targets.js'
+import { createShutdown, type CloseListener } from './shutdown.js'
+import { TargetAvailability, createTargetBoard } from './targets.js'
 
 /** Every outside contact of a router. Time comes from the runtime's clock. */
 export interface RouterPorts {
@@ -44,7 +47,10 @@
   renderMetrics: () => string
   status: () => NodeStatus
   /** Says that this node is leaving, waits for the balancer's lag and for every request in flight, then stops. */
-  shutdown: () => Promise<void>
+  shutdown: (closeListener?: CloseListener) => Promise<void>
+  isLeaving: () => boolean
+  /** Calls back once when a planned stop of this entry VM begins. */
+  onPlannedStop: (callback: () => void) => void
   /** Stops at once, as a death would. */
   halt: () => void
 }
@@ -65,16 +71,30 @@
   const { failureDomain, vm } = settings.node
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
-  const inFlight = createInFlight()
-  const configuration = createConfiguration({ keyValue: ports.keyValue, logger })
-  const targets = createTargetBoard({ groupOf: target => configuration.current()?.groupOf(target) ?? [] })
+  const inFlight = createInFlight(({ method, url }) => logger.warn(LogEvent.RequestCutOff, { method, path: url.split('?')[0] }))
   const membership = createMembership({
     peers: ports.peers,
     address: settings.listen.peers,
     vm,
     failureDomain,
     seeds: settings.peers.seeds,
-    generation: () => configuration.current()?.head.generation ?? 0
+    generation: (): number => configuration.current()?.head.generation ?? 0,
+    random: ports.random,
+    vmList: ports.vmList,
+    logger
+  })
+  const configuration = createConfiguration({
+    keyValue: ports.keyValue,
+    peers: ports.peers,
+    membership,
+    vmList: ports.vmList,
+    seeds: settings.peers.seeds,
+    random: ports.random,
+    logger
+  })
+  const targets = createTargetBoard({
+    groupOf: target => configuration.current()?.groupOf(target) ?? [],
+    onSuspect: target => membership.announceTarget(target, MemberState.Suspect)
   })
   const prefixes = createPrefixMemory()
   const reports = createReports({
@@ -86,14 +106,34 @@
     members: membership.members,
     current: configuration.current,
     inFlightAt: targets.inFlightAt,
-    onReport: prefixes.learn
+    onReport (report) {
+      prefixes.learn(report)
+      targets.noteHeld(report)
+    }
   })
   const times = createPathTimes()
-  const costs = createStageCosts({ targets, reports, times, prefixes, random: ports.random, nodes: countNodes })
+  const costs = createStageCosts({ targets, reports, times, prefixes, random: ports.random, nodes: membership.aliveNodes })
   const paths = (options.createPaths ?? createPathChooser)({
     targets, random: ports.random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes, reports
   })
-  const admission = createAdmission()
+  const admission = createAdmission({ shareOf: workspace => membership.demandOf(workspace).share })
+  membership.setDemandSource(admission.demand)
+  membership.onTargetEvent(event => {
+    if (event.state === MemberState.Suspect) targets.setState(event.target, event.state)
+  })
+  const reconciler = createReconciler({
+    keyValue: ports.keyValue,
+    engines: ports.engines,
+    random: ports.random,
+    logger,
+    settings: settings.reconciler,
+    failureDomain,
+    address: settings.listen.peers,
+    members: membership.members,
+    current: configuration.current,
+    isLeaving: target => targets.availability(target) === TargetAvailability.Leaving,
+    onReport: targets.noteHeld
+  })
   const handle = createCallerHandler({
     engines: ports.engines,
     services: ports.services,
@@ -108,11 +148,18 @@
     failureDomain,
     defaultDeadlineMilliseconds: settings.callers.defaultDeadlineMilliseconds
   }, configuration.current)
-  let isLeaving = false
-
-  function countNodes (): number {
-    return Math.max(1, membership.members().filter(member => member.state === MemberState.Alive).length)
-  }
+  const leaving = createLeaving({
+    vmList: ports.vmList,
+    announcements: { announceTarget: () => {}, onTargetEvent: () => () => {} },
+    logger,
+    vm,
+    failureDomain,
+    address: settings.listen.peers,
+    members: membership.members,
+    current: configuration.current,
+    setState: targets.setState
+  })
+  const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: reconciler.release, halt })
 
   function status (): NodeStatus {
     const current = configuration.current()
@@ -120,6 +167,8 @@
       generation: current?.head.generation ?? 0,
       requestsInFlight: inFlight.count(),
       members: membership.members(),
+      reconciler: reconciler.status(),
+      leaving: leaving.status(),
       targets: [...current?.targets.keys() ?? []].map(name => ({
         name, availability: targets.availability(name), inFlight: targets.inFlight(name)
       }))
@@ -128,6 +177,8 @@
   }
 
   function halt (): void {
+    reconciler.stop()
+    leaving.stop()
     configuration.stop()
     membership.stop()
     reports.stop()
@@ -136,6 +187,9 @@
   metrics.gauge('requests_in_flight', inFlight.count)
   metrics.gauge('requests_waiting', admission.waiting)
   metrics.gauge('configuration_generation', () => configuration.current()?.head.generation ?? 0)
+  metrics.gauge('control_sent_bytes', () => ports.peers.traffic?.().sentBytes ?? 0)
+  metrics.gauge('control_received_bytes', () => ports.peers.traffic?.().receivedBytes ?? 0)
+  metrics.gauge('members_of_failure_domain', () => membership.membersOfDomain().length)
   ports.peers.serve({ ...configuration.handlers, ...membership.handlers, ...reports.handlers, [PeerMethod.Status]: async () => status() })
 
   return {
@@ -144,17 +198,15 @@
       configuration.start()
       membership.start()
       reports.start()
+      reconciler.start()
+      leaving.start()
     },
-    isReady: () => !isLeaving && configuration.current() !== undefined,
+    isReady: () => !shutdown.isLeaving() && configuration.current() !== undefined,
     renderMetrics: metrics.render,
     status,
-    async shutdown () {
-      isLeaving = true
-      membership.leave()
-      await new Promise(resolve => setTimeout(resolve, settings.shutdown.balancerLagMilliseconds))
-      await inFlight.whenIdle()
-      halt()
-    },
+    shutdown: shutdown.begin,
+    isLeaving: shutdown.isLeaving,
+    onPlannedStop: leaving.onOwnStop,
     halt
   }
 }
--- a/packages/wigeonlead/src/request/admission.ts
+++ b/packages/wigeonlead/src/request/admission.ts
@@ -38,6 +38,8 @@
 /** Lets requests in. */
 export interface Admission {
   admit: (request: AdmissionRequest) => Promise<Outcome<AdmissionTicket>>
+  /** Requests a second that each workspace asked for lately. */
+  demand: () => Record<string, number>
   /** Requests that wait. */
   waiting: () => number
   /** Tries the waiting requests again, for example when another version is in force. */
@@ -179,6 +181,7 @@
 
   return {
     admit,
+    demand: limits.demand,
     waiting: () => [...resources.values()].reduce((sum, state) => sum + state.queue.size(), 0),
     wake
   }
--- a/packages/wigeonlead/src/request/path-cost.ts
+++ b/packages/wigeonlead/src/request/path-cost.ts
@@ -53,6 +53,7 @@
 }
 
 const SUSPECT_MILLISECONDS = 10_000
+const COUNT_INTERVAL_MILLISECONDS = 1000
 const PREFILL_ROLE_MILLISECONDS = 1000
 /** Share of a stage's cost that a held prefix saves: the prefill over an answer of usual length. */
 const PREFIX_SAVING = 0.25
@@ -68,6 +69,13 @@
 /** Makes the costs of stages. */
 export function createStageCosts ({ targets, reports, times, prefixes, random, nodes }: StageCostParts): StageCosts {
   const shares = new WeakMap<ManifestTarget, number>()
+  const count = { nodes: 1, at: -Infinity }
+
+  function countNodes (): number {
+    const now = Date.now()
+    if (now - count.at >= COUNT_INTERVAL_MILLISECONDS) Object.assign(count, { nodes: Math.max(1, nodes()), at: now })
+    return count.nodes
+  }
 
   function load (target: ManifestTarget): number {
     const known = reports.load(target.name)
@@ -90,7 +98,7 @@
     slowness,
     hasRoom (target, weights) {
       const window = Math.max(1, Math.floor(targets.window(target.name, target.capacity) * weights.windowShare))
-      return load(target) < window || targets.inFlight(target.name) + random.nextFloat() < window / nodes()
+      return load(target) < window || targets.inFlight(target.name) + random.nextFloat() < window / countNodes()
     },
     cost ({ target, share }, prefix, weights) {
       shares.set(target, share)
--- a/packages/wigeonlead/src/request/path.ts
+++ b/packages/wigeonlead/src/request/path.ts
@@ -54,6 +54,8 @@
 const PRIOR_SHARE = 0.5
 /** Tokens of a usual answer, over which the way to the first stage is spread. */
 const USUAL_TOKENS = 64
+/** A target whose last report did not show the part; it may hold it by now. */
+const MISSING_MILLISECONDS = 50_000
 const STRIKE_MILLISECONDS = 20_000
 /** By how much a path of another failure domain has to be quicker before it is taken, milliseconds a token. */
 const SPILL_OVER_MILLISECONDS = 2
@@ -117,7 +119,9 @@
     if (cost === undefined) {
       const isFull = query.needsRoom === true && !parts.costs.hasRoom(target, weights)
       const strikes = (query.strikes?.get(target.name) ?? 0) * STRIKE_MILLISECONDS
-      cost = isFull ? Infinity : parts.costs.cost(option, prefix, weights) + strikes
+      const isMissing = parts.targets.holds(target.name, query.reference, option) === false
+      const missing = isMissing ? MISSING_MILLISECONDS : 0
+      cost = isFull ? Infinity : parts.costs.cost(option, prefix, weights) + strikes + missing
       priced.set(target.name, cost)
     }
     return cost
--- a/packages/wigeonlead/test/properties/index.ts
+++ b/packages/wigeonlead/test/properties/index.ts
@@ -2,7 +2,8 @@
  * Every property, for the default run and for `npm run explore`.
  */
 import type { PromiseProperty } from './property.js'
+import { reconcilerProperty } from './reconciler.js'
 import { RESUMPTION } from './resumption.js'
 
 /** The properties in the order in which they run. */
-export const PROPERTIES: PromiseProperty[] = [RESUMPTION]
+export const PROPERTIES: PromiseProperty[] = [reconcilerProperty, RESUMPTION]
