Room by even shares of what the last report showed free; sparse workspaces first in the round

Cause: routers that acted on the same late report overfilled targets together (trial of a flood at 200 %: 80 to 120 sessions at targets of 28 to 42, then 2 s in which nothing started), and a workspace's first request waited for a whole round.

--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -66,6 +66,8 @@
   createPaths?: (parts: PathPolicyParts) => PathChooser
 }
 
+const LEAST_COMPETITORS = 3
+
 /** Makes a router. */
 export function createRouter (settings: Settings, ports: RouterPorts, options: RouterOptions = {}): Router {
   const { failureDomain, vm } = settings.node
@@ -112,7 +114,7 @@
     }
   })
   const times = createPathTimes()
-  const costs = createStageCosts({ targets, reports, times, prefixes, random: ports.random, nodes: membership.aliveNodes })
+  const costs = createStageCosts({ targets, reports, times, prefixes, random: ports.random, nodes: countCompetitors })
   const paths = (options.createPaths ?? createPathChooser)({
     targets, random: ports.random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes, reports
   })
@@ -161,6 +163,12 @@
   })
   const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: reconciler.release, halt })
 
+  /** Entry VMs use the targets of their own failure domain first; where it has few of them, those of others count as well. */
+  function countCompetitors (domain: string): number {
+    const own = membership.aliveMembersOfDomain().length
+    return domain === failureDomain && own >= LEAST_COMPETITORS ? own : membership.aliveNodes()
+  }
+
   function status (): NodeStatus {
     const current = configuration.current()
     const sections = {
--- a/packages/wigeonlead/src/request/admission-queue.ts
+++ b/packages/wigeonlead/src/request/admission-queue.ts
@@ -11,6 +11,8 @@
   priority: number
   /** What the item takes of its workspace's share, in any one unit. */
   cost: number
+  /** The workspace runs no more than its share: its first item goes before those that wait in the round. */
+  isWithinShare?: boolean
 }
 
 /** A fair queue. */
@@ -35,6 +37,8 @@
   items: T[][]
   count: number
   cost: number
+  /** The workspace got its quantum of this round. */
+  isServed: boolean
 }
 
 /** Makes an empty queue with its bounds. */
@@ -47,9 +51,10 @@
     let queue = workspaces.get(item.workspace)
     if (count >= mostItems || (queue?.count ?? 0) >= mostItemsAWorkspace) return false
     if (queue === undefined) {
-      queue = { weight: item.weight, deficit: 0, items: [], count: 0, cost: 0 }
+      queue = { weight: item.weight, deficit: 0, items: [], count: 0, cost: 0, isServed: false }
       workspaces.set(item.workspace, queue)
-      round.push(item.workspace)
+      if (item.isWithinShare === true) round.unshift(item.workspace)
+      else round.push(item.workspace)
     }
     queue.weight = item.weight
     const same = queue.items[item.priority] ?? []
@@ -81,8 +86,12 @@
       const queue = workspaces.get(name)
       const item = queue?.items.find(same => same !== undefined && same.length > 0)?.[0]
       if (queue === undefined || item === undefined) return
-      if (queue.deficit < item.cost) {
+      if (!queue.isServed) {
+        queue.isServed = true
         queue.deficit += QUANTUM * queue.weight
+      }
+      if (queue.deficit < item.cost) {
+        queue.isServed = false
         round.push(round.shift() ?? name)
         continue
       }
--- a/packages/wigeonlead/src/request/admission.ts
+++ b/packages/wigeonlead/src/request/admission.ts
@@ -161,7 +161,15 @@
         clearTimeout(late)
         resolve(outcome)
       }
-      const waiting: Waiting = { workspace: workspace.name, weight: workspace.weight, priority, cost: request.tokens ?? 1, request, settle }
+      const waiting: Waiting = {
+        workspace: workspace.name,
+        weight: workspace.weight,
+        priority,
+        cost: request.tokens ?? 1,
+        isWithinShare: !shares.isOver(workspace),
+        request,
+        settle
+      }
       const leave = (): void => {
         state.queue.remove(waiting)
         settle(failed({ kind: FailureKind.Aborted, step: Step.Admission, peer: 'local', detail: 'the caller hung up' }))
--- a/packages/wigeonlead/src/request/path-cost.ts
+++ b/packages/wigeonlead/src/request/path-cost.ts
@@ -33,8 +33,8 @@
   times: PathTimes
   prefixes: PrefixMemory
   random: RandomSource
-  /** Entry VMs that share the targets, this one included. */
-  nodes: () => number
+  /** @returns entry VMs that share the targets of a failure domain, this one included. */
+  nodes: (failureDomain: string) => number
 }
 
 /** Costs of a stage. */
@@ -42,8 +42,9 @@
   /** @returns requests at a target, this node's and others'. */
   load: (target: ManifestTarget) => number
   /**
-   * Whether this node may start one more request at a target: while the target's window has room, and always within this node's
-   * even share of it, so that nodes which hold the window don't keep the others out.
+   * Whether this node may start one more request at a target: within its even share of the target's window, or up to what it ran
+   * at the time of the last report and its even share of the room that was free then. So nodes that act on the same late report
+   * don't overfill a target together, and those that hold a window don't keep the others out.
    */
   hasRoom: (target: ManifestTarget, weights: LeanWeights) => boolean
   /** @returns the cost of a stage, milliseconds a token. */
@@ -69,12 +70,15 @@
 /** Makes the costs of stages. */
 export function createStageCosts ({ targets, reports, times, prefixes, random, nodes }: StageCostParts): StageCosts {
   const shares = new WeakMap<ManifestTarget, number>()
-  const count = { nodes: 1, at: -Infinity }
+  const counts = new Map<string, { nodes: number, at: number }>()
 
-  function countNodes (): number {
+  function countNodes (failureDomain: string): number {
     const now = Date.now()
-    if (now - count.at >= COUNT_INTERVAL_MILLISECONDS) Object.assign(count, { nodes: Math.max(1, nodes()), at: now })
-    return count.nodes
+    const known = counts.get(failureDomain)
+    if (known !== undefined && now - known.at < COUNT_INTERVAL_MILLISECONDS) return known.nodes
+    const count = Math.max(1, nodes(failureDomain))
+    counts.set(failureDomain, { nodes: count, at: now })
+    return count
   }
 
   function load (target: ManifestTarget): number {
@@ -98,7 +102,13 @@
     slowness,
     hasRoom (target, weights) {
       const window = Math.max(1, Math.floor(targets.window(target.name, target.capacity) * weights.windowShare))
-      return load(target) < window || targets.inFlight(target.name) + random.nextFloat() < window / countNodes()
+      const own = targets.inFlight(target.name)
+      const competitors = countNodes(target.failureDomain)
+      if (own + random.nextFloat() < window / competitors) return true
+      const known = reports.load(target.name)
+      if (known === undefined) return false
+      const free = (window - known.running) / competitors
+      return own + random.nextFloat() < targets.inFlightAt(target.name, known.madeAt) + free
     },
     cost ({ target, share }, prefix, weights) {
       shares.set(target, share)
