Three quarters of the room for a workspace over its share

Cause: with the flood in full batches the quiet workspaces' tokens took 1.5 times as long, priorities notwithstanding.

Change: a workspace that runs more than its share while others run too may use three quarters of the windows.

--- a/packages/stand-ins/src/bench/experiments/recovery.ts
+++ b/packages/stand-ins/src/bench/experiments/recovery.ts
@@ -15,7 +15,7 @@
 const WARM_UP_MILLISECONDS = 3000
 const HEAL_MILLISECONDS = 2500
 /** A pause this long between two tokens is taken as the fault's, milliseconds. */
-const LEAST_PAUSE_MILLISECONDS = 100
+const LEAST_PAUSE_MILLISECONDS = 60
 
 interface Fault {
   /** Goal for the 95th percentile, apart from the time of the new prefill, milliseconds. */
--- a/packages/wigeonlead/src/request/admission.ts
+++ b/packages/wigeonlead/src/request/admission.ts
@@ -22,9 +22,10 @@
   tokens?: number
   /**
    * Starts the request if it may run and there is room, under the version that is in force now.
+   * @param isOverShare the workspace already runs more than its share while others run too.
    * @returns `false` where there is no room yet, or the failure that ends the request. Without it there always is room.
    */
-  start?: () => Outcome<boolean>
+  start?: (isOverShare: boolean) => Outcome<boolean>
 }
 
 /** A request that was let in. */
@@ -125,7 +126,7 @@
         waiting.settle(failed(tooLate(state, 'the deadline passed in the queue')))
         return true
       }
-      const started = request.start?.() ?? success(true)
+      const started = request.start?.(shares.isOver(request.workspace)) ?? success(true)
       if (started.ok && !started.value) return false
       waiting.settle(started.ok ? success(ticketOf(state, request)) : started)
       return true
@@ -142,7 +143,7 @@
 
   async function enter (state: ResourceState, request: AdmissionRequest): Promise<Outcome<AdmissionTicket>> {
     if (state.queue.size() === 0) {
-      const started = request.start?.() ?? success(true)
+      const started = request.start?.(shares.isOver(request.workspace)) ?? success(true)
       if (!started.ok) return started
       if (started.value) return success(ticketOf(state, request))
     }
--- a/packages/wigeonlead/src/request/completion-start.ts
+++ b/packages/wigeonlead/src/request/completion-start.ts
@@ -10,7 +10,7 @@
 /** One completion that wants to start. */
 export interface CompletionStart {
   /** Starts the completion if it may run and there is room; see `AdmissionRequest.start`. */
-  tryStart: () => Outcome<boolean>
+  tryStart: (isOverShare: boolean) => Outcome<boolean>
   /** The context under which it started. */
   context: RequestContext
   /** What it generates, with its first path. */
@@ -21,13 +21,16 @@
   release: () => void
 }
 
+/** Share of the room that is open to a workspace which runs more than its share, so that the others' tokens stay quick. */
+const OVER_SHARE_ROOM = 0.75
+
 /** @param parseAgain reads the request under the context of the start. */
 export function createStart (
   context: RequestContext, parsed: ParsedCompletion, parseAgain: () => ParsedCompletion | Problem
 ): CompletionStart {
   const start: CompletionStart = { tryStart, context, order: parsed.order, release: () => {} }
 
-  function tryStart (): Outcome<boolean> {
+  function tryStart (isOverShare: boolean): Outcome<boolean> {
     const version = context.versionInForce()
     if (version !== undefined && version !== start.context.version) {
       const workspace = version.workspaces.get(context.workspace.name)
@@ -36,7 +39,7 @@
       if ('type' in again) return refuse(again)
       start.order = again.order
     }
-    return reserve()
+    return reserve(isOverShare)
   }
 
   function refuse (problem: Problem): Outcome<boolean> {
@@ -44,11 +47,11 @@
     return failed({ kind: FailureKind.Refused, step: Step.Admission, peer: 'local', detail: problem.detail })
   }
 
-  function reserve (): Outcome<boolean> {
+  function reserve (isOverShare: boolean): Outcome<boolean> {
     const { parts, version } = start.context
     const { model, reference, prompt } = start.order
     const query = { version, model, reference, prompt, excluded: new Set<string>() }
-    const path = parts.paths.choose({ ...query, needsRoom: true })
+    const path = parts.paths.choose({ ...query, needsRoom: true, roomShare: isOverShare ? OVER_SHARE_ROOM : 1 })
     if (!path.ok) {
       const any = parts.paths.choose(query)
       return any.ok ? success(false) : any
--- a/packages/wigeonlead/src/request/path-cost.ts
+++ b/packages/wigeonlead/src/request/path-cost.ts
@@ -46,7 +46,7 @@
    * at the time of the last report and its even share of the room that was free then. So nodes that act on the same late report
    * don't overfill a target together, and those that hold a window don't keep the others out.
    */
-  hasRoom: (target: ManifestTarget, weights: LeanWeights) => boolean
+  hasRoom: (target: ManifestTarget, windowShare: number) => boolean
   /** @returns the cost of a stage, milliseconds a token. */
   cost: (option: StageOption, prefix: string, weights: LeanWeights) => number
   /** @returns observed time a token at a target over its time when it runs as many as it is declared for. */
@@ -100,8 +100,8 @@
   return {
     load,
     slowness,
-    hasRoom (target, weights) {
-      const window = Math.max(1, Math.floor(targets.window(target.name, target.capacity) * weights.windowShare))
+    hasRoom (target, windowShare) {
+      const window = Math.max(1, Math.floor(targets.window(target.name, target.capacity) * windowShare))
       const own = targets.inFlight(target.name)
       const competitors = countNodes(target.failureDomain)
       if (own + random.nextFloat() < window / competitors) return true
--- a/packages/wigeonlead/src/request/path.ts
+++ b/packages/wigeonlead/src/request/path.ts
@@ -26,6 +26,8 @@
   strikes?: ReadonlyMap<string, number>
   /** Only targets whose window has room. */
   needsRoom?: boolean
+  /** Share of the windows that may be used; 1 by default. */
+  roomShare?: number
 }
 
 /** Chooses paths. */
@@ -117,7 +119,7 @@
     const { target } = option
     let cost = priced.get(target.name)
     if (cost === undefined) {
-      const isFull = query.needsRoom === true && !parts.costs.hasRoom(target, weights)
+      const isFull = query.needsRoom === true && !parts.costs.hasRoom(target, weights.windowShare * (query.roomShare ?? 1))
       const strikes = (query.strikes?.get(target.name) ?? 0) * STRIKE_MILLISECONDS
       const isMissing = parts.targets.holds(target.name, query.reference, option) === false
       const missing = isMissing ? MISSING_MILLISECONDS : 0
