--- a/packages/protocol/src/peers/messages.ts
+++ b/packages/protocol/src/peers/messages.ts
@@ -67,6 +67,8 @@
   sender: MemberEntry
   /** Digest of the sender's table of its failure domain; a receiver with another one answers with its whole table. */
   digest: string
+  /** Digest of the events of targets that are leaving or gone; a receiver with another one answers with all of them. */
+  targetDigest: string
   /** Asks for everything that the receiver keeps: said by a node that has just started. */
   wantsAll?: boolean
   /** Entries that changed lately, or the whole table. */
--- a/packages/wigeonlead/src/process/configuration/configuration.ts
+++ b/packages/wigeonlead/src/process/configuration/configuration.ts
@@ -69,10 +69,16 @@
     const fetched = await parts.fetch(head, peer, someMembers())
     if ('missing' in fetched) return reportOnce(head, `part ${fetched.missing} could not be had`)
     if (head.generation <= generation()) return
+    const version = compile(head, fetched.contents)
+    if (version !== undefined) putInForce(version)
+  }
+
+  function compile (head: ConfigurationHead, contents: string[]): CompiledVersion | undefined {
     try {
-      putInForce(compileVersion(head, joinManifest(fetched.contents)))
+      return compileVersion(head, joinManifest(contents))
     } catch (error) {
       reportOnce(head, error instanceof Error ? error.message : String(error))
+      return undefined
     }
   }
 
--- a/packages/wigeonlead/src/process/membership/membership.ts
+++ b/packages/wigeonlead/src/process/membership/membership.ts
@@ -124,6 +124,7 @@
     return {
       sender: self(),
       digest: table.digest(self()),
+      targetDigest: targetEvents.digest(),
       wantsAll: isJoined ? undefined : true,
       members: isOwnDomain ? (isWhole ? table.whole() : table.takeRumors(RUMORS_OF_A_MESSAGE)) : [],
       domains: isOwnDomain ? domains : [summarize(), ...domains],
@@ -159,12 +160,14 @@
     const isOwnDomain = message.sender.failureDomain === failureDomain
     const isWhole = message.wantsAll === true || (isOwnDomain && message.digest !== table.digest(self()))
     const reply = compose(message.sender.failureDomain, isWhole)
-    return { ...reply, members: unique([...corrections, ...reply.members]) }
+    const missed = message.targetDigest === targetEvents.digest() ? [] : targetEvents.lasting(TARGET_EVENTS_OF_A_START)
+    return { ...reply, members: unique([...corrections, ...reply.members]), targetEvents: [...reply.targetEvents, ...missed] }
   }
 
   function receiveAnswer (message: GossipMessage): void {
     isJoined = true
     for (const correction of receive(message)) table.repeat(correction.address)
+    if (message.targetDigest !== targetEvents.digest()) targetEvents.repeat()
     if (message.sender.failureDomain !== failureDomain || message.digest === table.digest(self())) return
     const told = new Map(message.members.map(entry => [entry.address, entry]))
     for (const entry of table.present()) {
--- a/packages/wigeonlead/src/process/membership/target-events.ts
+++ b/packages/wigeonlead/src/process/membership/target-events.ts
@@ -1,6 +1,7 @@
 /**
  * Target events that ride the gossip: one node's discovery that a target is suspect or leaving spares the others theirs.
  */
+import { createHash } from 'node:crypto'
 import { MemberState, type TargetEvent } from '@wigeonlead/protocol'
 
 /** The target events that a node knows. */
@@ -13,6 +14,12 @@
   takeRumors: (limit: number) => TargetEvent[]
   /** Every event that is kept, the latest first. */
   all: (limit: number) => TargetEvent[]
+  /** The kept events of targets that are leaving or gone, the latest first. */
+  lasting: (limit: number) => TargetEvent[]
+  /** Digest over the events of targets that are leaving or gone, so that two nodes find out that one lacks some. */
+  digest: () => string
+  /** Tells the events of targets that are leaving or gone once more. */
+  repeat: () => void
   sweep: () => void
 }
 
@@ -24,6 +31,8 @@
 
 const MAXIMUM_EVENTS = 1024
 const SENDS_OF_AN_EVENT = 12
+/** Near its end an event is left out of digests, since nodes forget it at slightly different times. */
+const AGE_SKEW_MILLISECONDS = 10_000
 
 const KEPT_MILLISECONDS: Record<MemberState, number> = {
   [MemberState.Alive]: 60_000, [MemberState.Suspect]: 30_000, [MemberState.Leaving]: 600_000, [MemberState.Gone]: 600_000
@@ -37,6 +46,12 @@
   const known = new Map<string, KnownEvent>()
   let sequence = 0
 
+  function isLasting (item: KnownEvent): boolean {
+    const { state } = item.event
+    const isOfState = state === MemberState.Leaving || state === MemberState.Gone
+    return isOfState && toAged(item).ageMilliseconds < KEPT_MILLISECONDS[state] - AGE_SKEW_MILLISECONDS
+  }
+
   function keep (event: TargetEvent): void {
     const key = keyOf(event)
     known.delete(key)
@@ -63,6 +78,16 @@
       return hot.map(toAged)
     },
     all: limit => [...known.values()].reverse().slice(0, limit).map(toAged),
+    lasting: limit => [...known.values()].filter(isLasting).reverse().slice(0, limit).map(toAged),
+    digest () {
+      const lines = [...known.values()].filter(isLasting).map(({ event }) => `${keyOf(event)} ${event.sequence}`).sort()
+      return lines.length === 0 ? '' : createHash('sha256').update(lines.join('\n')).digest('hex').slice(0, 16)
+    },
+    repeat () {
+      for (const item of known.values()) {
+        if (isLasting(item)) item.sendsLeft = Math.max(item.sendsLeft, 1)
+      }
+    },
     sweep () {
       for (const [key, item] of known) {
         if (isAged(toAged(item))) known.delete(key)
