etcd and VM list adapters: contract tables, endpoints, deadlines; two crashes mended

Cause: the adapters had no contract tests. The first run of the watch table ended the process twice: `readline` throws a broken stream's error past its reader, and a request that is destroyed with an error (or by the `signal` option) emits it on the socket while that goes back to the agent's pool, where nothing listens.

Change: lines are read by own code, requests are destroyed without an error. Deadlines are timers that a paused clock stops; a deadline is shared out over the endpoints, the one that answered last is first; reads are asked of the next endpoint after any failure, writes only where certainly nothing was sent; a refusing status counts as not sent, a timeout at the service does not. Watches are bounded. The stand-in has faults for calls and watches.

Conclusion: `connection/engines.ts` and `services.ts` still use `readline` and `signal`; they need the same change.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -16,7 +16,7 @@
 } from './platform/vm-list.js'
 export { createEtcdKeyValue, type EtcdOptions } from './platform/etcd.js'
 export { createVmListClient } from './platform/vm-list-client.js'
-export { postJson, postStream, type JsonCallOptions } from './platform/http-json.js'
+export { destroyOnAbort, postJson, postStream, readLines, type JsonCallOptions } from './platform/http-json.js'
 export {
   CacheEventKind, EngineEventKind, EngineOrderKind, EngineRole, FinishReason, cacheExportSchema, engineOrderSchema,
   engineReportSchema, engineWireEventSchema, generationRequestSchema, heldPartSchema, layerRangeSchema, modelReferenceSchema,
--- a/packages/protocol/src/platform/etcd.ts
+++ b/packages/protocol/src/platform/etcd.ts
@@ -10,6 +10,7 @@
 import { postJson, postStream } from './http-json.js'
 
 const DEFAULT_DEADLINE_MILLISECONDS = 1000
+const DEFAULT_MAXIMUM_WATCHES = 16
 
 const headerSchema = z.object({ revision: z.coerce.number().default(0) })
 const entrySchema = z.object({
@@ -17,7 +18,7 @@
   value: z.string().default(''),
   mod_revision: z.coerce.number(),
   create_revision: z.coerce.number(),
-  lease: z.string().optional()
+  lease: z.coerce.string().optional()
 })
 const rangeSchema = z.object({ header: headerSchema, kvs: z.array(entrySchema).default([]) })
 const transactionSchema = z.object({
@@ -25,8 +26,8 @@
   succeeded: z.boolean().default(false),
   responses: z.array(z.object({ response_range: z.object({ kvs: z.array(entrySchema).default([]) }).optional() })).default([])
 })
-const grantSchema = z.object({ ID: z.string(), TTL: z.coerce.number() })
-const keepAliveSchema = z.object({ result: z.object({ ID: z.string(), TTL: z.coerce.number().default(0) }) })
+const grantSchema = z.object({ ID: z.coerce.string(), TTL: z.coerce.number() })
+const keepAliveSchema = z.object({ result: z.object({ ID: z.coerce.string(), TTL: z.coerce.number().default(0) }) })
 const watchSchema = z.object({
   result: z.object({
     header: headerSchema.optional(),
@@ -38,65 +39,96 @@
 
 /** Options of the adapter. */
 export interface EtcdOptions {
-  /** Base addresses, `http://host:port`; tried in order when one can't be reached. */
+  /** Base addresses, `http://host:port`; the one that answered last is tried first. */
   endpoints: string[]
-  /** Deadline of a call that names none; 1,000 ms by default. */
+  /** Deadline of a call that names none, over all endpoints; 1,000 ms by default. */
   deadlineMilliseconds?: number
+  /** Most watches at a time; a further one ends at once. 16 by default. */
+  maximumWatches?: number
 }
 
+/** Failures after which another endpoint may be asked. */
+type MayRetry = (failure: Failure) => boolean
+
+const MAY_RETRY_READ: MayRetry = failure => RETRIED_READS.has(failure.kind)
+const MAY_RETRY_WRITE: MayRetry = failure => failure.kind === FailureKind.Unreachable
+const RETRIED_READS: ReadonlySet<FailureKind> = new Set([
+  FailureKind.Unreachable, FailureKind.Broken, FailureKind.TimedOut, FailureKind.Malformed
+])
+/** Statuses that refuse a request before it is proposed; others, such as a timeout at the service, tell nothing. */
+const REFUSING_STATUSES: ReadonlySet<number | undefined> = new Set([400, 404, 413, 429])
+
 /** Makes a key-value port that speaks the etcd v3 JSON gateway. */
 export function createEtcdKeyValue (options: EtcdOptions): KeyValuePort {
-  const endpoints = options.endpoints
+  const { endpoints } = options
+  let preferred = 0
+  let watches = 0
 
-  async function call<T> (path: string, body: unknown, schema: z.ZodType<T>, callOptions?: KeyValueCallOptions): Promise<Outcome<T>> {
+  async function call<T> (
+    path: string, body: unknown, schema: z.ZodType<T>, mayRetry: MayRetry, callOptions: KeyValueCallOptions | undefined
+  ): Promise<Outcome<T>> {
     const deadline = callOptions?.deadlineMilliseconds ?? options.deadlineMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS
-    let outcome: Outcome<T> | undefined
-    for (const endpoint of endpoints) {
-      outcome = await postJson(`${endpoint}${path}`, body, schema, Step.KeyValue, deadline)
-      if (outcome.ok || outcome.failure.kind !== FailureKind.Unreachable) return outcome
+    const endsAt = performance.now() + deadline
+    let outcome: Outcome<T> = failed(noEndpoint())
+    for (let tried = 0; tried < endpoints.length; tried += 1) {
+      const left = endsAt - performance.now()
+      if (left <= 0) return outcome
+      outcome = await postJson(`${endpoints[preferred]}${path}`, body, schema, Step.KeyValue, left / (endpoints.length - tried))
+      if (outcome.ok || !mayRetry(outcome.failure)) return outcome
+      preferred = (preferred + 1) % endpoints.length
+    }
+    return outcome
+  }
+
+  async function * watch (key: string, afterRevision: number, signal: AbortSignal): AsyncIterable<WatchEvent[]> {
+    if (watches >= (options.maximumWatches ?? DEFAULT_MAXIMUM_WATCHES)) return
+    watches += 1
+    try {
+      yield * watchKey(endpoints[preferred] ?? '', key, afterRevision, signal)
+    } finally {
+      watches -= 1
     }
-    return outcome ?? failed(noEndpoint())
   }
 
   return {
     async get (key, callOptions) {
-      const outcome = await call('/v3/kv/range', { key: encode(key) }, rangeSchema, callOptions)
+      const outcome = await call('/v3/kv/range', { key: encode(key) }, rangeSchema, MAY_RETRY_READ, callOptions)
       if (!outcome.ok) return outcome
       const entry = outcome.value.kvs[0]
       return success({ entry: entry === undefined ? undefined : toEntry(entry), revision: outcome.value.header.revision })
     },
     async list (prefix, callOptions) {
-      const outcome = await call('/v3/kv/range', { key: encode(prefix), range_end: encode(prefixEnd(prefix)) }, rangeSchema, callOptions)
+      const outcome = await call('/v3/kv/range', { key: encode(prefix), range_end: encode(prefixEnd(prefix)) }, rangeSchema, MAY_RETRY_READ, callOptions)
       if (!outcome.ok) return outcome
       return success({ entries: outcome.value.kvs.map(toEntry), revision: outcome.value.header.revision })
     },
     async compareAndSwap (write, callOptions) {
-      const outcome = await call('/v3/kv/txn', toTransaction(write), transactionSchema, callOptions)
+      const outcome = await call('/v3/kv/txn', toTransaction(write), transactionSchema, MAY_RETRY_WRITE, callOptions)
       return toWriteOutcome(outcome)
     },
     async grantLease (timeToLiveMilliseconds, callOptions) {
       const body = { TTL: String(Math.ceil(timeToLiveMilliseconds / 1000)), ID: '0' }
-      const outcome = await call('/v3/lease/grant', body, grantSchema, callOptions)
+      const outcome = await call('/v3/lease/grant', body, grantSchema, MAY_RETRY_WRITE, callOptions)
       return outcome.ok ? success(toGrant(outcome.value)) : outcome
     },
     async renewLease (leaseId, callOptions) {
-      const outcome = await call('/v3/lease/keepalive', { ID: leaseId }, keepAliveSchema, callOptions)
+      const outcome = await call('/v3/lease/keepalive', { ID: leaseId }, keepAliveSchema, MAY_RETRY_WRITE, callOptions)
       if (!outcome.ok) return outcome
       const grant = toGrant(outcome.value.result)
       if (grant.timeToLiveMilliseconds > 0) return success(grant)
       return failed({ kind: FailureKind.Refused, step: Step.KeyValue, peer: endpoints[0] ?? '', detail: 'the lease has lapsed' })
     },
     async revokeLease (leaseId, callOptions) {
-      const outcome = await call('/v3/lease/revoke', { ID: leaseId }, z.object({}), callOptions)
+      const outcome = await call('/v3/lease/revoke', { ID: leaseId }, z.object({}), MAY_RETRY_WRITE, callOptions)
       return outcome.ok ? success(undefined) : outcome
     },
-    watch: (key, afterRevision, signal) => watchKey(endpoints, key, afterRevision, signal)
+    watch
   }
 }
 
-async function * watchKey (endpoints: string[], key: string, afterRevision: number, signal: AbortSignal): AsyncIterable<WatchEvent[]> {
+async function * watchKey (endpoint: string, key: string, afterRevision: number, signal: AbortSignal): AsyncIterable<WatchEvent[]> {
   const body = { create_request: { key: encode(key), start_revision: String(afterRevision + 1) } }
-  for await (const line of postStream(`${endpoints[0] ?? ''}/v3/watch`, body, signal)) {
+  for await (const line of postStream(`${endpoint}/v3/watch`, body, signal)) {
     const message = watchSchema.safeParse(line)
     if (!message.success || message.data.result.canceled === true) return
     const events = message.data.result.events.map(event => toWatchEvent(event))
@@ -132,9 +164,9 @@
 }
 
 function writeFailure (failure: Failure): WriteOutcome {
-  return failure.kind === FailureKind.Unreachable
-    ? { kind: WriteResult.NotSent, failure }
-    : { kind: WriteResult.Ambiguous, failure }
+  const isRefused = failure.kind === FailureKind.Refused && REFUSING_STATUSES.has(failure.status)
+  const isNotSent = isRefused || failure.kind === FailureKind.Unreachable || failure.kind === FailureKind.Unauthenticated
+  return { kind: isNotSent ? WriteResult.NotSent : WriteResult.Ambiguous, failure }
 }
 
 function toEntry (entry: z.infer<typeof entrySchema>): KeyValueEntry {
--- a/packages/protocol/src/platform/http-json.ts
+++ b/packages/protocol/src/platform/http-json.ts
@@ -1,12 +1,11 @@
 /**
  * JSON over Node's `http` for the clients of this package: one call with a deadline, or a stream of JSON lines.
  */
-import { Agent, request, type IncomingMessage } from 'node:http'
-import { createInterface } from 'node:readline'
+import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { z } from 'zod'
 import { FailureKind, failed, success, type Failure, type Outcome, type Step } from '../failure.js'
 
-const KEEP_ALIVE_AGENT = new Agent({ keepAlive: true, maxFreeSockets: 64 })
+const KEEP_ALIVE_AGENT = new Agent({ keepAlive: true, maxSockets: 256, maxFreeSockets: 64 })
 const MAXIMUM_ANSWER_BYTES = 16_777_216
 
 /** Options of a JSON call. */
@@ -15,6 +14,17 @@
   headers?: Record<string, string>
 }
 
+/**
+ * Destroys a request when a signal aborts, without an error: with one, as with the `signal` option of `request`, the socket emits
+ * that error, and while it goes back to the agent's pool nothing listens there, so that the process would end.
+ */
+export function destroyOnAbort (outgoing: ClientRequest, signal: AbortSignal): void {
+  const destroy = (): void => { outgoing.destroy() }
+  if (signal.aborted) return destroy()
+  signal.addEventListener('abort', destroy, { once: true })
+  outgoing.once('close', () => signal.removeEventListener('abort', destroy))
+}
+
 /** Posts a JSON body and reads a JSON answer that follows the schema. */
 export async function postJson<T> (
   url: string, body: unknown, schema: z.ZodType<T>, step: Step, deadlineMilliseconds: number, options: JsonCallOptions = {}
@@ -22,9 +32,10 @@
   const origin = { step, peer: new URL(url).host }
   let isConnected = false
   let response: IncomingMessage
-  const signal = AbortSignal.timeout(deadlineMilliseconds)
+  const aborter = new AbortController()
+  const timer = setTimeout(() => aborter.abort(), deadlineMilliseconds)
   try {
-    response = await send(url, body, signal, options, () => { isConnected = true })
+    response = await send(url, body, aborter.signal, options, () => { isConnected = true })
     const text = await readText(response)
     const status = response.statusCode ?? 0
     if (status < 200 || status > 299) return failed(statusFailure(origin, status, text))
@@ -34,8 +45,10 @@
     if (cause instanceof SyntaxError) return failed({ ...origin, kind: FailureKind.Malformed, detail: 'not JSON', cause })
     const detail = cause instanceof Error ? cause.message : String(cause)
     if (!isConnected) return failed({ ...origin, kind: FailureKind.Unreachable, detail, cause })
-    if (signal.aborted) return failed({ ...origin, kind: FailureKind.TimedOut, detail, afterMilliseconds: deadlineMilliseconds })
+    if (aborter.signal.aborted) return failed({ ...origin, kind: FailureKind.TimedOut, detail, afterMilliseconds: deadlineMilliseconds })
     return failed({ ...origin, kind: FailureKind.Broken, detail, cause })
+  } finally {
+    clearTimeout(timer)
   }
 }
 
@@ -47,9 +60,7 @@
       response.resume()
       return
     }
-    for await (const line of createInterface({ input: response, crlfDelay: Infinity })) {
-      if (line !== '') yield JSON.parse(line)
-    }
+    for await (const line of readLines(response)) yield JSON.parse(line)
   } catch {
     // A broken stream ends like one that the peer closed; the reader starts again.
   }
@@ -63,7 +74,6 @@
     const outgoing = request(url, {
       method: options.method ?? 'POST',
       agent: KEEP_ALIVE_AGENT,
-      signal,
       headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(content), ...options.headers }
     })
     outgoing.on('socket', socket => {
@@ -72,10 +82,26 @@
     })
     outgoing.on('response', resolve)
     outgoing.on('error', reject)
+    destroyOnAbort(outgoing, signal)
     outgoing.end(content)
   })
 }
 
+/** Yields the lines that are not empty. (Node's `readline` throws a broken stream's error past its reader.) */
+export async function * readLines (response: IncomingMessage): AsyncIterable<string> {
+  response.setEncoding('utf8')
+  let rest = ''
+  for await (const chunk of response as AsyncIterable<string>) {
+    const lines = (rest + chunk).split('\n')
+    rest = lines.pop() ?? ''
+    if (rest.length > MAXIMUM_ANSWER_BYTES) throw new Error('the line is too long')
+    for (const line of lines) {
+      if (line.trim() !== '') yield line
+    }
+  }
+  if (rest.trim() !== '') yield rest
+}
+
 async function readText (response: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = []
   let bytes = 0
--- a/packages/protocol/src/platform/vm-list-client.ts
+++ b/packages/protocol/src/platform/vm-list-client.ts
@@ -12,12 +12,13 @@
 /**
  * Makes a reader of the platform's VM list.
  * @param endpoint base address, `http://host:port`.
+ * @param deadlineMilliseconds deadline of a call; 2,000 ms by default.
  */
-export function createVmListClient (endpoint: string): VmListPort {
+export function createVmListClient (endpoint: string, deadlineMilliseconds = LIST_DEADLINE_MILLISECONDS): VmListPort {
   return {
     async list () {
       const outcome = await postJson(
-        `${endpoint}/v1/vms`, undefined, listSchema, Step.VmList, LIST_DEADLINE_MILLISECONDS, { method: 'GET' }
+        `${endpoint}/v1/vms`, undefined, listSchema, Step.VmList, deadlineMilliseconds, { method: 'GET' }
       )
       return outcome.ok ? success(outcome.value.vms) : outcome
     }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -4,7 +4,9 @@
 export { listen, readJson, answerJson, type RunningServer } from './http.js'
 export { createKeyValueStore, type KeyValueStore, type StoreCounts, type StoreWrite } from './platform/store.js'
 export { createMemoryKeyValue, KeyValueFault, type MemoryKeyValueOptions } from './platform/memory.js'
-export { loopbackVm, startKeyValueServer, startVmListServer, type KeyValueServerOptions } from './platform/server.js'
+export {
+  ServerFault, WatchFault, loopbackVm, startKeyValueServer, startVmListServer, type KeyValueServerOptions
+} from './platform/server.js'
 export {
   PeerFault, createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerOptions, type MemoryPeerTraffic,
   type PeerCall
--- a/packages/stand-ins/src/platform/server.ts
+++ b/packages/stand-ins/src/platform/server.ts
@@ -2,7 +2,7 @@
  * The platform stand-in: the etcd v3 JSON gateway subset and the VM list over HTTP.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { VmState, type KeyValueEntry, type VmEntry } from '@wigeonlead/protocol'
+import { VmState, type KeyValueEntry, type VmEntry, type WatchEvent } from '@wigeonlead/protocol'
 import { answerJson, listen, readJson, type RunningServer } from '../http.js'
 import { watchStore } from './memory.js'
 import type { KeyValueStore } from './store.js'
@@ -20,11 +20,50 @@
   }
 }
 
+/** Faults of one call at the key-value server. */
+export enum ServerFault {
+  /** The connection breaks before the call takes effect. */
+  LostRequest = 'lost-request',
+  /** The connection breaks after the call has taken effect. */
+  LostReply = 'lost-reply',
+  /** No answer comes. */
+  Hang = 'hang',
+  /** The answer is not JSON. */
+  Malformed = 'malformed',
+  /** The answer is JSON of another shape. */
+  Misshapen = 'misshapen',
+  /** The service says that it is unavailable. */
+  Unavailable = 'unavailable',
+  /** The service refuses the call. */
+  Refused = 'refused',
+  /** The service asks for a credential. */
+  Unauthenticated = 'unauthenticated'
+}
+
+/** Faults of a watch at the key-value server. */
+export enum WatchFault {
+  /** The stream ends after the first batch of events. */
+  End = 'end',
+  /** Each batch comes twice. */
+  Repeat = 'repeat',
+  /** The first batch is left out. */
+  Jump = 'jump',
+  /** Each batch comes only with the next one. */
+  Lag = 'lag',
+  /** The service cancels the watch, as it does after a compaction. */
+  Cancel = 'cancel',
+  /** A line that is not JSON comes instead of the first batch. */
+  Malformed = 'malformed'
+}
+
 /** Options of the key-value server. */
 export interface KeyValueServerOptions {
   port?: number
   /** Delay before each answer, milliseconds. */
   delayMilliseconds?: number
+  /** Chooses the fault of a call; undefined lets it pass. */
+  fault?: (path: string) => ServerFault | undefined
+  watchFault?: WatchFault
 }
 
 /** Starts the key-value stand-in. */
@@ -49,27 +88,68 @@
 ): Promise<void> {
   const body = await readJson(request)
   if (options.delayMilliseconds !== undefined) await new Promise(resolve => setTimeout(resolve, options.delayMilliseconds))
-  if (request.url === '/v3/watch') return serveWatch(store, body, response)
+  if (request.url === '/v3/watch') return serveWatch(store, body, response, options.watchFault)
   const handler = HANDLERS[request.url ?? '']
   if (handler === undefined) return answerJson(response, 404, { error: 'unknown method' })
+  const fault = options.fault?.(request.url ?? '')
+  if (fault !== undefined) return FAULTS[fault](response, () => handler(body, store))
   answerJson(response, 200, handler(body, store))
 }
 
-async function serveWatch (store: KeyValueStore, body: any, response: ServerResponse): Promise<void> {
+const FAULTS: Record<ServerFault, (response: ServerResponse, run: () => unknown) => void> = {
+  [ServerFault.LostRequest]: response => { response.destroy() },
+  [ServerFault.LostReply] (response, run) {
+    run()
+    response.destroy()
+  },
+  [ServerFault.Hang]: () => {},
+  [ServerFault.Malformed]: response => { response.end('{"header":') },
+  [ServerFault.Misshapen]: response => answerJson(response, 200, { header: 'none', kvs: 7, succeeded: 'perhaps', ID: {} }),
+  [ServerFault.Unavailable]: response => answerJson(response, 503, { error: 'unavailable' }),
+  [ServerFault.Refused]: response => answerJson(response, 400, { error: 'refused' }),
+  [ServerFault.Unauthenticated]: response => answerJson(response, 401, { error: 'unauthenticated' })
+}
+
+type Batch = WatchEvent[]
+
+/** What goes out for each batch of events, as batches or as a raw line. */
+const WATCH_FAULTS: Record<WatchFault, (batch: Batch, index: number, before: Batch) => Array<Batch | string>> = {
+  [WatchFault.End]: (batch, index) => index === 0 ? [batch] : [],
+  [WatchFault.Repeat]: batch => [batch, batch],
+  [WatchFault.Jump]: (batch, index) => index === 0 ? [] : [batch],
+  [WatchFault.Lag]: (_batch, _index, before) => before.length === 0 ? [] : [before],
+  [WatchFault.Cancel]: (batch, index) => index === 0 ? ['{"result":{"canceled":true,"compact_revision":"1"}}'] : [batch],
+  [WatchFault.Malformed]: (batch, index) => index === 0 ? ['{"result":'] : [batch]
+}
+
+async function serveWatch (store: KeyValueStore, body: any, response: ServerResponse, fault?: WatchFault): Promise<void> {
   const key = decode(body.create_request.key)
   const afterRevision = Number(body.create_request.start_revision ?? store.revision() + 1) - 1
   const closed = new AbortController()
   response.on('close', () => closed.abort())
   response.writeHead(200, { 'content-type': 'application/json' })
   response.write(JSON.stringify({ result: { header: header(store), created: true } }) + '\n')
+  let index = 0
+  let before: Batch = []
   for await (const events of watchStore(store, key, afterRevision, closed.signal)) {
-    const wire = events.map(event => event.entry === undefined
-      ? { type: 'DELETE', kv: { key: encode(event.key), mod_revision: String(event.revision) } }
-      : { kv: toWire(event.entry) })
-    response.write(JSON.stringify({ result: { header: header(store), events: wire } }) + '\n')
+    const lines = fault === undefined ? [events] : WATCH_FAULTS[fault](events, index, before)
+    for (const line of lines) response.write(typeof line === 'string' ? `${line}\n` : renderBatch(store, line))
+    if (fault === WatchFault.End) {
+      response.end()
+      return
+    }
+    before = events
+    index += 1
   }
 }
 
+function renderBatch (store: KeyValueStore, events: Batch): string {
+  const wire = events.map(event => event.entry === undefined
+    ? { type: 'DELETE', kv: { key: encode(event.key), mod_revision: String(event.revision) } }
+    : { kv: toWire(event.entry) })
+  return JSON.stringify({ result: { header: header(store), events: wire } }) + '\n'
+}
+
 function range (body: any, store: KeyValueStore): unknown {
   const key = decode(body.key)
   const entry = body.range_end === undefined ? store.get(key) : undefined
--- a/packages/wigeonlead/src/connection/peers/client.ts
+++ b/packages/wigeonlead/src/connection/peers/client.ts
@@ -3,7 +3,7 @@
  */
 import { Agent, request as requestHttp, type ClientRequest, type IncomingMessage } from 'node:http'
 import { Agent as TlsAgent, request as requestHttps } from 'node:https'
-import { FailureKind, Step, failed, success, type Failure, type Outcome } from '@wigeonlead/protocol'
+import { FailureKind, Step, destroyOnAbort, failed, success, type Failure, type Outcome } from '@wigeonlead/protocol'
 import { z } from 'zod'
 import { SIGNATURE_HEADER, readBody, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
 import type { Signer } from './signature.js'
@@ -62,7 +62,8 @@
     let isConnected = false
     try {
       const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), [SIGNATURE_HEADER]: signature }
-      const outgoing = open(address, { method: 'POST', agent, signal: aborter.signal, headers })
+      const outgoing = open(address, { method: 'POST', agent, headers })
+      destroyOnAbort(outgoing, aborter.signal)
       const response = await send(outgoing, body, tls !== undefined, () => { isConnected = true })
       const { socket } = response
       const text = await readBody(response, limits.messageBytes)
--- a/packages/wigeonlead/test/properties/configuration.ts
+++ b/packages/wigeonlead/test/properties/configuration.ts
@@ -19,7 +19,7 @@
 
 const NODES = ['10.0.0.1:7000', '10.0.0.2:7000', '10.0.1.1:7000']
 const HEALING_MILLISECONDS = 30_000
-const PUBLISH_MILLISECONDS = 2500
+const PUBLISH_STEP_MILLISECONDS = 10
 const PUBLISHER = 'publisher-'
 
 type Command =
@@ -254,8 +254,9 @@
     const outcome = await change(publisherPort(world, index === 0 ? fault : undefined), random)
     world.told.push({ nonce, outcome })
   }))
-  await world.clock.advance(PUBLISH_MILLISECONDS)
-  await all
+  const progress = { isDone: false }
+  void all.then(() => { progress.isDone = true })
+  while (!progress.isDone) await world.clock.advance(PUBLISH_STEP_MILLISECONDS)
 }
 
 function restart (world: World, index: number): void {
