--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -20,13 +20,13 @@
 export {
   CacheEventKind, EngineEventKind, EngineOrderKind, EngineRole, FinishReason, cacheExportSchema, engineOrderSchema,
   engineReportSchema, engineWireEventSchema, generationRequestSchema, heldPartSchema, layerRangeSchema, modelReferenceSchema,
-  orderEnvelopeSchema, pathStageSchema, receiptSchema, stageReceiptSchema, stepAnswerSchema, stepInputSchema,
+  orderEnvelopeSchema, pathStageSchema, prefixDigest, receiptSchema, stageReceiptSchema, stepAnswerSchema, stepInputSchema,
   stepRequestSchema, stepResultSchema, tokenSchema, type CacheExport, type EngineEvent, type EngineOrder, type EnginePort,
   type EngineReport, type EngineWireEvent, type GenerationRequest, type HeldPart, type LayerRange, type ModelReference,
   type PathStage, type Receipt, type StepInput, type StepRequest, type StepResult, type TargetAddress, type Token
 } from './targets/engine.js'
 export {
-  ServiceResult, type HeaderRecord, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort
+  NOT_ACCEPTED_HEADER, ServiceResult, type HeaderRecord, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort
 } from './targets/service.js'
 export {
   OrderState, PROBLEM_FORMS, ProblemType, Submission, createProblem, type Problem, type ProblemOptions
@@ -46,12 +46,27 @@
 export {
   checkManifest, checkManifestText, type ManifestCheck, type ManifestFault
 } from './manifest/check.js'
+export { CLAIM_RECORD_BYTES, CLAIM_STORE_BYTES } from './manifest/check-claims.js'
+export { listCoverageFaults } from './manifest/check-coverage.js'
 export {
   PublishResult, changeHead, parseHead, publishManifest, readHead, writeParts, type HeadContent, type HeadRead, type PublishOutcome
 } from './manifest/publish.js'
 export { isBuiltOn, mergeHeads } from './manifest/lineage.js'
 export {
-  MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type DomainSummary, type GossipMessage,
-  type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus, type PeerHandler,
-  type PeerHandlers, type PeerMethods, type PeerPort, type PeerTraffic, type TargetEvent
+  MemberState, PeerMethod, type CompactReport, type DomainSummary,
+  type GossipMessage, type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus,
+  type PeerHandler, type PeerHandlers, type PeerMethods, type PeerPort, type PeerTraffic, type ReportsMessage, type TargetEvent
 } from './peers/messages.js'
+export {
+  ClaimChangeKind, ClaimChangeResult, ClaimInquiryKind, ClaimState, claimChangeSchema, claimEntrySchema, type ClaimChange,
+  type ClaimChangeOutcome, type ClaimCommitParameters, type ClaimCommitResult, type ClaimEntry, type ClaimInquiryParameters,
+  type ClaimInquiryResult, type Claimant, type ClaimedEntry, type FinishedEntry, type RecordedAnswer, type ReleasedEntry
+} from './peers/claims.js'
+export {
+  CLAIM_ANSWER_BYTES, CLAIM_BUCKETS, CLAIM_CLOCK_SKEW_SECONDS, CLAIM_ENTRY_BYTES, CLAIM_SEGMENTS_PER_BUCKET, CLAIM_SEGMENT_BYTES,
+  claimLoads, claimSize, type ClaimLoad, type ClaimSize
+} from './manifest/claim-size.js'
+export {
+  BURN_SERIES_STEP_MINUTES, BURN_WINDOWS_MINUTES, ObjectiveKind, ResourceKind, burnRate, burnReportSchema, nodeStatusSchema,
+  type BurnCounts, type BurnReport, type NodeStatusReport, type ObjectiveBurn
+} from './operators/reports.js'
--- a/packages/protocol/src/peers/messages.ts
+++ b/packages/protocol/src/peers/messages.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationHead } from '../manifest/head.js'
 import type { ManifestPartContent } from '../manifest/parts.js'
 import type { Outcome } from '../failure.js'
+import type { ClaimCommitParameters, ClaimCommitResult, ClaimInquiryParameters, ClaimInquiryResult } from './claims.js'
 import type { KeyValueRead, KeyValueWrite, WriteOutcome } from '../platform/key-value.js'
 
 /** The methods between entry VMs. */
@@ -14,6 +15,7 @@
   ClaimCommit = 'claims.commit',
   ClaimInquiry = 'claims.inquiry',
   KeyValueRelay = 'key-value.relay',
+  Reports = 'reports.exchange',
   Status = 'status.read'
 }
 
@@ -79,27 +81,30 @@
   demand: Record<string, number>
 }
 
-/** Asks a bucket's home to commit claim changes; the shapes are the claim protocol's own. */
-export interface ClaimCommitParameters {
-  bucket: string
-  changes: string[]
-}
-
-/** Asks the node that holds a claim what became of it. */
-export interface ClaimInquiryParameters {
-  bucket: string
-  keyDigest: string
-  attempt: string
-  /** How long the claimant may wait for the outcome, milliseconds. */
-  waitMilliseconds: number
-}
-
 /** A key-value call carried through a peer. */
 export type KeyValueRelayParameters = { kind: 'get', key: string } | { kind: 'compare-and-swap', write: KeyValueWrite }
 
 /** The result of a relayed call. */
 export type KeyValueRelayResult = { kind: 'get', outcome: Outcome<KeyValueRead> } | { kind: 'compare-and-swap', outcome: WriteOutcome }
 
+/** A target's load in short, as entry VMs pass it on. */
+export interface CompactReport {
+  target: string
+  /** When the engine made the report, milliseconds since 1970 by its own clock; a later one wins. */
+  atMilliseconds: number
+  /** Age of the report when it was passed on, milliseconds. */
+  ageMilliseconds: number
+  running: number
+  queued: number
+  tokensPerSecond: number
+}
+
+/** Reports that the sender has and the receiver may lack; the answer has the same shape. */
+export interface ReportsMessage {
+  sender: string
+  reports: CompactReport[]
+}
+
 /** What a node tells operators of itself, as named sections. */
 export interface NodeStatus {
   member: MemberEntry
@@ -111,9 +116,10 @@
   [PeerMethod.Gossip]: { parameters: GossipMessage, result: GossipMessage }
   [PeerMethod.ConfigurationHead]: { parameters: Record<string, never>, result: { head?: ConfigurationHead } }
   [PeerMethod.ConfigurationParts]: { parameters: { digests: string[] }, result: { parts: ManifestPartContent[] } }
-  [PeerMethod.ClaimCommit]: { parameters: ClaimCommitParameters, result: { outcomes: string[] } }
-  [PeerMethod.ClaimInquiry]: { parameters: ClaimInquiryParameters, result: { answer: string } }
+  [PeerMethod.ClaimCommit]: { parameters: ClaimCommitParameters, result: ClaimCommitResult }
+  [PeerMethod.ClaimInquiry]: { parameters: ClaimInquiryParameters, result: ClaimInquiryResult }
   [PeerMethod.KeyValueRelay]: { parameters: KeyValueRelayParameters, result: KeyValueRelayResult }
+  [PeerMethod.Reports]: { parameters: ReportsMessage, result: ReportsMessage }
   [PeerMethod.Status]: { parameters: Record<string, never>, result: NodeStatus }
 }
 
--- a/packages/protocol/src/platform/http-json.ts
+++ b/packages/protocol/src/platform/http-json.ts
@@ -54,15 +54,15 @@
 
 /** Posts a JSON body and yields each line of the answer as JSON; ends when the connection does. */
 export async function * postStream (url: string, body: unknown, signal: AbortSignal): AsyncIterable<unknown> {
+  let response: IncomingMessage | undefined
   try {
-    const response = await send(url, body, signal, {}, () => {})
-    if (response.statusCode !== 200) {
-      response.resume()
-      return
-    }
+    response = await send(url, body, signal, {}, () => {})
+    if (response.statusCode !== 200) return
     for await (const line of readLines(response)) yield JSON.parse(line)
   } catch {
     // A broken stream ends like one that the peer closed; the reader starts again.
+  } finally {
+    response?.destroy()
   }
 }
 
@@ -87,11 +87,14 @@
   })
 }
 
-/** Yields the lines that are not empty. (Node's `readline` throws a broken stream's error past its reader.) */
+/**
+ * Yields the lines that are not empty. A reader that stops early leaves the answer to its owner, who drains or destroys it.
+ * (Node's `readline` throws a broken stream's error past its reader.)
+ */
 export async function * readLines (response: IncomingMessage): AsyncIterable<string> {
   response.setEncoding('utf8')
   let rest = ''
-  for await (const chunk of response as AsyncIterable<string>) {
+  for await (const chunk of response.iterator({ destroyOnReturn: false }) as AsyncIterable<string>) {
     const lines = (rest + chunk).split('\n')
     rest = lines.pop() ?? ''
     if (rest.length > MAXIMUM_ANSWER_BYTES) throw new Error('the line is too long')
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,11 +8,10 @@
   ServerFault, WatchFault, loopbackVm, startKeyValueServer, startVmListServer, type KeyValueServerOptions
 } from './platform/server.js'
 export {
-  PeerFault, createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerOptions, type MemoryPeerTraffic,
-  type PeerCall
+  PeerFault, createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerOptions, type MemoryPeerTraffic, type PeerCall
 } from './peers/memory.js'
 export {
-  createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry
+  createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry, type OrderLedgerEntry
 } from './engine/core.js'
 export { createMemoryEngines } from './engine/memory.js'
 export { startEngineServer } from './engine/server.js'
--- a/packages/wigeonlead/src/connection/index.ts
+++ b/packages/wigeonlead/src/connection/index.ts
@@ -8,3 +8,4 @@
 export {
   createHttpPeers, type HttpPeers, type HttpPeersOptions, type PeerLimits, type PeerSecret, type PeerTlsFiles
 } from './peers/index.js'
+export { createRelayedKeyValue, type RelayedKeyValue, type RelayedKeyValueParts } from './key-value-relay.js'
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -3,17 +3,29 @@
  */
 import {
   PeerMethod,
-  type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
+  type BurnReport, type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
 } from '@wigeonlead/protocol'
-import { createAdmission, createCallerHandler, createClaims, createPathChooser, type CallerHandler } from '../request/index.js'
+import {
+  createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts, type CallerHandler
+} from '../request/index.js'
+import { createRelayedKeyValue } from '../connection/index.js'
+import { createBurn } from './burn.js'
 import { createConfiguration } from './configuration/index.js'
+import { createFirstTokenTimes } from './first-token-times.js'
 import { createInFlight } from './in-flight.js'
-import { SILENT_LOGGER, type Logger } from './logging.js'
+import { createLeaving } from './leaving/index.js'
+import { LogEvent, SILENT_LOGGER, type Logger } from './logging.js'
 import { createMembership } from './membership/index.js'
 import { createMetrics } from './metrics.js'
+import { createObservedLatency } from './observed-latency.js'
+import { createPathTimes } from './path-times.js'
+import { createPrefixMemory } from './prefix-memory.js'
+import { createReconciler } from './reconciler/index.js'
+import { createReports } from './reports.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
-import { createTargetBoard } from './targets.js'
+import { createShutdown, type CloseListener } from './shutdown.js'
+import { TargetAvailability, createTargetBoard } from './targets.js'
 
 /** Every outside contact of a router. Time comes from the runtime's clock. */
 export interface RouterPorts {
@@ -36,8 +48,13 @@
   isReady: () => boolean
   renderMetrics: () => string
   status: () => NodeStatus
+  /** Service-level burn at this node. */
+  burn: () => BurnReport
   /** Says that this node is leaving, waits for the balancer's lag and for every request in flight, then stops. */
-  shutdown: () => Promise<void>
+  shutdown: (closeListener?: CloseListener) => Promise<void>
+  isLeaving: () => boolean
+  /** Calls back once when a planned stop of this entry VM begins. */
+  onPlannedStop: (callback: () => void) => void
   /** Stops at once, as a death would. */
   halt: () => void
 }
@@ -47,8 +64,8 @@
   const { failureDomain, vm } = settings.node
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
-  const targets = createTargetBoard()
-  const inFlight = createInFlight()
+  const burn = createBurn()
+  const inFlight = createInFlight(({ method, url }) => logger.warn(LogEvent.RequestCutOff, { method, path: url.split('?')[0] }))
   const membership = createMembership({
     peers: ports.peers,
     address: settings.listen.peers,
@@ -69,21 +86,70 @@
     random: ports.random,
     logger
   })
+  const targets = createTargetBoard({ groupOf: target => configuration.current()?.groupOf(target) ?? [] })
+  const prefixes = createPrefixMemory()
+  const reports = createReports({
+    engines: ports.engines,
+    peers: ports.peers,
+    random: ports.random,
+    failureDomain,
+    self: membership.self,
+    members: membership.members,
+    current: configuration.current,
+    inFlightAt: targets.inFlightAt,
+    onReport: prefixes.learn
+  })
+  const times = createPathTimes()
+  const costs = createStageCosts({ targets, reports, times, prefixes })
+  const paths = createPathChooser({
+    targets, random: ports.random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes
+  })
+  const admission = createAdmission()
+  const reconciler = createReconciler({
+    keyValue: ports.keyValue,
+    engines: ports.engines,
+    random: ports.random,
+    logger,
+    settings: settings.reconciler,
+    failureDomain,
+    address: settings.listen.peers,
+    members: membership.members,
+    current: configuration.current,
+    isLeaving: target => targets.availability(target) === TargetAvailability.Leaving,
+    onReport: targets.noteHeld
+  })
+  const relayed = createRelayedKeyValue({ direct: ports.keyValue, peers: ports.peers, self: membership.self, members: membership.members })
+  const claims = createClaims({
+    keyValue: relayed.keyValue, peers: ports.peers, random: ports.random, self: membership.self, members: membership.members
+  })
   const handle = createCallerHandler({
     engines: ports.engines,
     services: ports.services,
     random: ports.random,
     targets,
-    paths: createPathChooser({ targets, random: ports.random, failureDomain }),
-    admission: createAdmission(),
-    claims: createClaims({ keyValue: ports.keyValue, random: ports.random }),
+    paths,
+    admission,
+    claims,
     retries: createRetryBudget(),
+    latencies: createObservedLatency(),
     metrics,
+    burn,
     logger,
     failureDomain,
     defaultDeadlineMilliseconds: settings.callers.defaultDeadlineMilliseconds
   }, configuration.current)
-  let isLeaving = false
+  const leaving = createLeaving({
+    vmList: ports.vmList,
+    announcements: membership,
+    logger,
+    vm,
+    failureDomain,
+    address: settings.listen.peers,
+    members: membership.members,
+    current: configuration.current,
+    setState: targets.setState
+  })
+  const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: releaseAll, halt })
 
   function status (): NodeStatus {
     const current = configuration.current()
@@ -91,6 +157,8 @@
       generation: current?.head.generation ?? 0,
       requestsInFlight: inFlight.count(),
       members: membership.members(),
+      reconciler: reconciler.status(),
+      leaving: leaving.status(),
       targets: [...current?.targets.keys() ?? []].map(name => ({
         name, availability: targets.availability(name), inFlight: targets.inFlight(name)
       }))
@@ -98,34 +166,51 @@
     return { member: membership.self(), sections }
   }
 
+  async function releaseAll (): Promise<void> {
+    await claims.whenIdle()
+    await reconciler.release()
+  }
+
   function halt (): void {
+    reconciler.stop()
+    leaving.stop()
     configuration.stop()
     membership.stop()
+    reports.stop()
   }
 
   metrics.gauge('requests_in_flight', inFlight.count)
+  metrics.gauge('requests_waiting', admission.waiting)
+  metrics.gauge('orders_running', claims.running)
   metrics.gauge('configuration_generation', () => configuration.current()?.head.generation ?? 0)
   metrics.gauge('control_sent_bytes', () => ports.peers.traffic?.().sentBytes ?? 0)
   metrics.gauge('control_received_bytes', () => ports.peers.traffic?.().receivedBytes ?? 0)
   metrics.gauge('members_of_failure_domain', () => membership.membersOfDomain().length)
-  ports.peers.serve({ ...configuration.handlers, ...membership.handlers, [PeerMethod.Status]: async () => status() })
+  ports.peers.serve({
+    ...configuration.handlers,
+    ...membership.handlers,
+    ...reports.handlers,
+    ...claims.handlers,
+    ...relayed.handlers,
+    [PeerMethod.Status]: async () => status()
+  })
 
   return {
     handle: inFlight.track(handle),
     start () {
       configuration.start()
       membership.start()
+      reports.start()
+      reconciler.start()
+      leaving.start()
     },
-    isReady: () => !isLeaving && configuration.current() !== undefined,
-    renderMetrics: metrics.render,
+    isReady: () => !shutdown.isLeaving() && configuration.current() !== undefined,
+    renderMetrics: () => metrics.render() + burn.renderMetrics(),
     status,
-    async shutdown () {
-      isLeaving = true
-      membership.leave()
-      await new Promise(resolve => setTimeout(resolve, settings.shutdown.balancerLagMilliseconds))
-      await inFlight.whenIdle()
-      halt()
-    },
+    burn: () => ({ vm, failureDomain, atMilliseconds: Date.now(), objectives: burn.report() }),
+    shutdown: shutdown.begin,
+    isLeaving: shutdown.isLeaving,
+    onPlannedStop: leaving.onOwnStop,
     halt
   }
 }
