--- a/packages/wigeonlead/src/process/membership/target-events.ts
+++ b/packages/wigeonlead/src/process/membership/target-events.ts
@@ -67,9 +67,11 @@
       return event
     },
     merge (events) {
-      const news = events.filter(event => event.sequence > (known.get(keyOf(event))?.event.sequence ?? 0) && !isAged(event))
-      for (const event of news) keep(event)
-      return news
+      return events.filter(event => {
+        const isNews = event.sequence > (known.get(keyOf(event))?.event.sequence ?? 0) && !isAged(event)
+        if (isNews) keep(event)
+        return isNews
+      })
     },
     takeRumors (limit) {
       const hot = [...known.values()].filter(item => item.sendsLeft > 0)
