--- a/packages/wigeonlead/src/connection/peers/client.ts
+++ b/packages/wigeonlead/src/connection/peers/client.ts
@@ -87,8 +87,9 @@
     if (calls >= limits.calls) return failed({ ...origin, kind: FailureKind.Refused, detail: 'too many calls under way' })
     calls += 1
     try {
+      const endsAt = performance.now() + deadlineMilliseconds
       let outcome = await attempt(address, body, deadlineMilliseconds)
-      if (outcome === 'off-time') outcome = await attempt(address, body, deadlineMilliseconds)
+      if (outcome === 'off-time') outcome = await attempt(address, body, endsAt - performance.now())
       return outcome === 'off-time' ? failed({ ...origin, kind: FailureKind.Unauthenticated, detail: 'the clocks differ' }) : outcome
     } finally {
       calls -= 1
--- a/packages/wigeonlead/src/process/configuration/sources.ts
+++ b/packages/wigeonlead/src/process/configuration/sources.ts
@@ -4,7 +4,7 @@
 import { createHash } from 'node:crypto'
 import {
   CONFIGURATION_HEAD_KEY, FailureKind, PeerMethod, configurationHeadSchema, parseHead, readHead, type ConfigurationHead,
-  type KeyValuePort, type PeerPort, type RandomSource, type VmListPort
+  type KeyValueEntry, type KeyValuePort, type PeerPort, type RandomSource, type VmListPort
 } from '@wigeonlead/protocol'
 import type { Membership } from '../membership/index.js'
 
@@ -41,6 +41,8 @@
 const POLLS_OF_PATIENCE = 2
 const WATCHERS_OF_A_DOMAIN = 3
 const WATCH_CHECK_MILLISECONDS = 1000
+/** A watch is made anew after this time: it may hang on a dead connection, or wait for a revision that a restore took back. */
+const WATCH_LIFETIME_MILLISECONDS = 60_000
 const PEERS_ASKED_AT_START = 8
 const START_MILLISECONDS = 1000
 const HEAD_DEADLINE_MILLISECONDS = 1000
@@ -89,8 +91,12 @@
   async function watchWhileChosen (): Promise<void> {
     const read = await keyValue.get(CONFIGURATION_HEAD_KEY)
     if (!read.ok) return
+    await observeEntry(read.value.entry)
     const ended = new AbortController()
-    const check = setInterval(() => { if (!isWatcher()) ended.abort() }, WATCH_CHECK_MILLISECONDS).unref()
+    const endsAt = performance.now() + WATCH_LIFETIME_MILLISECONDS
+    const check = setInterval(() => {
+      if (!isWatcher() || performance.now() >= endsAt) ended.abort()
+    }, WATCH_CHECK_MILLISECONDS).unref()
     const signal = AbortSignal.any([stopped.signal, ended.signal])
     try {
       await readWatch(read.value.revision, signal)
@@ -102,14 +108,16 @@
 
   async function readWatch (afterRevision: number, signal: AbortSignal): Promise<void> {
     for await (const events of keyValue.watch(CONFIGURATION_HEAD_KEY, afterRevision, signal)) {
-      for (const { entry } of events) {
-        const head = entry === undefined ? undefined : parseHead(entry)
-        if (head !== undefined) await observe(head)
-        else if (entry !== undefined) parts.onMalformed(CONFIGURATION_HEAD_KEY)
-      }
+      for (const { entry } of events) await observeEntry(entry)
     }
   }
 
+  async function observeEntry (entry: KeyValueEntry | undefined): Promise<void> {
+    const head = entry === undefined ? undefined : parseHead(entry)
+    if (head !== undefined) await observe(head)
+    else if (entry !== undefined) parts.onMalformed(CONFIGURATION_HEAD_KEY)
+  }
+
   async function pullFrom (address: string): Promise<void> {
     if (isPulling || stopped.signal.aborted) return
     isPulling = true
