--- a/packages/wigeonlead/src/connection/engines.ts
+++ b/packages/wigeonlead/src/connection/engines.ts
@@ -4,11 +4,10 @@
 import { Agent, request, type IncomingMessage } from 'node:http'
 import { z } from 'zod'
 import {
-  EngineEventKind, FailureKind, Step, cacheExportSchema, engineReportSchema, engineWireEventSchema, failed, postJson,
-  stepAnswerSchema, success,
+  EngineEventKind, FailureKind, Step, cacheExportSchema, destroyOnAbort, engineReportSchema, engineWireEventSchema, failed, postJson,
+  createLineReader, stepAnswerSchema, success,
   type EngineEvent, type EnginePort, type EngineWireEvent, type Failure, type GenerationRequest, type Outcome, type TargetAddress
 } from '@wigeonlead/protocol'
-import { createLineReader } from './json-lines.js'
 
 const CONTROL_DEADLINE_MILLISECONDS = 2000
 const STEP_DEADLINE_MILLISECONDS = 30_000
@@ -65,6 +64,7 @@
   const onAbort = (): void => leave.abort()
   signal.addEventListener('abort', onAbort)
   if (signal.aborted) leave.abort()
+  let isFinished = false
   try {
     const response = await open(agent, target, generation, leave.signal, connection)
     if (response.statusCode !== 200) {
@@ -78,6 +78,7 @@
       for (const line of lines) {
         const event = readEvent(line, target, generation)
         if (event.kind === EngineEventKind.Finish) {
+          isFinished = true
           signal.removeEventListener('abort', onAbort)
           drain(response)
         }
@@ -91,6 +92,7 @@
     yield failure(generation, { ...origin(target), kind, detail: cause instanceof Error ? cause.message : String(cause), cause })
   } finally {
     signal.removeEventListener('abort', onAbort)
+    if (!isFinished) leave.abort()
   }
 }
 
@@ -107,8 +109,9 @@
 ): Promise<IncomingMessage> {
   return new Promise((resolve, reject) => {
     const outgoing = request(`http://${target.address}/v1/generate`, {
-      method: 'POST', agent, signal, headers: { 'content-type': 'application/json' }
+      method: 'POST', agent, headers: { 'content-type': 'application/json' }
     })
+    destroyOnAbort(outgoing, signal)
     outgoing.on('socket', socket => {
       socket.setNoDelay(true)
       if (!socket.connecting) connection.isConnected = true
