A stop of an entry VM leaves targets alone; tested on the real process

Cause: on loopback the stop of an entry VM took the targets on its address away. Change: rows of the VM list with a peers' port carry no targets; the process test also plans a stop of the VM, and fails instead of waiting when a request is answered early.

--- a/packages/wigeonlead/src/process/leaving/sources.ts
+++ b/packages/wigeonlead/src/process/leaving/sources.ts
@@ -39,11 +39,13 @@
   return [...listed, ...known.filter(vm => vm.state === VmState.Leaving && !names.has(vm.name))]
 }
 
+/** Entry VMs carry no targets; on loopback they share their address with some. */
 function leavingAddresses (version: CompiledVersion, vms: readonly VmEntry[], nowMilliseconds: number): Map<string, Leave> {
-  const addresses = new Map<string, Leave>(vms.filter(vm => vm.state === VmState.Leaving).map(vm => [vm.address, {}]))
+  const targetVms = vms.filter(vm => vm.peerPort === undefined)
+  const addresses = new Map<string, Leave>(targetVms.filter(vm => vm.state === VmState.Leaving).map(vm => [vm.address, {}]))
   for (const stop of version.head.stops) {
     if (stop.subject !== StopSubject.Vm || stop.fromMilliseconds > nowMilliseconds) continue
-    const vm = vms.find(({ name }) => name === stop.name)
+    const vm = targetVms.find(({ name }) => name === stop.name)
     if (vm !== undefined) addresses.set(vm.address, { untilMilliseconds: stop.untilMilliseconds })
   }
   return addresses
--- a/packages/wigeonlead/test/process/shutdown-process.spec.ts
+++ b/packages/wigeonlead/test/process/shutdown-process.spec.ts
@@ -11,7 +11,7 @@
 import { fileURLToPath } from 'node:url'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createEtcdKeyValue, digestText, manifestSchema, publishManifest } from '@wigeonlead/protocol'
+import { StopSubject, changeHead, createEtcdKeyValue, digestText, manifestSchema, publishManifest, type KeyValuePort } from '@wigeonlead/protocol'
 import {
   createEngine, createKeyValueStore, listen, loopbackVm, referenceAnswer, startEngineServer, startKeyValueServer, startVmListServer,
   type RunningServer
@@ -26,19 +26,40 @@
 
 interface Held {
   requests: number
+  isReleased: boolean
   release: () => void
 }
 
+interface Case {
+  name: string
+  stop: (child: ChildProcess, keyValue: KeyValuePort) => Promise<void>
+}
+
+const CASES: Case[] = [
+  { name: 'SIGTERM, twice', stop: async child => { child.kill('SIGTERM') } },
+  { name: 'a planned stop of the VM and a SIGTERM', stop: async (_child, keyValue) => { await planStop(keyValue) } }
+]
+
 const processes = suite('shutdown of the process')
-processes('SIGTERM, twice, cuts off no request', async () => {
+for (const { name, stop } of CASES) processes(`${name} cut off no request`, () => checkShutdown(stop))
+processes.run()
+
+async function checkShutdown (stop: Case['stop']): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), 'wigeonlead-'))
-  const held: Held = { requests: 0, release: () => {} }
+  const held: Held = { requests: 0, isReleased: false, release: () => {} }
   const servers = await startTargets(held)
   const listens = { callers: await freeAddress(), operators: await freeAddress(), peers: await freeAddress() }
   writeFileSync(join(folder, 'settings.toml'), renderSettings(listens, servers))
   const child = spawn(process.execPath, [MAIN, '--settings', join(folder, 'settings.toml')], { stdio: 'ignore' })
+  const early: string[] = []
+  const noteEarly = (answer: Promise<string>): Promise<string> => {
+    void answer.then(text => { if (!held.isReleased) early.push(text) }, error => early.push(String(error)))
+    return answer
+  }
+
   async function until<T> (read: () => Promise<T>, isWanted: (value: T) => boolean): Promise<void> {
     while (!isWanted(await read())) {
+      assert.equal(early, [], 'a request was answered too early')
       assert.is(child.exitCode ?? child.signalCode, null, 'the process ended too early')
       await new Promise(resolve => setImmediate(resolve))
     }
@@ -48,14 +69,14 @@
     await until(() => isReady(listens.operators), isTrue => isTrue)
     const answers = [
       stream(listens.callers),
-      lookup(listens.callers, 1),
-      lookup(listens.callers, 2),
-      book(listens.callers, 'leak-7-1')
+      noteEarly(lookup(listens.callers, 1)),
+      noteEarly(lookup(listens.callers, 2)),
+      noteEarly(book(listens.callers, 'leak-7-1'))
     ]
     await until(async () => held.requests, count => count >= 3)
-    child.kill('SIGTERM')
+    await stop(child, createEtcdKeyValue({ endpoints: [`http://${servers[0]?.address}`] }))
     await until(() => isReady(listens.operators), isTrue => !isTrue)
-    answers.push(lookup(listens.callers, 3))
+    answers.push(noteEarly(lookup(listens.callers, 3)))
     await until(async () => held.requests, count => count >= 4)
     child.kill('SIGTERM')
     await until(() => isAccepting(listens.callers), isTrue => !isTrue)
@@ -70,13 +91,21 @@
     for (const server of servers) await server.close()
     rmSync(folder, { recursive: true })
   }
-})
-processes.run()
+}
+
+async function planStop (keyValue: KeyValuePort): Promise<void> {
+  const stop = { id: 'stop-1', subject: StopSubject.Vm, name: 'entry-1', fromMilliseconds: 0, untilMilliseconds: Number.MAX_SAFE_INTEGER }
+  const changed = await changeHead(keyValue, createSeededRandom(2), head => ({ ...head, stops: [stop] }))
+  assert.is(changed.kind, 'accepted')
+}
 
 async function startTargets (held: Held): Promise<RunningServer[]> {
   const waiting = new Set<() => void>()
   const whenReleased = new Promise<void>(resolve => { waiting.add(resolve) })
-  held.release = () => { for (const resolve of waiting) resolve() }
+  held.release = () => {
+    held.isReleased = true
+    for (const resolve of waiting) resolve()
+  }
   const service = await listen((request, response) => {
     held.requests += 1
     request.resume()
@@ -86,7 +115,7 @@
     name: 'stage', held: [{ model: 'assistant', version: 'v1', adapters: [], layers: { from: 0, to: LAYERS } }], stepMilliseconds: 5
   })
   const keyValue = await startKeyValueServer(createKeyValueStore())
-  const vmList = await startVmListServer(() => [loopbackVm('entry-1', 'howrah')])
+  const vmList = await startVmListServer(() => [loopbackVm('entry-1', 'howrah', 1)])
   const stage = await startEngineServer(engine)
   const published = await publishManifest(createEtcdKeyValue({ endpoints: [`http://${keyValue.address}`] }), createSeededRandom(1), manifestSchema.parse({
     format: 1,
