--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -4,8 +4,12 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
 import type { Experiment, ExperimentResult } from './experiment.js'
+import { fleetExperiment, slopesExperiment } from './slopes.js'
 
-const EXPERIMENTS: Record<string, Experiment> = {}
+const EXPERIMENTS: Record<string, Experiment> = {
+  slopes: slopesExperiment,
+  fleet: fleetExperiment
+}
 const DEFAULT_FOLDER = 'docs/measurements'
 
 const program = cac('bench')
--- a/packages/wigeonlead/src/process/serve.ts
+++ b/packages/wigeonlead/src/process/serve.ts
@@ -1,8 +1,11 @@
 /**
  * Runs a router on sockets: the HTTP adapters behind its ports, and its three listeners.
  */
+import { readFileSync } from 'node:fs'
 import { createEtcdKeyValue, createVmListClient } from '@wigeonlead/protocol'
-import { createCallerListener, createHttpEngines, createHttpPeers, createHttpServices, createOperatorListener } from '../connection/index.js'
+import {
+  createCallerListener, createHttpEngines, createHttpPeers, createHttpServices, createOperatorListener, type PeerTlsFiles
+} from '../connection/index.js'
 import { closeNow, createDrainableListener, listen } from './listeners.js'
 import { LogEvent, type Logger } from './logging.js'
 import { createSystemRandom } from './random.js'
@@ -21,7 +24,10 @@
 
 /** Starts a router on sockets. */
 export async function serveRouter (settings: Settings, logger: Logger): Promise<RunningRouter> {
-  const peers = createHttpPeers(settings.peers.secrets)
+  const peers = createHttpPeers(settings.peers.secrets, {
+    tls: readPeerTls(settings),
+    onRefused: (peer, reason) => logger.warn(LogEvent.PeerRefused, { peer, reason })
+  })
   const router = createRouter(settings, {
     keyValue: createEtcdKeyValue({
       endpoints: settings.platform.keyValue, deadlineMilliseconds: settings.platform.callDeadlineMilliseconds
@@ -57,3 +63,9 @@
   logger.info(LogEvent.Started, settings.listen)
   return { settings, router, shutdown, stopped }
 }
+
+function readPeerTls ({ peers: { tls } }: Settings): PeerTlsFiles | undefined {
+  if (tls === undefined) return undefined
+  const read = (file: string): string => readFileSync(file, 'utf8')
+  return { certificate: read(tls.certificate), key: read(tls.key), authority: read(tls.authority) }
+}
--- a/packages/wigeonlead/src/request/context.ts
+++ b/packages/wigeonlead/src/request/context.ts
@@ -2,8 +2,10 @@
  * What every request reads: the version that it began with, its workspace, and the parts of the process that it uses.
  */
 import type { EnginePort, ManifestWorkspace, RandomSource, ServicePort } from '@wigeonlead/protocol'
+import type { Burn } from '../process/burn.js'
 import type { Logger } from '../process/logging.js'
 import type { Metrics } from '../process/metrics.js'
+import type { ObservedLatency } from '../process/observed-latency.js'
 import type { RetryBudget } from '../process/retry-budget.js'
 import type { TargetBoard } from '../process/targets.js'
 import type { CompiledVersion } from '../version/index.js'
@@ -21,7 +23,10 @@
   admission: Admission
   claims: Claims
   retries: RetryBudget
+  /** Latencies of services' operations. */
+  latencies: ObservedLatency
   metrics: Metrics
+  burn: Burn
   logger: Logger
   failureDomain: string
   /** Deadline of a request that names none, milliseconds. */
@@ -33,6 +38,8 @@
   parts: RequestParts
   version: CompiledVersion
   workspace: ManifestWorkspace
+  /** The version in force now, which a request that waited starts under. */
+  versionInForce: () => CompiledVersion | undefined
   /** Aborts when the caller hangs up. */
   signal: AbortSignal
   /** When the answer has to be whole, milliseconds since 1970. */
--- a/packages/wigeonlead/test/properties/index.ts
+++ b/packages/wigeonlead/test/properties/index.ts
@@ -1,8 +1,9 @@
 /**
  * Every property, for the default run and for `npm run explore`.
  */
+import { claimsProperty } from './claims.js'
 import type { PromiseProperty } from './property.js'
 import { reconcilerProperty } from './reconciler.js'
 
 /** The properties in the order in which they run. */
-export const PROPERTIES: PromiseProperty[] = [reconcilerProperty]
+export const PROPERTIES: PromiseProperty[] = [claimsProperty, reconcilerProperty]
