Move sessions under way off leaving targets; cut-off also ends waiting for orders

Cause: the mover had no caller, and a cut-off still waited for orders that go on without their caller. Change: each epoch asks its mover after every delivered token; the old epoch goes on delivering while the caches are handed over, and the next one begins when they are there. The shutdown waits for orders to finish or for the cut-off. The stand-in engine keeps caches by session and epoch.

--- a/packages/stand-ins/src/engine/core.ts
+++ b/packages/stand-ins/src/engine/core.ts
@@ -132,10 +132,10 @@
   function cacheOf (input: StepInput): SessionCache | undefined {
     if (input.prefill !== undefined) {
       const texts = input.prefill.prefix.map(token => token.text)
-      if (isPrefixOf(sessions.get(input.session), input, texts)) caches.reused += 1
-      sessions.set(input.session, { epoch: input.epoch, prompt: input.prefill.prompt, texts, layers: input.layers })
+      if (isPrefixOf(sessions.get(cacheKey(input.session, input.epoch)), input, texts)) caches.reused += 1
+      sessions.set(cacheKey(input.session, input.epoch), { epoch: input.epoch, prompt: input.prefill.prompt, texts, layers: input.layers })
     }
-    const cache = sessions.get(input.session)
+    const cache = sessions.get(cacheKey(input.session, input.epoch))
     if (cache === undefined || cache.epoch !== input.epoch) return undefined
     if (input.previousToken !== undefined) cache.texts.push(input.previousToken)
     return cache.texts.length === input.index ? cache : undefined
@@ -230,14 +230,15 @@
       cacheEvents: []
     }),
     exportCache (session, epoch) {
-      const cache = sessions.get(session)
+      const cache = sessions.get(cacheKey(session, epoch))
       if (cache === undefined || cache.epoch !== epoch) return undefined
       caches.exported += 1
       return { session, epoch, tokens: cache.texts.length, layers: cache.layers, content: JSON.stringify(cache) }
     },
     importCache (cache, epoch) {
+      if (sessions.has(cacheKey(cache.session, epoch))) return
       caches.imported += 1
-      sessions.set(cache.session, { ...JSON.parse(cache.content) as SessionCache, epoch })
+      sessions.set(cacheKey(cache.session, epoch), { ...JSON.parse(cache.content) as SessionCache, epoch })
     },
     restart () {
       incarnation += 1
@@ -261,6 +262,10 @@
   if (faults.dieAfterSteps !== undefined && --faults.dieAfterSteps < 0) faults.isDead = true
 }
 
+function cacheKey (session: string, epoch: number): string {
+  return `${session}/${epoch}`
+}
+
 function isPrefixOf (cache: SessionCache | undefined, input: StepInput, texts: string[]): boolean {
   return cache !== undefined && cache.epoch === input.epoch && cache.prompt === input.prefill?.prompt &&
     cache.layers.from === input.layers.from && cache.layers.to === input.layers.to &&
--- a/packages/wigeonlead/src/process/in-flight.ts
+++ b/packages/wigeonlead/src/process/in-flight.ts
@@ -9,15 +9,10 @@
 export interface InFlight {
   /** Wraps a handler so that its requests are counted until their last byte was handed out. */
   track: (handler: CallerHandler) => CallerHandler
-  /** Counts work that goes on without a caller. @returns what ends it. */
-  begin: () => () => void
   count: () => number
   /** Resolves once nothing is in flight. */
   whenIdle: () => Promise<void>
-  /**
-   * Ends every request now: each is answered that this node stops and that its order's state is unknown.
-   * Work without a caller is no longer waited for.
-   */
+  /** Ends every request now: each is answered that this node stops and that its order's state is unknown. */
   cutOff: () => void
 }
 
@@ -30,11 +25,9 @@
 export function createInFlight (onCutOff: (request: CallerRequest) => void = () => {}): InFlight {
   const waiting = new Set<() => void>()
   const tracked = new Map<CallerRequest, AbortController>()
-  let background = 0
-  let isCutOff = false
 
   function settle (): void {
-    if (tracked.size > 0 || (background > 0 && !isCutOff)) return
+    if (tracked.size > 0) return
     for (const resolve of waiting) resolve()
     waiting.clear()
   }
@@ -62,28 +55,16 @@
         throw error
       }
     },
-    begin () {
-      background += 1
-      let isEnded = false
-      return () => {
-        if (isEnded) return
-        isEnded = true
-        background -= 1
-        settle()
-      }
-    },
     count: () => tracked.size,
     whenIdle: () => new Promise(resolve => {
       waiting.add(resolve)
       settle()
     }),
     cutOff () {
-      isCutOff = true
       for (const [request, cut] of [...tracked]) {
         onCutOff(request)
         cut.abort()
       }
-      settle()
     }
   }
 }
--- a/packages/wigeonlead/src/process/logging.ts
+++ b/packages/wigeonlead/src/process/logging.ts
@@ -21,6 +21,7 @@
   EngineOrdered = 'engine-ordered',
   TargetLeaving = 'target-leaving',
   TargetServing = 'target-serving',
+  SessionMoved = 'session-moved',
   RequestCutOff = 'request-cut-off',
   InternalFault = 'internal-fault'
 }
--- a/packages/wigeonlead/src/process/shutdown.ts
+++ b/packages/wigeonlead/src/process/shutdown.ts
@@ -25,6 +25,8 @@
   inFlight: InFlight
   /** Tells the other entry VMs that this one takes no more work. */
   leave: () => void
+  /** Resolves once no order goes on without its caller. */
+  finishOrders: () => Promise<void>
   /** Hands back what this node holds for its failure domain. */
   release: () => Promise<void>
   /** Stops everything that runs by itself. */
@@ -38,15 +40,25 @@
 
   async function run (closeListener: CloseListener): Promise<void> {
     parts.leave()
-    const cutOff = settings.cutOffMilliseconds === undefined ? undefined : setTimeout(inFlight.cutOff, settings.cutOffMilliseconds)
+    const limit = startLimit()
     await new Promise(resolve => setTimeout(resolve, settings.balancerLagMilliseconds))
     await closeListener()
     await inFlight.whenIdle()
-    clearTimeout(cutOff)
+    await Promise.race([parts.finishOrders(), limit.reached])
+    limit.cancel()
     await parts.release()
     parts.halt()
   }
 
+  function startLimit (): { reached: Promise<void>, cancel: () => void } {
+    const { cutOffMilliseconds } = settings
+    if (cutOffMilliseconds === undefined) return { reached: new Promise(() => {}), cancel: () => {} }
+    let timer: NodeJS.Timeout | undefined
+    const reached = new Promise<void>(resolve => { timer = setTimeout(resolve, cutOffMilliseconds) })
+    void reached.then(inFlight.cutOff)
+    return { reached, cancel: () => clearTimeout(timer) }
+  }
+
   return {
     isLeaving: () => begun !== undefined,
     begin (closeListener = async () => {}) {
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -136,6 +136,7 @@
     burn,
     logger,
     failureDomain,
+    leaveOf: target => leaving.leaveOf(target),
     defaultDeadlineMilliseconds: settings.callers.defaultDeadlineMilliseconds
   }, configuration.current)
   const leaving = createLeaving({
@@ -149,7 +150,14 @@
     current: configuration.current,
     setState: targets.setState
   })
-  const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: releaseAll, halt })
+  const shutdown = createShutdown({
+    settings: settings.shutdown,
+    inFlight,
+    leave: membership.leave,
+    finishOrders: claims.whenIdle,
+    release: reconciler.release,
+    halt
+  })
 
   function status (): NodeStatus {
     const current = configuration.current()
@@ -166,11 +174,6 @@
     return { member: membership.self(), sections }
   }
 
-  async function releaseAll (): Promise<void> {
-    await claims.whenIdle()
-    await reconciler.release()
-  }
-
   function halt (): void {
     reconciler.stop()
     leaving.stop()
--- a/packages/wigeonlead/src/request/context.ts
+++ b/packages/wigeonlead/src/request/context.ts
@@ -29,6 +29,8 @@
   burn: Burn
   logger: Logger
   failureDomain: string
+  /** When a leaving target will be gone, where anybody says; undefined while it stays. No session is moved when absent. */
+  leaveOf?: (target: string) => { untilMilliseconds?: number } | undefined
   /** Deadline of a request that names none, milliseconds. */
   defaultDeadlineMilliseconds: number
 }
--- /dev/null
+++ b/packages/wigeonlead/src/request/generation-move.ts
@@ -0,0 +1,57 @@
+/**
+ * Moves a generation off targets that leave before it ends.
+ */
+import type { GenerationRequest, LayerRange, PathStage } from '@wigeonlead/protocol'
+import { LogEvent } from '../process/logging.js'
+import { TargetAvailability } from '../process/targets.js'
+import type { RequestContext } from './context.js'
+import type { GenerationOrder } from './generation.js'
+import { createSessionMover } from './move.js'
+
+/** The mover of one epoch. */
+export interface GenerationMover {
+  /**
+   * To be asked after each delivered token; never waits.
+   * @returns the path on which the next epoch goes on, or undefined where this one does.
+   */
+  consider: (request: GenerationRequest, delivered: number) => PathStage[] | undefined
+}
+
+/** Makes the mover of one epoch of a generation. */
+export function createGenerationMover (context: RequestContext, order: GenerationOrder): GenerationMover {
+  const { engines, leaveOf, paths, logger, metrics } = context.parts
+  const { model, reference, prompt } = order
+  const mover = createSessionMover({
+    engines,
+    leaveOf: target => leaveOf?.(target),
+    substitutes: layers => listSubstitutes(context, order, layers),
+    choosePath (excluded) {
+      const path = paths.choose({ version: context.version, model, reference, prompt, excluded })
+      return path.ok ? path.value : undefined
+    }
+  })
+
+  return {
+    consider (request, delivered) {
+      const { session, epoch, stages, maximumTokens } = request
+      const move = mover.consider({ session, epoch, stages, delivered, maximumTokens })
+      if (move === undefined) return undefined
+      metrics.count('sessions_moved_total', { kind: move.kind })
+      const targets = move.stages.map(stage => stage.target).join(',')
+      logger.info(LogEvent.SessionMoved, { kind: move.kind, targets, delivered, epoch, detail: move.failure?.detail })
+      return move.stages
+    }
+  }
+}
+
+function listSubstitutes ({ parts }: RequestContext, { model, reference }: GenerationOrder, layers: LayerRange): PathStage[] {
+  const { targets } = parts
+  const options = model.options.filter(({ target, version, adapters, from, to }) =>
+    version === reference.version && from === layers.from && to === layers.to &&
+    (reference.adapter === undefined || adapters.includes(reference.adapter)) &&
+    targets.availability(target.name) === TargetAvailability.Serving &&
+    targets.holds(target.name, reference, layers) !== false)
+  const load = ({ target }: typeof options[number]): number => targets.inFlight(target.name) / target.capacity
+  return options.sort((left, right) => load(left) - load(right))
+    .map(({ target, from, to }) => ({ target: target.name, address: target.address, layers: { from, to } }))
+}
--- a/packages/wigeonlead/src/request/generation.ts
+++ b/packages/wigeonlead/src/request/generation.ts
@@ -11,6 +11,7 @@
 import type { RequestContext } from './context.js'
 import { findFailedTargets } from './generation-blame.js'
 import { runEpoch, type EpochEnd } from './generation-epoch.js'
+import { createGenerationMover } from './generation-move.js'
 import { refuseFailed, refuseLate } from './generation-refusal.js'
 import { Interruption, createWatch, type Watch } from './generation-watch.js'
 
@@ -64,6 +65,8 @@
   /** Epochs in a row without a token. */
   fruitless: number
   wasSent: boolean
+  /** Where the next epoch runs after a move. */
+  nextPath?: PathStage[]
   lastFailure?: Failure
 }
 
@@ -79,6 +82,7 @@
     const before = progress.delivered.length
     const end = path.ok ? yield * deliverEpoch(context, order, progress, path.value, watch) : { kind: 'failed' as const, failure: path.failure }
     if (end.kind === 'whole') return yield { kind: DeliveryKind.Finish, reason: end.reason, tokens: end.tokens }
+    if (end.kind === 'moved') continue
     if (end.kind === 'interrupted') return yield refusal(refuseLate(progress.delivered.length, progress.wasSent))
     if (path.ok) await takeFailure(context, progress, path.value, end)
     progress.fruitless = progress.delivered.length > before ? 1 : progress.fruitless + 1
@@ -89,6 +93,9 @@
 }
 
 function choosePath (context: RequestContext, order: GenerationOrder, progress: Progress): Outcome<PathStage[]> {
+  const { nextPath } = progress
+  progress.nextPath = undefined
+  if (nextPath !== undefined) return { ok: true, value: nextPath }
   if (progress.epoch === 0 && order.firstPath !== undefined) return { ok: true, value: order.firstPath }
   const { model, reference, prompt } = order
   const query = { version: context.version, model, reference, prompt, excluded: progress.excluded }
@@ -100,8 +107,9 @@
 
 async function * deliverEpoch (
   context: RequestContext, order: GenerationOrder, progress: Progress, stages: PathStage[], watch: Watch
-): AsyncGenerator<Delivery, EpochEnd> {
+): AsyncGenerator<Delivery, EpochEnd | { kind: 'moved' }> {
   const { delivered } = progress
+  const mover = createGenerationMover(context, order)
   const request = toRequest(context, order, progress, stages)
   progress.wasSent = true
   const tokens = runEpoch(context, { model: order.model, request, delivered, watch })
@@ -109,6 +117,8 @@
     for (let next = await tokens.next(); ; next = await tokens.next()) {
       if (next.done === true) return next.value
       yield { kind: DeliveryKind.Token, token: next.value }
+      progress.nextPath = mover.consider(request, delivered.length)
+      if (progress.nextPath !== undefined) return { kind: 'moved' }
     }
   } finally {
     await tokens.return({ kind: 'interrupted', interruption: Interruption.HungUp })
--- a/packages/wigeonlead/src/request/move.ts
+++ b/packages/wigeonlead/src/request/move.ts
@@ -1,6 +1,7 @@
 /**
  * Moves a session off targets that leave before it ends: the key-value cache of each stage is exported and imported at a
- * replacement with the same layers; failing that, the session is resumed elsewhere by prefill.
+ * replacement with the same layers; failing that, the session is resumed elsewhere by prefill. The old epoch goes on
+ * delivering while the caches are handed over.
  */
 import type { EnginePort, Failure, LayerRange, Outcome, PathStage } from '@wigeonlead/protocol'
 
@@ -34,10 +35,10 @@
 /** Decides on moves of one session. */
 export interface SessionMover {
   /**
-   * To be asked after each delivered token.
-   * @returns the move after which the next epoch runs, or undefined where the session stays on its path.
+   * To be asked after each delivered token; never waits.
+   * @returns the move after which the next epoch runs, or undefined where this one goes on for now.
    */
-  consider: (session: SessionOnPath) => Promise<Move | undefined>
+  consider: (session: SessionOnPath) => Move | undefined
 }
 
 /** What a mover needs. */
@@ -59,6 +60,7 @@
   const startedAt = performance.now()
   let considered = 0
   let notBefore = -Infinity
+  let handover: { stages: PathStage[], move?: Move } | undefined
 
   function endsInTime ({ delivered, maximumTokens }: SessionOnPath, leaves: Array<{ untilMilliseconds?: number }>): boolean {
     const betweenTokens = (performance.now() - startedAt) / considered
@@ -77,17 +79,25 @@
     return stages.every(stage => stage !== undefined) ? stages : parts.choosePath(excluded)
   }
 
+  function begin (session: SessionOnPath, stages: PathStage[]): void {
+    const begun: NonNullable<typeof handover> = { stages }
+    handover = begun
+    void carry(parts.engines, session, stages).then(move => { begun.move = move })
+  }
+
   return {
-    async consider (session) {
+    consider (session) {
       considered += 1
+      if (handover?.stages.some(({ target }) => parts.leaveOf(target) !== undefined) === true) handover = undefined
+      if (handover !== undefined) return handover.move
       const leaves = session.stages.flatMap(({ target }) => {
         const leave = parts.leaveOf(target)
         return leave === undefined ? [] : [{ target, ...leave }]
       })
       if (leaves.length === 0 || performance.now() < notBefore || endsInTime(session, leaves)) return undefined
       const stages = replace(session, new Set(leaves.map(({ target }) => target)))
-      if (stages !== undefined) return await carry(parts.engines, session, stages)
-      notBefore = performance.now() + RETRY_MILLISECONDS
+      if (stages === undefined) notBefore = performance.now() + RETRY_MILLISECONDS
+      else begin(session, stages)
       return undefined
     }
   }
--- a/packages/wigeonlead/test/process/shutdown.spec.ts
+++ b/packages/wigeonlead/test/process/shutdown.spec.ts
@@ -11,7 +11,7 @@
 interface Case {
   name: string
   cutOffMilliseconds?: number
-  /** When the request's answer and the background work are there, milliseconds from the start. */
+  /** When the request's answer and the orders without a caller are there, milliseconds from the start. */
   answerAfter: number
   backgroundAfter: number
   /** The answer is streamed. */
@@ -27,11 +27,11 @@
   { name: 'waits for the balancer alone', answerAfter: 10, backgroundAfter: 10, isStream: false, endsBy: 5000, expected: WHOLE },
   { name: 'waits an hour for an answer', answerAfter: 3_600_000, backgroundAfter: 10, isStream: false, endsBy: 3_600_000, expected: WHOLE },
   { name: 'waits for a stream', answerAfter: 60_000, backgroundAfter: 10, isStream: true, endsBy: 60_000, expected: WHOLE },
-  { name: 'waits for background work', answerAfter: 10, backgroundAfter: 90_000, isStream: false, endsBy: 90_000, expected: WHOLE },
+  { name: 'waits for orders without a caller', answerAfter: 10, backgroundAfter: 90_000, isStream: false, endsBy: 90_000, expected: WHOLE },
   { name: 'cuts an answer off', cutOffMilliseconds: 9000, answerAfter: 60_000, backgroundAfter: 10, isStream: false, endsBy: 9000, expected: CUT },
   { name: 'cuts a stream off', cutOffMilliseconds: 9000, answerAfter: 60_000, backgroundAfter: 10, isStream: true, endsBy: 9000, expected: CUT },
   { name: 'cuts nothing that ends', cutOffMilliseconds: 9000, answerAfter: 8000, backgroundAfter: 10, isStream: true, endsBy: 8000, expected: WHOLE },
-  { name: 'leaves background work', cutOffMilliseconds: 9000, answerAfter: 10, backgroundAfter: 60_000, isStream: false, endsBy: 9000, expected: WHOLE }
+  { name: 'leaves orders without a caller', cutOffMilliseconds: 9000, answerAfter: 10, backgroundAfter: 60_000, isStream: false, endsBy: 9000, expected: WHOLE }
 ]
 
 const shutdowns = suite('shutdown')
@@ -39,16 +39,16 @@
   shutdowns(row.name, () => withPausedClock(async clock => {
     const events: string[] = []
     const inFlight = createInFlight(({ url }) => events.push(`cut ${url}`))
+    const background = pause(row.backgroundAfter)
     const shutdown = createShutdown({
       settings: { balancerLagMilliseconds: LAG_MILLISECONDS, cutOffMilliseconds: row.cutOffMilliseconds },
       inFlight,
       leave: () => events.push('leave'),
+      finishOrders: () => background,
       release: async () => { events.push('release') },
       halt: () => events.push('halt')
     })
     const answer = inFlight.track(() => answerAfter(row))(REQUEST).then(readAll)
-    const endBackground = inFlight.begin()
-    setTimeout(endBackground, row.backgroundAfter)
     let isOver = false
     const over = shutdown.begin(async () => { events.push('close') }).then(() => { isOver = true })
     assert.is(shutdown.isLeaving(), true)
--- a/packages/wigeonlead/test/request/move.spec.ts
+++ b/packages/wigeonlead/test/request/move.spec.ts
@@ -75,7 +75,10 @@
     const reading = readTokens(port, request, DELIVERED, before)
     await clock.advance(2 * DELIVERED * STEP_MILLISECONDS)
     await reading
-    const move = await mover.consider({ ...request, delivered: DELIVERED, maximumTokens: request.maximumTokens })
+    const session = { ...request, delivered: DELIVERED }
+    assert.is(mover.consider(session), undefined)
+    await clock.advance(1)
+    const move = mover.consider(session)
     assert.equal(move && { kind: move.kind, targets: move.stages.map(stage => stage.target) }, row.expected)
     if (move === undefined) return
     const after: Token[] = []
