A suspicion doesn't undo that a target is leaving

Cause: the board takes the latest state; a suspicion of a leaving target told by gossip replaced its leave. Change: the leave is set again after each suspicion of a leaving target. Measured: the new case fails without the change and passes with it. Conclusion: a leaving target that also fails still gets no work.

--- a/packages/wigeonlead/src/process/leaving/leaving.ts
+++ b/packages/wigeonlead/src/process/leaving/leaving.ts
@@ -97,7 +97,10 @@
   }
 
   function hear (event: TargetEvent): void {
-    if (event.state === MemberState.Suspect) return
+    if (event.state === MemberState.Suspect) {
+      if (effective.has(event.target)) parts.setState(event.target, MemberState.Leaving)
+      return
+    }
     const reporters = heard.get(event.target) ?? new Map<string, number>()
     heard.set(event.target, reporters)
     if (event.state === MemberState.Alive) reporters.delete(event.reporter)
--- a/packages/wigeonlead/test/process/leaving.spec.ts
+++ b/packages/wigeonlead/test/process/leaving.spec.ts
@@ -77,6 +77,8 @@
   vms: VmEntry[]
   polls: number
   isVmListOut: boolean
+  /** Spreads a suspicion by gossip. */
+  suspect: (target: string) => void
   /** Nodes that the configuration no longer reaches. */
   publish: (stops: PlannedStop[], nodes?: number[]) => void
 }
@@ -121,6 +123,14 @@
   assert.equal(fleet.nodes.map(leavingAt), Array(NODES).fill([]))
 }))
 
+leavings('a suspicion of a leaving target gives it no work', () => withFleet(async (fleet, clock) => {
+  fleet.publish([toStop({ subject: StopSubject.Target, name: 'one', fromMilliseconds: 0 })])
+  await clock.advance(IN_FORCE_MILLISECONDS)
+  fleet.suspect('one')
+  await clock.advance(IN_FORCE_MILLISECONDS)
+  assert.equal(fleet.nodes.map(leavingAt), Array(NODES).fill(['one']))
+}))
+
 leavings('the stop of an entry VM is told once, at its time, to that VM alone', () => withFleet(async (fleet, clock) => {
   fleet.publish([toStop({ subject: StopSubject.Vm, name: 'entry-3', fromMilliseconds: SOON })])
   await clock.advance(SOON - 1)
@@ -164,6 +174,7 @@
     vms: [toVm('vm-1', '10.0.0.1'), toVm('vm-2', '10.0.0.2'), ...members.map(member => toVm(member.vm, member.address.split(':')[0] ?? ''))],
     polls: 0,
     isVmListOut: false,
+    suspect: target => createAnnouncements(hubs, 0, 'suspecting').announceTarget(target, MemberState.Suspect),
     publish (stops, reached = fleet.nodes.map((_, index) => index)) {
       const version = toVersion(++generation, stops)
       for (const index of reached) fleet.nodes[index]!.version = version
@@ -171,6 +182,7 @@
   }
   for (const [index, member] of members.entries()) {
     const node: Fleet['nodes'][number] = { version: toVersion(0, []), states: new Map(), ownStops: 0, leaving: undefined as unknown as Leaving }
+    hubs[index]!.add(({ target, state }) => { if (state === MemberState.Suspect) node.states.set(target, state) })
     node.leaving = createLeaving({
       vmList: {
         async list () {
