--- a/packages/wigeonlead/src/process/leaving/index.ts
+++ b/packages/wigeonlead/src/process/leaving/index.ts
@@ -3,4 +3,4 @@
  */
 export { createLeaving, type Leaving, type LeavingParts, type TargetAnnouncements } from './leaving.js'
 export { listLeaving, mergeVmList, ownStopAt, type Leave } from './sources.js'
-export { createVmListView, vmListIntervalMilliseconds, type VmListView } from './vm-list.js'
+export { createVmListView, vmListIntervalMilliseconds, type PollTurn, type VmListView } from './vm-list.js'
--- a/packages/wigeonlead/src/process/leaving/leaving.ts
+++ b/packages/wigeonlead/src/process/leaving/leaving.ts
@@ -6,7 +6,7 @@
 import { LogEvent, type Logger } from '../logging.js'
 import { Duty, candidateRank } from '../reconciler/index.js'
 import { listLeaving, ownStopAt, type Leave } from './sources.js'
-import { createVmListView } from './vm-list.js'
+import { createVmListView, type PollTurn } from './vm-list.js'
 
 /** Carries word of targets between entry VMs. */
 export interface TargetAnnouncements {
@@ -59,13 +59,21 @@
   let unsubscribe = (): void => {}
 
   async function tick (): Promise<void> {
-    const isPoller = candidateRank(Duty.VmList, parts.failureDomain, parts.address, parts.members()) < POLLERS_PER_DOMAIN
+    const rank = candidateRank(Duty.VmList, parts.failureDomain, parts.address, parts.members())
     evaluate()
-    if (isPoller && await view.refresh()) evaluate()
-    if (isPoller) announce()
+    if (rank < POLLERS_PER_DOMAIN) {
+      if (await view.refresh(turnOf(rank))) evaluate()
+      announce()
+    }
     announceOwnStop()
   }
 
+  function turnOf (rank: number): PollTurn {
+    const domains = parts.current()?.manifest.failureDomains ?? [parts.failureDomain]
+    const position = Math.max(0, domains.indexOf(parts.failureDomain)) * POLLERS_PER_DOMAIN + rank
+    return { position, pollers: domains.length * POLLERS_PER_DOMAIN }
+  }
+
   function evaluate (): void {
     local = listLeaving(parts.current(), view.vms(), Date.now())
     const next = new Map([...heardLeaving().map((target): [string, Leave] => [target, {}]), ...local])
--- a/packages/wigeonlead/test/process/leaving.spec.ts
+++ b/packages/wigeonlead/test/process/leaving.spec.ts
@@ -5,7 +5,7 @@
   type MemberEntry, type PlannedStop, type TargetEvent, type VmEntry
 } from '@wigeonlead/protocol'
 import { withPausedClock, type PausedClock } from '@wigeonlead/stand-ins'
-import { createLeaving, mergeVmList, vmListIntervalMilliseconds, type Leaving, type TargetAnnouncements } from '../../src/process/leaving/index.js'
+import { createLeaving, createVmListView, mergeVmList, vmListIntervalMilliseconds, type Leaving, type TargetAnnouncements } from '../../src/process/leaving/index.js'
 import { SILENT_LOGGER } from '../../src/process/logging.js'
 import { compileVersion, type CompiledVersion } from '../../src/version/index.js'
 
@@ -140,8 +140,10 @@
 }))
 
 leavings('two nodes of a failure domain poll the list, each 2 s', () => withFleet(async (fleet, clock) => {
+  await clock.advance(10_000)
+  const before = fleet.polls
   await clock.advance(60_000)
-  assert.is(fleet.polls, 2 * 30)
+  assert.is(fleet.polls - before, 2 * 30)
 }))
 
 leavings('a long list is polled at 12 KB/s', () => {
@@ -149,6 +151,25 @@
   assert.is(vmListIntervalMilliseconds(2000), 20_000)
 })
 
+leavings('pollers of eleven failure domains take turns at a long list', () => withPausedClock(async clock => {
+  const polledAt: number[] = []
+  const vms = Array.from({ length: 2000 }, (_, index) => toVm(`${index}`, '10.0.0.1'))
+  const views = Array.from({ length: 22 }, () => createVmListView({
+    async list () {
+      polledAt.push(Date.now())
+      return success(vms)
+    }
+  }))
+  for (let tick = 0; tick < 240; tick += 1) {
+    await Promise.all(views.map((view, position) => view.refresh({ position, pollers: views.length })))
+    await clock.advance(500)
+  }
+  const steady = polledAt.filter(at => at > polledAt[0]! + 40_000 && at <= polledAt[0]! + 100_000)
+  const gaps = steady.slice(1).map((at, index) => at - steady[index]!)
+  assert.ok(Math.max(...gaps) <= 1000, `${Math.max(...gaps)} ms between two polls`)
+  assert.is(steady.length, 3 * 22)
+}))
+
 leavings('merge keeps only leaving VMs that vanished', () => {
   const vm = (name: string, state: VmState): VmEntry => ({ name, state, address: '10.0.0.1', failureDomain: 'howrah' })
   const merged = mergeVmList([vm('a', VmState.Leaving), vm('b', VmState.Live), vm('c', VmState.Leaving)], [vm('c', VmState.Live)])
