--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -160,6 +160,7 @@
     burn,
     logger,
     failureDomain,
+    leaveOf: target => leaving.leaveOf(target),
     defaultDeadlineMilliseconds: settings.callers.defaultDeadlineMilliseconds
   }, configuration.current)
   const leaving = createLeaving({
@@ -173,7 +174,14 @@
     current: configuration.current,
     setState: targets.setState
   })
-  const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: releaseAll, halt })
+  const shutdown = createShutdown({
+    settings: settings.shutdown,
+    inFlight,
+    leave: membership.leave,
+    finishOrders: claims.whenIdle,
+    release: reconciler.release,
+    halt
+  })
 
   /** Entry VMs use the targets of their own failure domain first; where it has few of them, those of others count as well. */
   function countCompetitors (domain: string): number {
@@ -196,11 +204,6 @@
     return { member: membership.self(), sections }
   }
 
-  async function releaseAll (): Promise<void> {
-    await claims.whenIdle()
-    await reconciler.release()
-  }
-
   function halt (): void {
     reconciler.stop()
     leaving.stop()
