Measure claims: an experiment over nine entry VMs, and a write rate shared by whoever writes a bucket

Change: the head counts its writes, so that each writer learns how many others there are and takes its share; a shared bucket is read before it is written; finishes are gathered into one call.

--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -3,10 +3,12 @@
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
+import { claimsExperiment } from './claims.js'
 import type { Experiment, ExperimentResult } from './experiment.js'
 import { fleetExperiment, slopesExperiment } from './slopes.js'
 
 const EXPERIMENTS: Record<string, Experiment> = {
+  claims: claimsExperiment,
   slopes: slopesExperiment,
   fleet: fleetExperiment
 }
--- a/packages/wigeonlead/src/index.ts
+++ b/packages/wigeonlead/src/index.ts
@@ -6,5 +6,6 @@
   settingsSchema,
   type Logger, type Router, type RouterPorts, type RunningRouter, type Settings, type SettingsCheck, type SettingsInput
 } from './process/index.js'
+export { ClaimResult, createClaims, type ClaimOutcome, type ClaimedOrder, type Claims, type ClaimsParts } from './request/claims/index.js'
 export type { CallerHandler, CallerRequest, CallerResponse } from './request/index.js'
-export { createHttpEngines, createHttpPeers, createHttpServices } from './connection/index.js'
+export { createHttpEngines, createHttpPeers, createHttpServices, type HttpPeers } from './connection/index.js'
--- a/packages/wigeonlead/src/request/claims/bucket-store.ts
+++ b/packages/wigeonlead/src/request/claims/bucket-store.ts
@@ -12,8 +12,11 @@
 
 /** One bucket in the key-value service, with what this node remembers of it. */
 export interface BucketStore {
-  /** Commits changes in order. Never rejects. */
-  commit: (changes: ClaimChange[]) => Promise<BucketCommit>
+  /**
+   * Commits changes in order. Never rejects.
+   * @param isShared whether other nodes write the bucket too, so that it is read first: a read costs less than a lost write.
+   */
+  commit: (changes: ClaimChange[], isShared: boolean) => Promise<BucketCommit>
   /** What stands in the way of a change as far as this node remembers; undefined where the change would have to be written. */
   peek: (change: ClaimChange) => ClaimChangeOutcome | undefined
 }
@@ -23,6 +26,8 @@
   outcomes: ClaimChangeOutcome[]
   /** Compare-and-swaps that found another writer's value. */
   conflicts: number
+  /** Writes of other nodes since this node's last one, where it wrote now. */
+  foreignWrites?: number
   /** Why the key-value service could not be used, where it could not. */
   failure?: Failure
 }
@@ -53,6 +58,7 @@
   /** Segments that were written but may not be named by the head. */
   const unnamed = new Set<string>()
   let known: KnownHead | undefined
+  let lastWrites: number | undefined
 
   function findSealed (head: BucketHead): (keyDigest: string) => ClaimEntry | undefined {
     return keyDigest => {
@@ -102,12 +108,12 @@
     }
   }
 
-  async function commit (changes: ClaimChange[]): Promise<BucketCommit> {
-    let isFresh = known === undefined
+  async function commit (changes: ClaimChange[], isShared: boolean): Promise<BucketCommit> {
+    let isFresh = known === undefined || isShared
     let isAmbiguous = false
     let conflicts = 0
     for (let attempt = 0; attempt < MAXIMUM_TRIES; attempt += 1) {
-      const loaded = known === undefined ? await load() : success(known)
+      const loaded = known === undefined || (isShared && attempt === 0) ? await load() : success(known)
       if (!loaded.ok) return { outcomes: refuseAll(changes, loaded.failure, isAmbiguous), conflicts, failure: loaded.failure }
       const before = loaded.value
       const applied = apply(before, changes)
@@ -124,7 +130,9 @@
       if (write.kind === WriteResult.Committed) {
         known = { head, modRevision: write.revision, bytes: value.length }
         dropSegments(before.head, head)
-        return { outcomes: applied.outcomes, conflicts }
+        const foreignWrites = head.writes - 1 - (lastWrites ?? head.writes - 1)
+        lastWrites = head.writes
+        return { outcomes: applied.outcomes, conflicts, foreignWrites }
       }
       if (write.kind === WriteResult.NotSent) {
         return { outcomes: withoutWrite(before, changes, write.failure, isAmbiguous), conflicts, failure: write.failure }
@@ -160,7 +168,8 @@
     if (write.kind === WriteResult.Ambiguous ? !await isStored(segment.id, text) : write.kind !== WriteResult.Committed) return head
     const content = new Map(sealed.map(entry => [entry.keyDigest, entry]))
     segments.set(segment.id, content)
-    return { entries: new Map([...head.entries].filter(([keyDigest]) => !content.has(keyDigest))), segments: [...head.segments, segment] }
+    const left = new Map([...head.entries].filter(([keyDigest]) => !content.has(keyDigest)))
+    return { writes: head.writes, entries: left, segments: [...head.segments, segment] }
   }
 
   async function isStored (id: string, text: string): Promise<boolean> {
--- a/packages/wigeonlead/src/request/claims/commit-route.ts
+++ b/packages/wigeonlead/src/request/claims/commit-route.ts
@@ -2,11 +2,12 @@
  * The way of a change to the key-value service: through the bucket's home, or past it by this node's own compare-and-swap.
  */
 import {
-  CLAIM_BUCKETS, ClaimChangeResult, PeerMethod, claimChangeSchema,
+  CLAIM_BUCKETS, ClaimChangeKind, ClaimChangeResult, PeerMethod, claimChangeSchema,
   type ClaimChange, type ClaimChangeOutcome, type ClaimCommitParameters, type ClaimCommitResult, type KeyValuePort, type PeerPort,
   type RandomSource
 } from '@wigeonlead/protocol'
 import { createBucketStore } from './bucket-store.js'
+import { createGathering } from './gathering.js'
 import { createGroupCommit, type GroupCommit } from './group-commit.js'
 import { createHomes, type HomesParts } from './homes.js'
 
@@ -25,7 +26,7 @@
   random: RandomSource
 }
 
-const FLEET_WRITES_PER_SECOND = 88
+const FLEET_WRITES_PER_SECOND = 92
 const INTERVAL_MILLISECONDS = 1000 * CLAIM_BUCKETS / FLEET_WRITES_PER_SECOND
 const HOME_DEADLINE_MILLISECONDS = 1500
 const MAXIMUM_CHANGES_OF_A_CALL = 512
@@ -38,42 +39,56 @@
     return createGroupCommit(store, { intervalMilliseconds: INTERVAL_MILLISECONDS })
   })
 
+  const finishes = createGathering((bucket, changes) => carry(bucket, changes, false))
+
   function submitHere (bucket: number, change: ClaimChange): Promise<ClaimChangeOutcome> {
     return (buckets[bucket] as GroupCommit).submit(change)
   }
 
   /** @returns undefined where the home can't be asked or doesn't answer. */
-  async function askHome (address: string, parameters: ClaimCommitParameters): Promise<ClaimChangeOutcome | undefined> {
+  async function askHome (address: string, parameters: ClaimCommitParameters): Promise<ClaimChangeOutcome[] | undefined> {
     const outcome = await parts.peers.call(address, PeerMethod.ClaimCommit, parameters, HOME_DEADLINE_MILLISECONDS)
     if (!outcome.ok) homes.avoid(address)
-    return outcome.ok ? outcome.value.outcomes[0] : undefined
+    return outcome.ok ? outcome.value.outcomes : undefined
   }
 
-  async function carry (bucket: number, change: ClaimChange, isForwarded: boolean): Promise<ClaimChangeOutcome> {
+  async function carry (bucket: number, changes: ClaimChange[], isForwarded: boolean): Promise<ClaimChangeOutcome[]> {
     const own = parts.self().address
     for (const address of homes.candidates(bucket)) {
       if (address === own) break
-      const outcome = await askHome(address, { bucket, changes: [change], isForwarded })
-      if (outcome === undefined) continue
-      if (outcome.kind === ClaimChangeResult.Unavailable || outcome.kind === ClaimChangeResult.Uncertain) break
-      return outcome
+      const outcomes = await askHome(address, { bucket, changes, isForwarded })
+      if (outcomes !== undefined) return await Promise.all(changes.map((change, index) => settleHere(bucket, change, outcomes[index])))
     }
-    return await submitHere(bucket, change)
+    return await Promise.all(changes.map(change => submitHere(bucket, change)))
+  }
+
+  /** A change that the home could not make for certain is made by this node, whose way to the service may be better. */
+  function settleHere (bucket: number, change: ClaimChange, outcome: ClaimChangeOutcome | undefined): Promise<ClaimChangeOutcome> {
+    return outcome === undefined || !isSettled(outcome) ? submitHere(bucket, change) : Promise.resolve(outcome)
   }
 
   return {
-    commit: change => carry(bucketOf(change.entry.keyDigest), change, false),
+    async commit (change) {
+      const bucket = bucketOf(change.entry.keyDigest)
+      if (change.kind === ClaimChangeKind.Finish) return await finishes.add(bucket, change)
+      const [outcome] = await carry(bucket, [change], false)
+      return outcome as ClaimChangeOutcome
+    },
     async answer ({ bucket, changes, isForwarded }) {
       const checked = changes.slice(0, MAXIMUM_CHANGES_OF_A_CALL).map(change => claimChangeSchema.parse(change))
       if (checked.some(change => bucketOf(change.entry.keyDigest) !== bucket)) throw new Error('a change of another bucket')
       const [home] = homes.candidates(bucket)
       const passesOn = !isForwarded && home !== undefined && home !== parts.self().address
-      const outcomes = checked.map(change => passesOn ? carry(bucket, change, true) : submitHere(bucket, change))
-      return { outcomes: (await Promise.all(outcomes)).map(withoutCause) }
+      const outcomes = passesOn ? carry(bucket, checked, true) : Promise.all(checked.map(change => submitHere(bucket, change)))
+      return { outcomes: (await outcomes).map(withoutCause) }
     }
   }
 }
 
+function isSettled (outcome: ClaimChangeOutcome): boolean {
+  return outcome.kind !== ClaimChangeResult.Unavailable && outcome.kind !== ClaimChangeResult.Uncertain
+}
+
 /** A cause may hold what JSON can't carry. */
 function withoutCause (outcome: ClaimChangeOutcome): ClaimChangeOutcome {
   return 'failure' in outcome ? { ...outcome, failure: { ...outcome.failure, cause: undefined } } : outcome
--- a/packages/wigeonlead/src/request/claims/group-commit.ts
+++ b/packages/wigeonlead/src/request/claims/group-commit.ts
@@ -22,35 +22,43 @@
 }
 
 const MAXIMUM_INTERVAL_MILLISECONDS = 1000
-const INTERVAL_GROWTH = 2
-const INTERVAL_DECAY = 0.9
+/** Weight of the latest write in the estimate of how many nodes write the bucket. */
+const LATEST_WEIGHT = 0.3
+/** Estimate above which a bucket counts as written by other nodes too. */
+const SHARED_WRITERS = 1.2
 /** How long changes are refused at once after the key-value service failed, before it is tried again. */
 const REFUSAL_MILLISECONDS = 500
 const MAXIMUM_BATCH = 512
 
-/** Makes the group commit of a bucket. Its writes grow rarer while other nodes write the same bucket. */
+/** Makes the group commit of a bucket. The more nodes write the same bucket, the rarer each does, so that the sum stays the same. */
 export function createGroupCommit (store: BucketStore, { intervalMilliseconds }: GroupCommitOptions): GroupCommit {
   const waiting: Waiting[] = []
-  let interval = intervalMilliseconds
+  let writers = 1
   let lastStart = -Infinity
   let isRunning = false
   let refusal: { failure: Failure, until: number } | undefined
 
   async function run (): Promise<void> {
     while (waiting.length > 0) {
-      const rest = lastStart + interval - performance.now()
+      const rest = lastStart + interval() - performance.now()
       if (rest > 0) await new Promise(resolve => setTimeout(resolve, rest))
+      const elapsed = performance.now() - lastStart
       lastStart = performance.now()
-      await commitBatch(waiting.splice(0, MAXIMUM_BATCH))
+      await commitBatch(waiting.splice(0, MAXIMUM_BATCH), elapsed)
     }
     isRunning = false
   }
 
-  async function commitBatch (batch: Waiting[]): Promise<void> {
-    const { outcomes, conflicts, failure } = await store.commit(batch.map(({ change }) => change))
-    interval = conflicts > 0
-      ? Math.min(MAXIMUM_INTERVAL_MILLISECONDS, interval * INTERVAL_GROWTH)
-      : Math.max(intervalMilliseconds, interval * INTERVAL_DECAY)
+  function interval (): number {
+    return Math.min(MAXIMUM_INTERVAL_MILLISECONDS, intervalMilliseconds * writers)
+  }
+
+  async function commitBatch (batch: Waiting[], elapsed: number): Promise<void> {
+    const { outcomes, conflicts, foreignWrites, failure } = await store.commit(batch.map(({ change }) => change), writers > SHARED_WRITERS)
+    if (foreignWrites !== undefined) {
+      const foreignAnInterval = foreignWrites * interval() / Math.max(elapsed, interval())
+      writers += LATEST_WEIGHT * ((1 + foreignAnInterval) * (1 + conflicts) - writers)
+    }
     refusal = failure === undefined ? undefined : { failure, until: performance.now() + REFUSAL_MILLISECONDS }
     batch.forEach(({ resolve }, index) => resolve(outcomes[index] as ClaimChangeOutcome))
   }
