--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -3,6 +3,7 @@
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
+import { claimsExperiment } from './claims.js'
 import type { Experiment, ExperimentResult } from './experiment.js'
 import { HERDING } from './experiments/herding.js'
 import { LATENCY } from './experiments/latency.js'
@@ -22,6 +23,7 @@
   'noisy-neighbour': NOISY_NEIGHBOUR,
   'retry-storm': RETRY_STORM,
   relay,
+  claims: claimsExperiment,
   slopes: slopesExperiment,
   fleet: fleetExperiment
 }
