--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -38,10 +38,10 @@
 } from './manifest/schema.js'
 export {
   CONFIGURATION_HEAD_KEY, CONFIGURATION_PART_PREFIX, StopSubject, configurationHeadSchema, plannedStopSchema,
-  type ConfigurationHead, type PlannedStop
+  type ConfigurationHead, type HeadChange, type PlannedStop
 } from './manifest/head.js'
 export {
-  digestText, joinManifest, splitManifest, type ManifestPartContent
+  MAXIMUM_PART_BYTES, digestText, joinManifest, splitManifest, type ManifestPartContent
 } from './manifest/parts.js'
 export {
   checkManifest, checkManifestText, type ManifestCheck, type ManifestFault
@@ -49,12 +49,13 @@
 export { CLAIM_RECORD_BYTES, CLAIM_STORE_BYTES } from './manifest/check-claims.js'
 export { listCoverageFaults } from './manifest/check-coverage.js'
 export {
-  PublishResult, changeHead, parseHead, publishManifest, readHead, type PublishOutcome
+  PublishResult, changeHead, parseHead, publishManifest, readHead, writeParts, type HeadContent, type HeadRead, type PublishOutcome
 } from './manifest/publish.js'
+export { isBuiltOn, mergeHeads } from './manifest/lineage.js'
 export {
-  MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type CompactReport, type GossipMessage,
-  type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus, type PeerHandler,
-  type PeerHandlers, type PeerMethods, type PeerPort, type ReportsMessage, type TargetEvent
+  MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type CompactReport, type DomainSummary,
+  type GossipMessage, type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus,
+  type PeerHandler, type PeerHandlers, type PeerMethods, type PeerPort, type PeerTraffic, type ReportsMessage, type TargetEvent
 } from './peers/messages.js'
 export {
   BURN_SERIES_STEP_MINUTES, BURN_WINDOWS_MINUTES, ObjectiveKind, ResourceKind, burnRate, burnReportSchema, nodeStatusSchema,
--- a/packages/stand-ins/src/engine/core.ts
+++ b/packages/stand-ins/src/engine/core.ts
@@ -3,7 +3,7 @@
  */
 import {
   EngineEventKind, EngineOrderKind, EngineRole, FinishReason,
-  type CacheExport, type EngineOrder, type EngineReport, type EngineWireEvent, type GenerationRequest, type HeldPart,
+  type CacheExport, type EngineOrder, type EngineReport, type EngineWireEvent, type GenerationRequest, type HeldPart, type LayerRange,
   type PathStage, type StepInput, type StepRequest, type StepResult
 } from '@wigeonlead/protocol'
 import { answerLength, runLayers, startState, tokenText } from './model.js'
@@ -17,6 +17,15 @@
   to: number
 }
 
+/** One order, as the engine's ledger of orders keeps it. */
+export interface OrderLedgerEntry {
+  fencingToken: number
+  order: EngineOrder
+  atMilliseconds: number
+  /** Why the engine did not obey; absent when it did. */
+  refused?: string
+}
+
 /** Faults that tests and the quickstart switch on. */
 export interface EngineFaults {
   /** The engine answers nothing and breaks its connections after so many more steps. */
@@ -37,6 +46,8 @@
   stepMilliseconds?: number
   /** The engine refuses orders with an old fencing token. */
   checksFencing?: boolean
+  /** Parts that fit into the engine's memory; no bound by default. */
+  room?: number
 }
 
 /** Carries a step to another stage of the chain. */
@@ -47,6 +58,9 @@
   name: string
   faults: EngineFaults
   ledger: LedgerEntry[]
+  orders: OrderLedgerEntry[]
+  /** Counts of caches handed over; a reused one spared the prefill of its tokens. */
+  caches: { exported: number, imported: number, reused: number }
   step: (request: StepRequest) => Promise<StepResult[]>
   generate: (request: GenerationRequest, forward: ForwardStep, signal: AbortSignal) => AsyncIterable<EngineWireEvent>
   cancel: (session: string, epoch: number) => void
@@ -63,12 +77,15 @@
   epoch: number
   prompt: string
   texts: string[]
+  layers: LayerRange
 }
 
 /** Makes a stand-in engine. */
 export function createEngine (options: EngineOptions): Engine {
   const faults: EngineFaults = { isDead: false, isStalled: false, slowdown: 1 }
   const ledger: LedgerEntry[] = []
+  const orders: OrderLedgerEntry[] = []
+  const caches = { exported: 0, imported: 0, reused: 0 }
   const sessions = new Map<string, SessionCache>()
   const cancelled = new Map<string, number>()
   let held = [...options.held]
@@ -115,7 +132,8 @@
   function cacheOf (input: StepInput): SessionCache | undefined {
     if (input.prefill !== undefined) {
       const texts = input.prefill.prefix.map(token => token.text)
-      sessions.set(input.session, { epoch: input.epoch, prompt: input.prefill.prompt, texts })
+      if (isPrefixOf(sessions.get(input.session), input, texts)) caches.reused += 1
+      sessions.set(input.session, { epoch: input.epoch, prompt: input.prefill.prompt, texts, layers: input.layers })
     }
     const cache = sessions.get(input.session)
     if (cache === undefined || cache.epoch !== input.epoch) return undefined
@@ -173,7 +191,9 @@
   }
 
   function order (fencingToken: number, change: EngineOrder): string | undefined {
-    if (options.checksFencing === true && fencingToken < highestFencingToken) return 'the fencing token is old'
+    const refused = refuseOrder(fencingToken, change)
+    orders.push({ fencingToken, order: change, atMilliseconds: Date.now(), refused })
+    if (refused !== undefined) return refused
     highestFencingToken = Math.max(highestFencingToken, fencingToken)
     if (change.kind === EngineOrderKind.SetRole) role = change.role
     else held = held.filter(part => !isSamePart(part, change.part))
@@ -181,10 +201,18 @@
     return undefined
   }
 
+  function refuseOrder (fencingToken: number, change: EngineOrder): string | undefined {
+    if (options.checksFencing === true && fencingToken < highestFencingToken) return 'the fencing token is old'
+    if (change.kind !== EngineOrderKind.Load || held.some(part => isSamePart(part, change.part))) return undefined
+    return held.length >= (options.room ?? Infinity) ? 'no room for the part' : undefined
+  }
+
   return {
     name: options.name,
     faults,
     ledger,
+    orders,
+    caches,
     step,
     generate,
     cancel: (session, epoch) => { cancelled.set(session, Math.max(epoch, cancelled.get(session) ?? -1)) },
@@ -203,11 +231,12 @@
     }),
     exportCache (session, epoch) {
       const cache = sessions.get(session)
-      const part = held[0]
-      if (cache === undefined || cache.epoch !== epoch || part === undefined) return undefined
-      return { session, epoch, tokens: cache.texts.length, layers: part.layers, content: JSON.stringify(cache) }
+      if (cache === undefined || cache.epoch !== epoch) return undefined
+      caches.exported += 1
+      return { session, epoch, tokens: cache.texts.length, layers: cache.layers, content: JSON.stringify(cache) }
     },
     importCache (cache, epoch) {
+      caches.imported += 1
       sessions.set(cache.session, { ...JSON.parse(cache.content) as SessionCache, epoch })
     },
     restart () {
@@ -232,6 +261,12 @@
   if (faults.dieAfterSteps !== undefined && --faults.dieAfterSteps < 0) faults.isDead = true
 }
 
+function isPrefixOf (cache: SessionCache | undefined, input: StepInput, texts: string[]): boolean {
+  return cache !== undefined && cache.epoch === input.epoch && cache.prompt === input.prefill?.prompt &&
+    cache.layers.from === input.layers.from && cache.layers.to === input.layers.to &&
+    cache.texts.slice(0, texts.length).every((text, index) => text === texts[index])
+}
+
 function isSamePart (left: HeldPart, right: HeldPart): boolean {
   return left.model === right.model && left.version === right.version &&
     left.layers.from === right.layers.from && left.layers.to === right.layers.to
--- a/packages/wigeonlead/src/process/logging.ts
+++ b/packages/wigeonlead/src/process/logging.ts
@@ -10,11 +10,18 @@
   Stopped = 'stopped',
   ConfigurationInForce = 'configuration-in-force',
   ConfigurationRefused = 'configuration-refused',
+  ConfigurationWrittenBack = 'configuration-written-back',
   RequestEnded = 'request-ended',
   TargetFailed = 'target-failed',
   MemberChanged = 'member-changed',
   PeerRefused = 'peer-refused',
   OrderSent = 'order-sent',
+  LeaseAcquired = 'lease-acquired',
+  LeaseLost = 'lease-lost',
+  EngineOrdered = 'engine-ordered',
+  TargetLeaving = 'target-leaving',
+  TargetServing = 'target-serving',
+  RequestCutOff = 'request-cut-off',
   InternalFault = 'internal-fault'
 }
 
--- a/packages/wigeonlead/src/process/targets.ts
+++ b/packages/wigeonlead/src/process/targets.ts
@@ -1,7 +1,9 @@
 /**
  * What this node knows of its targets: requests in flight, concurrency windows, recent failures, whether a target is leaving.
  */
-import { FailureKind, MemberState, type Failure } from '@wigeonlead/protocol'
+import {
+  FailureKind, MemberState, type EngineReport, type Failure, type LayerRange, type ModelReference
+} from '@wigeonlead/protocol'
 import { createEjections } from './ejections.js'
 import { createWindow, type Window } from './window.js'
 
@@ -33,6 +35,10 @@
   window: (target: string, capacity: number) => number
   /** Takes note of a state learnt from peers, planned stops or the VM list. */
   setState: (target: string, state: MemberState) => void
+  /** Takes note of which parts a target holds. */
+  noteHeld: (report: EngineReport) => void
+  /** Tells whether a target holds a part of a model, ready to serve; undefined where no report was seen, treated as usable. */
+  holds: (target: string, reference: ModelReference, layers: LayerRange) => boolean | undefined
 }
 
 /** What the board needs. */
@@ -49,6 +55,7 @@
 export function createTargetBoard (parts: TargetBoardParts = {}): TargetBoard {
   const loads = new Map<string, Load>()
   const states = new Map<string, MemberState>()
+  const heldParts = new Map<string, EngineReport['held']>()
   const windows = new Map<string, Window>()
   const ejections = createEjections(parts.groupOf ?? (() => []))
 
@@ -94,7 +101,11 @@
     ejectSlow: target => { ejections.eject(target) },
     recordPace: (target, slowness) => { windowOf(target, UNLIMITED_CAPACITY).recordPace(slowness, loads.get(target)?.inFlight ?? 0) },
     window: (target, capacity) => windowOf(target, capacity).size(capacity),
-    setState: (target, state) => { states.set(target, state) }
+    setState: (target, state) => { states.set(target, state) },
+    noteHeld: report => { heldParts.set(report.target, report.held) },
+    holds: (target, { model, version, adapter }, layers) => heldParts.get(target)?.some(part =>
+      part.model === model && part.version === version && part.layers.from <= layers.from && part.layers.to >= layers.to &&
+      (adapter === undefined || part.adapters.includes(adapter)))
   }
 }
 
