--- a/packages/stand-ins/src/bench/slopes-fleet.ts
+++ b/packages/stand-ins/src/bench/slopes-fleet.ts
@@ -2,7 +2,9 @@
  * Child process of the slopes experiment: some nodes of the fleet, each the real control code on real sockets.
  */
 import type { AddressInfo, Server } from 'node:net'
-import { createEtcdKeyValue, createVmListClient, digestText, type EnginePort, type KeyValuePort } from '@wigeonlead/protocol'
+import {
+  PeerMethod, createEtcdKeyValue, createVmListClient, digestText, type EnginePort, type KeyValuePort, type PeerPort
+} from '@wigeonlead/protocol'
 import {
   createHttpEngines, createHttpPeers, createHttpServices, createRouter, createSystemRandom, settingsSchema, type Router
 } from 'wigeonlead'
@@ -20,7 +22,9 @@
 }
 
 const traffic = createTrafficCounter()
-const counts = { reads: 0, writes: 0, reports: 0 }
+/** One call in so many is measured, so that measuring takes no time of the nodes. */
+const BODIES_SAMPLED_IN = 16
+const counts = { reads: 0, writes: 0, reports: 0, peerCalls: 0, gossipBytes: 0, reportsBytes: 0 }
 const nodes: OpenNode[] = []
 
 answerParent({
@@ -69,7 +73,7 @@
     vmList: createVmListClient(settings.platform.vmList),
     engines: countEngines(createHttpEngines()),
     services: createHttpServices(),
-    peers,
+    peers: countPeers(peers),
     random: createSystemRandom()
   })
   router.start()
@@ -100,6 +104,22 @@
   }
 }
 
+function countPeers (port: PeerPort): PeerPort {
+  return {
+    ...port,
+    async call (address, method, parameters, deadlineMilliseconds) {
+      const outcome = await port.call(address, method, parameters, deadlineMilliseconds)
+      counts.peerCalls += 1
+      if (counts.peerCalls % BODIES_SAMPLED_IN === 0) {
+        const bytes = (JSON.stringify(parameters).length + JSON.stringify(outcome).length) * BODIES_SAMPLED_IN
+        if (method === PeerMethod.Gossip) counts.gossipBytes += bytes
+        if (method === PeerMethod.Reports) counts.reportsBytes += bytes
+      }
+      return outcome
+    }
+  }
+}
+
 interface Snapshot {
   at: number
   processorMicroseconds: number
@@ -107,6 +127,9 @@
   reads: number
   writes: number
   reports: number
+  peerCalls: number
+  gossipBytes: number
+  reportsBytes: number
 }
 
 function snapshot (): Snapshot {
@@ -124,7 +147,10 @@
     bytes,
     keyValueReads: after.reads - before.reads,
     keyValueWrites: after.writes - before.writes,
-    engineReports: after.reports - before.reports
+    engineReports: after.reports - before.reports,
+    peerCalls: after.peerCalls - before.peerCalls,
+    gossipBytes: after.gossipBytes - before.gossipBytes,
+    reportsBytes: after.reportsBytes - before.reportsBytes
   }
 }
 
--- a/packages/stand-ins/src/bench/slopes-messages.ts
+++ b/packages/stand-ins/src/bench/slopes-messages.ts
@@ -28,6 +28,11 @@
   keyValueReads: number
   keyValueWrites: number
   engineReports: number
+  /** Calls to peers that these nodes made. */
+  peerCalls: number
+  /** Bodies of gossip and of load reports, both ways, of the calls that these nodes made. */
+  gossipBytes: number
+  reportsBytes: number
   /** After a collection. */
   heapBytes: number
   residentBytes: number
--- a/packages/stand-ins/src/bench/slopes-points.ts
+++ b/packages/stand-ins/src/bench/slopes-points.ts
@@ -45,6 +45,10 @@
   keyValueReadsPerSecond: number
   keyValueWritesPerSecond: number
   engineReportsPerSecond: number
+  peerCallsPerSecond: number
+  /** Bodies sent and received, those of calls by others included. */
+  gossipBodyBytesPerSecond: number
+  reportsBodyBytesPerSecond: number
   inForceMedianMilliseconds: number
   inForceWorstMilliseconds: number
   deathNoticedMilliseconds: number
@@ -116,6 +120,9 @@
     keyValueReadsPerSecond: perNode(sample => sample.keyValueReads),
     keyValueWritesPerSecond: perNode(sample => sample.keyValueWrites),
     engineReportsPerSecond: perNode(sample => sample.engineReports),
+    peerCallsPerSecond: perNode(sample => sample.peerCalls),
+    gossipBodyBytesPerSecond: 2 * perNode(sample => sample.gossipBytes),
+    reportsBodyBytesPerSecond: 2 * perNode(sample => sample.reportsBytes),
     inForceMedianMilliseconds: sorted[Math.floor(sorted.length / 2)] ?? NaN,
     inForceWorstMilliseconds: sorted.at(-1) ?? NaN
   }
