--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -4,11 +4,13 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
 import type { Experiment, ExperimentResult } from './experiment.js'
+import { capacityExperiment } from './slopes-capacity.js'
 import { fleetExperiment, slopesExperiment } from './slopes.js'
 
 const EXPERIMENTS: Record<string, Experiment> = {
   slopes: slopesExperiment,
-  fleet: fleetExperiment
+  fleet: fleetExperiment,
+  capacity: capacityExperiment
 }
 const DEFAULT_FOLDER = 'docs/measurements'
 
