--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -8,6 +8,7 @@
 import {
   createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts, type CallerHandler
 } from '../request/index.js'
+import { createRelayedKeyValue } from '../connection/index.js'
 import { createBurn } from './burn.js'
 import { createConfiguration } from './configuration/index.js'
 import { createFirstTokenTimes } from './first-token-times.js'
@@ -16,6 +17,7 @@
 import { LogEvent, SILENT_LOGGER, type Logger } from './logging.js'
 import { createMembership } from './membership/index.js'
 import { createMetrics } from './metrics.js'
+import { createObservedLatency } from './observed-latency.js'
 import { createPathTimes } from './path-times.js'
 import { createPrefixMemory } from './prefix-memory.js'
 import { createReconciler } from './reconciler/index.js'
@@ -116,6 +118,10 @@
     isLeaving: target => targets.availability(target) === TargetAvailability.Leaving,
     onReport: targets.noteHeld
   })
+  const relayed = createRelayedKeyValue({ direct: ports.keyValue, peers: ports.peers, self: membership.self, members: membership.members })
+  const claims = createClaims({
+    keyValue: relayed.keyValue, peers: ports.peers, random: ports.random, self: membership.self, members: membership.members
+  })
   const handle = createCallerHandler({
     engines: ports.engines,
     services: ports.services,
@@ -123,8 +129,9 @@
     targets,
     paths,
     admission,
-    claims: createClaims({ keyValue: ports.keyValue, random: ports.random }),
+    claims,
     retries: createRetryBudget(),
+    latencies: createObservedLatency(),
     metrics,
     burn,
     logger,
@@ -133,7 +140,7 @@
   }, configuration.current)
   const leaving = createLeaving({
     vmList: ports.vmList,
-    announcements: { announceTarget: () => {}, onTargetEvent: () => () => {} },
+    announcements: membership,
     logger,
     vm,
     failureDomain,
@@ -142,7 +149,7 @@
     current: configuration.current,
     setState: targets.setState
   })
-  const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: reconciler.release, halt })
+  const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: releaseAll, halt })
 
   function status (): NodeStatus {
     const current = configuration.current()
@@ -159,6 +166,11 @@
     return { member: membership.self(), sections }
   }
 
+  async function releaseAll (): Promise<void> {
+    await claims.whenIdle()
+    await reconciler.release()
+  }
+
   function halt (): void {
     reconciler.stop()
     leaving.stop()
@@ -169,11 +181,19 @@
 
   metrics.gauge('requests_in_flight', inFlight.count)
   metrics.gauge('requests_waiting', admission.waiting)
+  metrics.gauge('orders_running', claims.running)
   metrics.gauge('configuration_generation', () => configuration.current()?.head.generation ?? 0)
   metrics.gauge('control_sent_bytes', () => ports.peers.traffic?.().sentBytes ?? 0)
   metrics.gauge('control_received_bytes', () => ports.peers.traffic?.().receivedBytes ?? 0)
   metrics.gauge('members_of_failure_domain', () => membership.membersOfDomain().length)
-  ports.peers.serve({ ...configuration.handlers, ...membership.handlers, ...reports.handlers, [PeerMethod.Status]: async () => status() })
+  ports.peers.serve({
+    ...configuration.handlers,
+    ...membership.handlers,
+    ...reports.handlers,
+    ...claims.handlers,
+    ...relayed.handlers,
+    [PeerMethod.Status]: async () => status()
+  })
 
   return {
     handle: inFlight.track(handle),
--- a/packages/wigeonlead/src/request/context.ts
+++ b/packages/wigeonlead/src/request/context.ts
@@ -5,6 +5,7 @@
 import type { Burn } from '../process/burn.js'
 import type { Logger } from '../process/logging.js'
 import type { Metrics } from '../process/metrics.js'
+import type { ObservedLatency } from '../process/observed-latency.js'
 import type { RetryBudget } from '../process/retry-budget.js'
 import type { TargetBoard } from '../process/targets.js'
 import type { CompiledVersion } from '../version/index.js'
@@ -22,6 +23,8 @@
   admission: Admission
   claims: Claims
   retries: RetryBudget
+  /** Latencies of services' operations. */
+  latencies: ObservedLatency
   metrics: Metrics
   burn: Burn
   logger: Logger
