--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -46,7 +46,6 @@
 export {
   checkManifest, checkManifestText, type ManifestCheck, type ManifestFault
 } from './manifest/check.js'
-export { CLAIM_RECORD_BYTES, CLAIM_STORE_BYTES } from './manifest/check-claims.js'
 export { listCoverageFaults } from './manifest/check-coverage.js'
 export {
   PublishResult, changeHead, parseHead, publishManifest, readHead, writeParts, type HeadContent, type HeadRead, type PublishOutcome
