--- a/packages/wigeonctl/src/commands/stop-losses.ts
+++ b/packages/wigeonctl/src/commands/stop-losses.ts
@@ -1,7 +1,8 @@
 /**
- * What a set of stops takes away for good: the last path of a model version or the last target of a service.
+ * What a set of stops takes away: the last path of a model version, the last target of a service, the last entry VM of a
+ * failure domain.
  */
-import { StopSubject, listCoverageFaults, type Manifest, type PlannedStop, type VmEntry } from '@wigeonlead/protocol'
+import { StopSubject, VmState, listCoverageFaults, type Manifest, type PlannedStop, type VmEntry } from '@wigeonlead/protocol'
 
 /** Lists what nothing serves any more while all of these stops are under way. */
 export function listLosses (manifest: Manifest, stops: Array<Omit<PlannedStop, 'id'>>, vms: VmEntry[]): string[] {
@@ -13,10 +14,19 @@
   }
   return [
     ...listCoverageFaults(rest).map(fault => fault.message),
-    ...rest.services.filter(service => service.targets.length === 0).map(service => `no target of service "${service.name}" is left`)
+    ...rest.services.filter(service => service.targets.length === 0).map(service => `no target of service "${service.name}" is left`),
+    ...listEmptyDomains(stops, vms)
   ].map(loss => `takes the last replica away: ${loss}`)
 }
 
+function listEmptyDomains (stops: Array<Omit<PlannedStop, 'id'>>, vms: VmEntry[]): string[] {
+  const stopped = new Set(stops.filter(stop => stop.subject === StopSubject.Vm).map(stop => stop.name))
+  const entryVms = vms.filter(vm => vm.peerPort !== undefined)
+  const hit = new Set(entryVms.filter(vm => stopped.has(vm.name)).map(vm => vm.failureDomain))
+  return [...hit].filter(domain => !entryVms.some(vm => vm.failureDomain === domain && vm.state === VmState.Live && !stopped.has(vm.name)))
+    .map(domain => `no entry VM of failure domain "${domain}" is left`)
+}
+
 function createStopTest (stops: Array<Omit<PlannedStop, 'id'>>, vms: VmEntry[]): (target: { name: string, address: string }) => boolean {
   const targets = new Set(stops.filter(stop => stop.subject === StopSubject.Target).map(stop => stop.name))
   const stoppedVms = new Set(stops.filter(stop => stop.subject === StopSubject.Vm).map(stop => stop.name))
--- a/packages/wigeonctl/test/stop.spec.ts
+++ b/packages/wigeonctl/test/stop.spec.ts
@@ -1,7 +1,8 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import {
-  CONFIGURATION_HEAD_KEY, StopSubject, VmState, changeHead, checkManifest, publishManifest, readHead, success, type KeyValuePort
+  CONFIGURATION_HEAD_KEY, StopSubject, VmState, changeHead, checkManifest, publishManifest, readHead, success,
+  type KeyValuePort, type VmEntry
 } from '@wigeonlead/protocol'
 import { KeyValueFault, createKeyValueStore, createMemoryKeyValue } from '@wigeonlead/stand-ins'
 import { ExitCode, cancelStopCommand, listStopsCommand, planStopCommand, type StopArguments, type ToolPorts } from '../src/index.js'
@@ -26,7 +27,11 @@
   }],
   workspaces: [{ name: 'desk', keyDigests: [DIGEST] }]
 }
-const VM = { name: 'vm-1', address: '10.0.0.1', failureDomain: 'howrah', state: VmState.Live }
+const VMS: VmEntry[] = [
+  { name: 'vm-1', address: '10.0.0.1', failureDomain: 'howrah', state: VmState.Live },
+  { name: 'entry-1', address: '10.0.0.7', failureDomain: 'howrah', state: VmState.Live, peerPort: 7003 },
+  { name: 'entry-2', address: '10.0.0.8', failureDomain: 'howrah', state: VmState.Leaving, peerPort: 7003 }
+]
 
 type ChooseFault = (operation: string, key: string) => KeyValueFault | undefined
 
@@ -36,7 +41,7 @@
   const check = checkManifest(MANIFEST)
   if (!check.ok) throw new Error(JSON.stringify(check.faults))
   await publishManifest(plain, RANDOM, check.manifest)
-  return { plain, keyValue: createMemoryKeyValue(store, { fault }), random: RANDOM, vmList: { list: async () => success([VM]) } }
+  return { plain, keyValue: createMemoryKeyValue(store, { fault }), random: RANDOM, vmList: { list: async () => success(VMS) } }
 }
 
 interface Case {
@@ -53,6 +58,8 @@
   { name: 'a target', given: { target: 'one', from: '+5m', until: '+20m' }, code: ExitCode.Done, text: /generation 2 is accepted\nplanned stop-\w+: target one/, stops: 1 },
   { name: 'a service\'s last target', given: { target: 'orders-1', until: '+20m' }, code: ExitCode.Done, text: /warning: takes the last replica away: no target of service "orders"/, stops: 1 },
   { name: 'a VM with all replicas', given: { vm: 'vm-1', until: '+20m' }, code: ExitCode.Done, text: /warning: takes the last replica away: no path covers version "v1"/, stops: 1 },
+  { name: 'the last entry VM that stays', given: { vm: 'entry-1', until: '+20m' }, code: ExitCode.Done, text: /warning: .*no entry VM of failure domain "howrah"/, stops: 1 },
+  { name: 'an entry VM beside another', given: { vm: 'entry-2', until: '+20m' }, code: ExitCode.Done, text: /vm entry-2, [^\n]*$/, stops: 1 },
   { name: 'an unknown target', given: { target: 'three', until: '+20m' }, code: ExitCode.Faulty, text: /"three"/, stops: 0 },
   { name: 'an unknown VM', given: { vm: 'vm-9', until: '+20m' }, code: ExitCode.Faulty, text: /"vm-9"/, stops: 0 },
   { name: 'both', given: { vm: 'vm-1', target: 'one', until: '+20m' }, code: ExitCode.Faulty, text: /exactly one/, stops: 0 },
