Failures experiment: a death, a replacement, a cut and a lost failure domain in a real fleet

Change: npm run bench -- failures; nodes' ports can be cut off; the fleet's start is shared with the slopes.

--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -5,11 +5,13 @@
 import { cac } from 'cac'
 import type { Experiment, ExperimentResult } from './experiment.js'
 import { capacityExperiment } from './slopes-capacity.js'
+import { failuresExperiment } from './slopes-failures.js'
 import { fleetExperiment, slopesExperiment } from './slopes.js'
 
 const EXPERIMENTS: Record<string, Experiment> = {
   slopes: slopesExperiment,
   fleet: fleetExperiment,
+  failures: failuresExperiment,
   capacity: capacityExperiment
 }
 const DEFAULT_FOLDER = 'docs/measurements'
--- a/packages/stand-ins/src/bench/slopes-fleet.ts
+++ b/packages/stand-ins/src/bench/slopes-fleet.ts
@@ -2,13 +2,12 @@
  * Child process of the slopes experiment: some nodes of the fleet, each the real control code on real sockets.
  */
 import type { AddressInfo, Server } from 'node:net'
-import {
-  PeerMethod, createEtcdKeyValue, createVmListClient, digestText, type EnginePort, type KeyValuePort, type PeerPort
-} from '@wigeonlead/protocol'
+import { createEtcdKeyValue, createVmListClient, digestText } from '@wigeonlead/protocol'
 import {
   createHttpEngines, createHttpPeers, createHttpServices, createRouter, createSystemRandom, settingsSchema, type Router
 } from 'wigeonlead'
 import { answerParent, TrafficKind, type FleetNode, type FleetSample, type PlatformAddresses } from './slopes-messages.js'
+import { createCountedPorts } from './slopes-ports.js'
 import { createTrafficCounter } from './slopes-traffic.js'
 
 const SECRETS = [{ id: 'first', value: 'a secret of the experiment only' }]
@@ -22,9 +21,7 @@
 }
 
 const traffic = createTrafficCounter()
-/** One call in so many is measured, so that measuring takes no time of the nodes. */
-const BODIES_SAMPLED_IN = 16
-const counts = { reads: 0, writes: 0, reports: 0, peerCalls: 0, gossipBytes: 0, reportsBytes: 0 }
+const { counts, countKeyValue, countEngines, countPeers, setCut } = createCountedPorts()
 const nodes: OpenNode[] = []
 
 answerParent({
@@ -50,14 +47,21 @@
     const after = snapshot()
     return { ...difference(before, after), ...measureMemory() }
   },
-  async halt () {
-    const [first] = nodes.splice(0, 1)
-    first?.router?.halt()
-    first?.peers.listener.close()
-    first?.peers.listener.closeAllConnections()
-    return first?.address ?? ''
+  async halt ({ count }) {
+    const halted = nodes.splice(0, count)
+    for (const { router, peers } of halted) {
+      router?.halt()
+      peers.listener.close()
+      peers.listener.closeAllConnections()
+    }
+    return halted.map(({ address }) => address)
   },
-  noticed: ({ address, timeoutMilliseconds }) => whenEvery(router => !isAlive(router, address), timeoutMilliseconds)
+  async cut (given) {
+    setCut(given.addresses, given.isKeyValueCut)
+    return null
+  },
+  noticed: ({ addresses, timeoutMilliseconds }) =>
+    whenEvery(router => !addresses.some(address => isAlive(router, address)), timeoutMilliseconds)
 })
 
 function startRouter ({ node, peers, address }: OpenNode, platform: PlatformAddresses, seeds: string[]): Router {
@@ -80,46 +84,6 @@
   return router
 }
 
-function countKeyValue (port: KeyValuePort): KeyValuePort {
-  const read = <A extends unknown[], R>(call: (...given: A) => R) => (...given: A): R => { counts.reads += 1; return call(...given) }
-  const write = <A extends unknown[], R>(call: (...given: A) => R) => (...given: A): R => { counts.writes += 1; return call(...given) }
-  return {
-    get: read(port.get),
-    list: read(port.list),
-    watch: read(port.watch),
-    compareAndSwap: write(port.compareAndSwap),
-    grantLease: write(port.grantLease),
-    renewLease: write(port.renewLease),
-    revokeLease: write(port.revokeLease)
-  }
-}
-
-function countEngines (port: EnginePort): EnginePort {
-  return {
-    ...port,
-    report (target, deadlineMilliseconds) {
-      counts.reports += 1
-      return port.report(target, deadlineMilliseconds)
-    }
-  }
-}
-
-function countPeers (port: PeerPort): PeerPort {
-  return {
-    ...port,
-    async call (address, method, parameters, deadlineMilliseconds) {
-      const outcome = await port.call(address, method, parameters, deadlineMilliseconds)
-      counts.peerCalls += 1
-      if (counts.peerCalls % BODIES_SAMPLED_IN === 0) {
-        const bytes = (JSON.stringify(parameters).length + JSON.stringify(outcome).length) * BODIES_SAMPLED_IN
-        if (method === PeerMethod.Gossip) counts.gossipBytes += bytes
-        if (method === PeerMethod.Reports) counts.reportsBytes += bytes
-      }
-      return outcome
-    }
-  }
-}
-
 interface Snapshot {
   at: number
   processorMicroseconds: number
--- a/packages/stand-ins/src/bench/slopes-messages.ts
+++ b/packages/stand-ins/src/bench/slopes-messages.ts
@@ -59,10 +59,12 @@
   /** Waits until every node has a generation in force. @returns when the last one had, milliseconds since 1970. */
   reached: { parameters: { generation: number, timeoutMilliseconds: number }, result: number | null }
   measure: { parameters: { milliseconds: number }, result: FleetSample }
-  /** Halts the first node, as a death would. */
-  halt: { parameters: Record<string, never>, result: string }
-  /** Waits until no node calls an address alive. @returns when the last one stopped, milliseconds since 1970. */
-  noticed: { parameters: { address: string, timeoutMilliseconds: number }, result: number | null }
+  /** Halts the first nodes, as a death would. @returns their addresses. */
+  halt: { parameters: { count: number }, result: string[] }
+  /** Cuts all nodes off from some peers and from the key-value service, or heals the cut. */
+  cut: { parameters: { addresses: string[], isKeyValueCut: boolean }, result: null }
+  /** Waits until no node calls one of the addresses alive. @returns when the last one stopped, milliseconds since 1970. */
+  noticed: { parameters: { addresses: string[], timeoutMilliseconds: number }, result: number | null }
 }
 
 /** Answers of a child process. */
@@ -100,6 +102,6 @@
     }
     child.on('message', onMessage)
     child.once('exit', onExit)
-    child.send({ id, method, parameters })
+    child.send({ id, method, parameters }, error => { if (error !== null) reject(error) })
   })
 }
--- a/packages/stand-ins/src/bench/slopes-points.ts
+++ b/packages/stand-ins/src/bench/slopes-points.ts
@@ -54,7 +54,8 @@
   deathNoticedMilliseconds: number
 }
 
-const MANY: Omit<Point, 'slope'> = {
+/** Many nodes in few processes: what is measured is a mean of roles. */
+export const MANY: Omit<Point, 'slope'> = {
   failureDomains: 3,
   nodesInDomain: 10,
   targets: 30,
