--- a/packages/wigeonlead/src/process/targets.ts
+++ b/packages/wigeonlead/src/process/targets.ts
@@ -31,9 +31,9 @@
   ejectSlow: (target: string) => void
   /** Widens or narrows a target's window by how slow it is; 1 is as declared. */
   recordPace: (target: string, slowness: number) => void
-  /** @returns how much work this node may have in flight at a target of that capacity. */
+  /** @returns how much work of all entry VMs a target of that capacity may have in flight. */
   window: (target: string, capacity: number) => number
-  /** Takes note of a state learnt from peers, planned stops or the VM list. */
+  /** Takes note of a state learnt from peers, planned stops or the VM list; a suspicion ends by itself. */
   setState: (target: string, state: MemberState) => void
   /** Takes note of which parts a target holds. */
   noteHeld: (report: EngineReport) => void
@@ -45,6 +45,8 @@
 export interface TargetBoardParts {
   /** Targets that can stand in for one another; no group by default, and then no limit on how many are suspect. */
   groupOf?: (target: string) => readonly string[]
+  /** Hears of each target that this node makes suspect. */
+  onSuspect?: (target: string) => void
 }
 
 const HISTORY_MILLISECONDS = 12_000
@@ -68,6 +70,10 @@
     return window
   }
 
+  function suspect (target: string): void {
+    if (ejections.eject(target)) parts.onSuspect?.(target)
+  }
+
   function change (target: string, amount: number): void {
     const load = loads.get(target) ?? { inFlight: 0, history: [] }
     loads.set(target, load)
@@ -79,8 +85,7 @@
     availability (target) {
       const state = states.get(target)
       if (state === MemberState.Leaving || state === MemberState.Gone) return TargetAvailability.Leaving
-      const isSuspect = state === MemberState.Suspect || ejections.isEjected(target)
-      return isSuspect ? TargetAvailability.Suspect : TargetAvailability.Serving
+      return ejections.isEjected(target) ? TargetAvailability.Suspect : TargetAvailability.Serving
     },
     inFlight: target => loads.get(target)?.inFlight ?? 0,
     inFlightAt: (target, atMilliseconds) => loads.get(target)?.history.findLast(entry => entry.at <= atMilliseconds)?.inFlight ?? 0,
@@ -95,13 +100,16 @@
     },
     recordSuccess: target => { ejections.recordSuccess(target) },
     recordFailure (target, failure) {
-      if (failure.kind === FailureKind.Refused) windowOf(target, UNLIMITED_CAPACITY).recordRefusal(loads.get(target)?.inFlight ?? 0)
-      else ejections.eject(target)
+      if (failure.kind === FailureKind.Refused) windowOf(target, UNLIMITED_CAPACITY).recordRefusal()
+      else suspect(target)
     },
-    ejectSlow: target => { ejections.eject(target) },
-    recordPace: (target, slowness) => { windowOf(target, UNLIMITED_CAPACITY).recordPace(slowness, loads.get(target)?.inFlight ?? 0) },
+    ejectSlow: suspect,
+    recordPace: (target, slowness) => { windowOf(target, UNLIMITED_CAPACITY).recordPace(slowness) },
     window: (target, capacity) => windowOf(target, capacity).size(capacity),
-    setState: (target, state) => { states.set(target, state) },
+    setState (target, state) {
+      states.set(target, state)
+      if (state === MemberState.Suspect) ejections.eject(target)
+    },
     noteHeld: report => { heldParts.set(report.target, report.held) },
     holds: (target, { model, version, adapter }, layers) => heldParts.get(target)?.some(part =>
       part.model === model && part.version === version && part.layers.from <= layers.from && part.layers.to >= layers.to &&
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -2,11 +2,12 @@
  * The one construction module: makes a router of its settings and its ports.
  */
 import {
-  PeerMethod,
+  MemberState, PeerMethod,
   type BurnReport, type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
 } from '@wigeonlead/protocol'
 import {
-  createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts, type CallerHandler
+  createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts,
+  type CallerHandler, type PathChooser, type PathChooserParts
 } from '../request/index.js'
 import { createRelayedKeyValue } from '../connection/index.js'
 import { createBurn } from './burn.js'
@@ -21,7 +22,7 @@
 import { createPathTimes } from './path-times.js'
 import { createPrefixMemory } from './prefix-memory.js'
 import { createReconciler } from './reconciler/index.js'
-import { createReports } from './reports.js'
+import { createReports, type Reports } from './reports.js'
 import { createRetryBudget } from './retry-budget.js'
 import type { Settings } from './settings.js'
 import { createShutdown, type CloseListener } from './shutdown.js'
@@ -59,8 +60,21 @@
   halt: () => void
 }
 
+/** What a path policy is made of. */
+export interface PathPolicyParts extends PathChooserParts {
+  reports: Pick<Reports, 'load'>
+}
+
+/** Parts of a router that another one may take the place of. */
+export interface RouterOptions {
+  /** Makes the path chooser; the router's own by default. */
+  createPaths?: (parts: PathPolicyParts) => PathChooser
+}
+
+const LEAST_COMPETITORS = 3
+
 /** Makes a router. */
-export function createRouter (settings: Settings, ports: RouterPorts): Router {
+export function createRouter (settings: Settings, ports: RouterPorts, options: RouterOptions = {}): Router {
   const { failureDomain, vm } = settings.node
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
@@ -86,7 +100,10 @@
     random: ports.random,
     logger
   })
-  const targets = createTargetBoard({ groupOf: target => configuration.current()?.groupOf(target) ?? [] })
+  const targets = createTargetBoard({
+    groupOf: target => configuration.current()?.groupOf(target) ?? [],
+    onSuspect: target => membership.announceTarget(target, MemberState.Suspect)
+  })
   const prefixes = createPrefixMemory()
   const reports = createReports({
     engines: ports.engines,
@@ -97,14 +114,21 @@
     members: membership.members,
     current: configuration.current,
     inFlightAt: targets.inFlightAt,
-    onReport: prefixes.learn
+    onReport (report) {
+      prefixes.learn(report)
+      targets.noteHeld(report)
+    }
   })
   const times = createPathTimes()
-  const costs = createStageCosts({ targets, reports, times, prefixes })
-  const paths = createPathChooser({
-    targets, random: ports.random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes
+  const costs = createStageCosts({ targets, reports, times, prefixes, random: ports.random, nodes: countCompetitors })
+  const paths = (options.createPaths ?? createPathChooser)({
+    targets, random: ports.random, failureDomain, costs, times, firstTokens: createFirstTokenTimes(), prefixes, reports
+  })
+  const admission = createAdmission({ shareOf: workspace => membership.demandOf(workspace).share })
+  membership.setDemandSource(admission.demand)
+  membership.onTargetEvent(event => {
+    if (event.state === MemberState.Suspect) targets.setState(event.target, event.state)
   })
-  const admission = createAdmission()
   const reconciler = createReconciler({
     keyValue: ports.keyValue,
     engines: ports.engines,
@@ -151,6 +175,12 @@
   })
   const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: releaseAll, halt })
 
+  /** Entry VMs use the targets of their own failure domain first; where it has few of them, those of others count as well. */
+  function countCompetitors (domain: string): number {
+    const own = membership.aliveMembersOfDomain().length
+    return domain === failureDomain && own >= LEAST_COMPETITORS ? own : membership.aliveNodes()
+  }
+
   function status (): NodeStatus {
     const current = configuration.current()
     const sections = {
--- a/packages/wigeonlead/src/request/admission-limits.ts
+++ b/packages/wigeonlead/src/request/admission-limits.ts
@@ -15,14 +15,23 @@
   take: (workspace: ManifestWorkspace, tokens: number) => LimitReached | undefined
   /** Ends a request that was taken, and charges what it really took. */
   settle: (workspace: ManifestWorkspace, expectedTokens: number, tokens: number) => void
+  /** @returns requests a second that each workspace asked for lately. */
+  demand: () => Record<string, number>
 }
 
 /** What may be taken at once after a pause, in seconds of the limit. */
 const BURST_SECONDS = 2
+/** Time constant of the demand, milliseconds. */
+const DEMAND_MILLISECONDS = 10_000
+/** A workspace that asked for less is forgotten. */
+const LEAST_ASKED = 0.01
 const CONCURRENCY_RETRY_MILLISECONDS = 1000
 
 interface Usage {
   concurrent: number
+  /** Requests asked for, fading with the demand's time constant. */
+  asked: number
+  askedAt: number
   requests: Bucket
   tokens: Bucket
 }
@@ -39,7 +48,7 @@
   function usageOf (workspace: ManifestWorkspace): Usage {
     let usage = usages.get(workspace.name)
     if (usage === undefined) {
-      usage = { concurrent: 0, requests: emptyBucket(), tokens: emptyBucket() }
+      usage = { concurrent: 0, asked: 0, askedAt: Date.now(), requests: emptyBucket(), tokens: emptyBucket() }
       usages.set(workspace.name, usage)
     }
     return usage
@@ -48,6 +57,8 @@
   return {
     take (workspace, tokens) {
       const usage = usageOf(workspace)
+      fade(usage)
+      usage.asked += 1
       const share = shareOf(workspace.name)
       const { requestsPerSecond, tokensPerSecond, concurrentRequests } = workspace
       if (concurrentRequests !== undefined && usage.concurrent >= Math.max(1, Math.floor(concurrentRequests * share))) {
@@ -66,10 +77,25 @@
       const usage = usageOf(workspace)
       usage.concurrent = Math.max(0, usage.concurrent - 1)
       usage.tokens.level += tokens - expectedTokens
+    },
+    demand () {
+      const rates: Record<string, number> = {}
+      for (const [name, usage] of usages) {
+        fade(usage)
+        if (usage.asked > LEAST_ASKED) rates[name] = usage.asked * 1000 / DEMAND_MILLISECONDS
+        else if (usage.concurrent === 0) usages.delete(name)
+      }
+      return rates
     }
   }
 }
 
+function fade (usage: Usage): void {
+  const now = Date.now()
+  usage.asked *= Math.exp((usage.askedAt - now) / DEMAND_MILLISECONDS)
+  usage.askedAt = now
+}
+
 /** A bucket fills as it is used and runs dry at the limit's rate; over its size, the next one has to wait. */
 function waitFor (bucket: Bucket, limit: number | undefined, share: number): number {
   const now = Date.now()
--- a/packages/wigeonlead/test/properties/index.ts
+++ b/packages/wigeonlead/test/properties/index.ts
@@ -4,6 +4,7 @@
 import { claimsProperty } from './claims.js'
 import type { PromiseProperty } from './property.js'
 import { reconcilerProperty } from './reconciler.js'
+import { RESUMPTION } from './resumption.js'
 
 /** The properties in the order in which they run. */
-export const PROPERTIES: PromiseProperty[] = [claimsProperty, reconcilerProperty]
+export const PROPERTIES: PromiseProperty[] = [claimsProperty, reconcilerProperty, RESUMPTION]
