--- a/packages/stand-ins/src/bench/slopes-fleet.ts
+++ b/packages/stand-ins/src/bench/slopes-fleet.ts
@@ -2,11 +2,12 @@
  * Child process of the slopes experiment: some nodes of the fleet, each the real control code on real sockets.
  */
 import type { AddressInfo, Server } from 'node:net'
-import { createEtcdKeyValue, createVmListClient, digestText, type EnginePort, type KeyValuePort } from '@wigeonlead/protocol'
+import { createEtcdKeyValue, createVmListClient, digestText } from '@wigeonlead/protocol'
 import {
   createHttpEngines, createHttpPeers, createHttpServices, createRouter, createSystemRandom, settingsSchema, type Router
 } from 'wigeonlead'
 import { answerParent, TrafficKind, type FleetNode, type FleetSample, type PlatformAddresses } from './slopes-messages.js'
+import { createCountedPorts } from './slopes-ports.js'
 import { createTrafficCounter } from './slopes-traffic.js'
 
 const SECRETS = [{ id: 'first', value: 'a secret of the experiment only' }]
@@ -20,7 +21,7 @@
 }
 
 const traffic = createTrafficCounter()
-const counts = { reads: 0, writes: 0, reports: 0 }
+const { counts, countKeyValue, countEngines, countPeers, setCut } = createCountedPorts()
 const nodes: OpenNode[] = []
 
 answerParent({
@@ -46,14 +47,21 @@
     const after = snapshot()
     return { ...difference(before, after), ...measureMemory() }
   },
-  async halt () {
-    const [first] = nodes.splice(0, 1)
-    first?.router?.halt()
-    first?.peers.listener.close()
-    first?.peers.listener.closeAllConnections()
-    return first?.address ?? ''
+  async halt ({ count }) {
+    const halted = nodes.splice(0, count)
+    for (const { router, peers } of halted) {
+      router?.halt()
+      peers.listener.close()
+      peers.listener.closeAllConnections()
+    }
+    return halted.map(({ address }) => address)
+  },
+  async cut (given) {
+    setCut(given.addresses, given.isKeyValueCut)
+    return null
   },
-  noticed: ({ address, timeoutMilliseconds }) => whenEvery(router => !isAlive(router, address), timeoutMilliseconds)
+  noticed: ({ addresses, timeoutMilliseconds }) =>
+    whenEvery(router => !addresses.some(address => isAlive(router, address)), timeoutMilliseconds)
 })
 
 function startRouter ({ node, peers, address }: OpenNode, platform: PlatformAddresses, seeds: string[]): Router {
@@ -69,37 +77,13 @@
     vmList: createVmListClient(settings.platform.vmList),
     engines: countEngines(createHttpEngines()),
     services: createHttpServices(),
-    peers,
+    peers: countPeers(peers),
     random: createSystemRandom()
   })
   router.start()
   return router
 }
 
-function countKeyValue (port: KeyValuePort): KeyValuePort {
-  const read = <A extends unknown[], R>(call: (...given: A) => R) => (...given: A): R => { counts.reads += 1; return call(...given) }
-  const write = <A extends unknown[], R>(call: (...given: A) => R) => (...given: A): R => { counts.writes += 1; return call(...given) }
-  return {
-    get: read(port.get),
-    list: read(port.list),
-    watch: read(port.watch),
-    compareAndSwap: write(port.compareAndSwap),
-    grantLease: write(port.grantLease),
-    renewLease: write(port.renewLease),
-    revokeLease: write(port.revokeLease)
-  }
-}
-
-function countEngines (port: EnginePort): EnginePort {
-  return {
-    ...port,
-    report (target, deadlineMilliseconds) {
-      counts.reports += 1
-      return port.report(target, deadlineMilliseconds)
-    }
-  }
-}
-
 interface Snapshot {
   at: number
   processorMicroseconds: number
@@ -107,6 +91,9 @@
   reads: number
   writes: number
   reports: number
+  peerCalls: number
+  gossipBytes: number
+  reportsBytes: number
 }
 
 function snapshot (): Snapshot {
@@ -124,7 +111,10 @@
     bytes,
     keyValueReads: after.reads - before.reads,
     keyValueWrites: after.writes - before.writes,
-    engineReports: after.reports - before.reports
+    engineReports: after.reports - before.reports,
+    peerCalls: after.peerCalls - before.peerCalls,
+    gossipBytes: after.gossipBytes - before.gossipBytes,
+    reportsBytes: after.reportsBytes - before.reportsBytes
   }
 }
 
