Workspaces are served only where the manifest says; a fault of the router is answered

Cause: 'failureDomains' of a workspace was checked and published but no path choice read it; an exception in a request broke the connection without a word. Found in reading the merged code; the two new rows of the path table fail without the change.

--- a/packages/protocol/src/callers/problem.ts
+++ b/packages/protocol/src/callers/problem.ts
@@ -42,7 +42,8 @@
   NoPath = 'no-path',
   TargetFailed = 'target-failed',
   ClaimsUnavailable = 'claims-unavailable',
-  NotReady = 'not-ready'
+  NotReady = 'not-ready',
+  InternalFault = 'internal-fault'
 }
 
 /** A refusal in the shape of RFC 9457. */
@@ -83,7 +84,8 @@
   [ProblemType.NoPath]: { status: 503, title: 'No target can serve this now' },
   [ProblemType.TargetFailed]: { status: 502, title: 'The target failed' },
   [ProblemType.ClaimsUnavailable]: { status: 503, title: 'Orders cannot be claimed now' },
-  [ProblemType.NotReady]: { status: 503, title: 'The router has no configuration yet' }
+  [ProblemType.NotReady]: { status: 503, title: 'The router has no configuration yet' },
+  [ProblemType.InternalFault]: { status: 500, title: 'The router failed' }
 }
 
 /** Parts of a problem beyond its type. */
--- a/packages/wigeonlead/src/process/logging.ts
+++ b/packages/wigeonlead/src/process/logging.ts
@@ -11,7 +11,8 @@
   ConfigurationInForce = 'configuration-in-force',
   ConfigurationRefused = 'configuration-refused',
   ConfigurationWrittenBack = 'configuration-written-back',
-  RequestEnded = 'request-ended',
+  /** The answer has begun; a streamed one may still be under way. */
+  RequestAnswered = 'request-answered',
   TargetFailed = 'target-failed',
   MemberChanged = 'member-changed',
   PeerRefused = 'peer-refused',
--- a/packages/wigeonlead/src/request/completion-start.ts
+++ b/packages/wigeonlead/src/request/completion-start.ts
@@ -48,9 +48,9 @@
   }
 
   function reserve (isOverShare: boolean): Outcome<boolean> {
-    const { parts, version } = start.context
+    const { parts, version, workspace } = start.context
     const { model, reference, prompt } = start.order
-    const query = { version, model, reference, prompt, excluded: new Set<string>() }
+    const query = { version, model, reference, prompt, workspace, excluded: new Set<string>() }
     const path = parts.paths.choose({ ...query, needsRoom: true, roomShare: isOverShare ? OVER_SHARE_ROOM : 1 })
     if (!path.ok) {
       const any = parts.paths.choose(query)
--- a/packages/wigeonlead/src/request/generation-move.ts
+++ b/packages/wigeonlead/src/request/generation-move.ts
@@ -5,6 +5,7 @@
 import { LogEvent } from '../process/logging.js'
 import { TargetAvailability } from '../process/targets.js'
 import type { RequestContext } from './context.js'
+import { isServedIn } from './placement.js'
 import type { GenerationOrder } from './generation.js'
 import { createSessionMover } from './move.js'
 
@@ -26,7 +27,7 @@
     leaveOf: target => leaveOf?.(target),
     substitutes: layers => listSubstitutes(context, order, layers),
     choosePath (excluded) {
-      const path = paths.choose({ version: context.version, model, reference, prompt, excluded })
+      const path = paths.choose({ version: context.version, model, reference, prompt, workspace: context.workspace, excluded })
       return path.ok ? path.value : undefined
     }
   })
@@ -44,11 +45,12 @@
   }
 }
 
-function listSubstitutes ({ parts }: RequestContext, { model, reference }: GenerationOrder, layers: LayerRange): PathStage[] {
+function listSubstitutes ({ parts, workspace }: RequestContext, { model, reference }: GenerationOrder, layers: LayerRange): PathStage[] {
   const { targets } = parts
   const options = model.options.filter(({ target, version, adapters, from, to }) =>
     version === reference.version && from === layers.from && to === layers.to &&
     (reference.adapter === undefined || adapters.includes(reference.adapter)) &&
+    isServedIn(workspace, target.failureDomain) &&
     targets.availability(target.name) === TargetAvailability.Serving &&
     targets.holds(target.name, reference, layers) !== false)
   const load = ({ target }: typeof options[number]): number => targets.inFlight(target.name) / target.capacity
--- a/packages/wigeonlead/src/request/generation.ts
+++ b/packages/wigeonlead/src/request/generation.ts
@@ -105,7 +105,8 @@
   if (nextPath !== undefined) return { ok: true, value: nextPath }
   if (progress.epoch === 0 && order.firstPath !== undefined) return { ok: true, value: order.firstPath }
   const { model, reference, prompt } = order
-  return context.parts.paths.choose({ version: context.version, model, reference, prompt, excluded: NONE, strikes: progress.strikes })
+  const { version, workspace } = context
+  return context.parts.paths.choose({ version, model, reference, prompt, workspace, excluded: NONE, strikes: progress.strikes })
 }
 
 async function * deliverEpoch (
--- a/packages/wigeonlead/src/request/handle.ts
+++ b/packages/wigeonlead/src/request/handle.ts
@@ -1,7 +1,7 @@
 /**
  * The entrance of callers' requests: finds the workspace, the route and the deadline, and answers.
  */
-import { ProblemType, createProblem, digestText, type Problem } from '@wigeonlead/protocol'
+import { ProblemType, Submission, createProblem, digestText, type Problem } from '@wigeonlead/protocol'
 import type { CompiledVersion } from '../version/index.js'
 import { LogEvent } from '../process/logging.js'
 import { jsonResponse, problemResponse, type CallerHandler, type CallerRequest, type CallerResponse } from './caller.js'
@@ -33,7 +33,9 @@
     const response = await answer(parts, current, request)
     const route = ROUTES[pathOf(request)] === undefined ? 'service' : pathOf(request)
     parts.metrics.count('requests_total', { route, status: String(response.status) })
-    parts.metrics.observe('answer_started', performance.now() - startedAt, { route })
+    const milliseconds = performance.now() - startedAt
+    parts.metrics.observe('answer_started', milliseconds, { route })
+    parts.logger.info(LogEvent.RequestAnswered, { route, status: response.status, milliseconds: Math.round(milliseconds) })
     return response
   }
 }
@@ -49,8 +51,9 @@
   try {
     return await dispatch(context, request)
   } catch (error) {
-    parts.logger.warn(LogEvent.InternalFault, { detail: error instanceof Error ? error.message : String(error) })
-    throw error
+    parts.logger.warn(LogEvent.InternalFault, { detail: error instanceof Error ? error.stack : String(error) })
+    const detail = 'a fault of the router; what was sent is not known'
+    return problemResponse(createProblem(ProblemType.InternalFault, detail, { submission: Submission.Sent }))
   }
 }
 
--- a/packages/wigeonlead/src/request/path.ts
+++ b/packages/wigeonlead/src/request/path.ts
@@ -3,7 +3,7 @@
  */
 import {
   DriverKind, FailureKind, Step, failed, prefixDigest, success,
-  type ModelReference, type Outcome, type PathStage, type RandomSource
+  type ManifestWorkspace, type ModelReference, type Outcome, type PathStage, type RandomSource
 } from '@wigeonlead/protocol'
 import type { FirstTokenTimes } from '../process/first-token-times.js'
 import type { PathPart, PathTimes } from '../process/path-times.js'
@@ -12,6 +12,7 @@
 import type { CompiledModel, CompiledVersion, StageOption } from '../version/index.js'
 import { beginPathRun, type PathRun } from './path-run.js'
 import { LEAN_WEIGHTS, fullMilliseconds, linkKey, targetKey, type StageCosts } from './path-cost.js'
+import { isServedIn } from './placement.js'
 import { cheapestPath, type PathCosts, type PricedPath } from './path-search.js'
 
 /** What a path is wanted for. */
@@ -20,6 +21,8 @@
   model: CompiledModel
   reference: ModelReference
   prompt: string
+  /** Where the request may be served; everywhere by default. */
+  workspace?: Pick<ManifestWorkspace, 'failureDomains'>
   /** Targets that failed for this request. */
   excluded: ReadonlySet<string>
   /** How often targets were part of a failure of this request; they are used only where nothing else serves. */
@@ -162,6 +165,7 @@
 function isUsable (parts: PathChooserParts, query: PathQuery, option: StageOption): boolean {
   return option.version === query.reference.version &&
     (query.reference.adapter === undefined || option.adapters.includes(query.reference.adapter)) &&
+    (query.workspace === undefined || isServedIn(query.workspace, option.target.failureDomain)) &&
     !query.excluded.has(option.target.name) &&
     parts.targets.availability(option.target.name) !== TargetAvailability.Leaving &&
     !query.version.isTargetStopping(option.target.name, Date.now())
--- a/packages/wigeonlead/src/request/services/target-call.ts
+++ b/packages/wigeonlead/src/request/services/target-call.ts
@@ -4,6 +4,7 @@
 import { FailureKind, ServiceResult, Step, type ManifestService, type ServiceOutcome } from '@wigeonlead/protocol'
 import { TargetAvailability } from '../../process/targets.js'
 import type { RequestContext } from '../context.js'
+import { isServedIn } from '../placement.js'
 import type { ServiceOrder } from './order.js'
 
 type ServiceTarget = ManifestService['targets'][number]
@@ -64,7 +65,8 @@
 }
 
 function usableTargets (context: RequestContext, service: ManifestService): ServiceTarget[] {
-  return service.targets.filter(({ name }) => context.parts.targets.availability(name) !== TargetAvailability.Leaving &&
+  return service.targets.filter(({ name, failureDomain }) => isServedIn(context.workspace, failureDomain) &&
+    context.parts.targets.availability(name) !== TargetAvailability.Leaving &&
     !context.version.isTargetStopping(name, Date.now()))
 }
 
--- a/packages/wigeonlead/test/routing.spec.ts
+++ b/packages/wigeonlead/test/routing.spec.ts
@@ -57,11 +57,13 @@
   suspect?: string[]
   strikes?: Record<string, number>
   needsRoom?: boolean
+  servedIn?: string[]
   path: string[] | undefined
 }
 
 const A: Part = { name: 'a', layers: [0, 4] }
 const B: Part = { name: 'b', layers: [4, 8] }
+const FAR: Part = { name: 'far', layers: [0, 8], domain: 'there' }
 const PATHS: PathCase[] = [
   { name: 'covers all layers', parts: [B, A], path: ['a', 'b'] },
   { name: 'no path over a gap', parts: [{ ...A, layers: [0, 3] }, B], path: undefined },
@@ -74,6 +76,8 @@
     needsRoom: true,
     path: ['far']
   },
+  { name: 'only where the workspace is served', parts: [A, B, FAR], servedIn: ['there'], path: ['far'] },
+  { name: 'no spill over past where the workspace is served', parts: [A, B, FAR], inUse: { a: 4 }, needsRoom: true, servedIn: ['here'], path: undefined },
   { name: 'no path where all is full', parts: [A, B], inUse: { b: 4 }, needsRoom: true, path: undefined },
   { name: 'a suspect target only where nothing else serves', parts: [A, B, { ...B, name: 'b2' }], inUse: { b2: 3 }, suspect: ['b'], path: ['a', 'b2'] },
   { name: 'a suspect target where nothing else serves', parts: [A, B], suspect: ['b'], path: ['a', 'b'] },
@@ -81,14 +85,21 @@
   { name: 'engines for prefill only last', parts: [A, B, { ...B, name: 'b2', role: EngineRole.Prefill }], inUse: { b: 3 }, path: ['a', 'b'] },
   { name: 'the less loaded one', parts: [A, B, { ...B, name: 'b2' }], inUse: { b: 3 }, path: ['a', 'b2'] }
 ]
-for (const { name, parts, inUse = {}, suspect = [], strikes = {}, needsRoom, path } of PATHS) {
+for (const { name, parts, inUse = {}, suspect = [], strikes = {}, needsRoom, servedIn, path } of PATHS) {
   routing(`path: ${name}`, () => {
     const made = createRoutingParts({ engines: createMemoryEngines(new Map()), manifest: manifestOf(parts) })
     for (const [target, count] of Object.entries(inUse)) for (let each = 0; each < count; each += 1) made.targets.begin(target)
     for (const target of suspect) made.targets.setState(target, 'suspect' as never)
     const model = made.version.models.get(MODEL.model)!
     const chosen = made.paths.choose({
-      version: made.version, model, reference: MODEL, prompt: 'p', excluded: new Set(), strikes: new Map(Object.entries(strikes)), needsRoom
+      version: made.version,
+      model,
+      reference: MODEL,
+      prompt: 'p',
+      workspace: { failureDomains: servedIn },
+      excluded: new Set(),
+      strikes: new Map(Object.entries(strikes)),
+      needsRoom
     })
     assert.equal(chosen.ok ? chosen.value.map(stage => stage.target) : undefined, path)
   })
