Choices of a path among the cheapest options of each kind

Cause: a choice among 1,512 targets of one model took 6.4 ms at the median (npm run bench -- choice), 0.25 ms among 84.

Change: only the two cheapest targets with the same layers in one failure domain enter the search, links are priced once a choice, and the search allocates only for what it keeps.

--- a/packages/stand-ins/src/bench/fleet.ts
+++ b/packages/stand-ins/src/bench/fleet.ts
@@ -25,6 +25,8 @@
   /** Makes each router's path chooser; the router's own by default. */
   createPaths?: (parts: PathPolicyParts) => PathChooser
   routersADomain?: number
+  /** The targets; three kinds of accelerators in three failure domains by default. */
+  hardware?: HardwareTarget[]
   changeManifest?: (manifest: Manifest) => void
 }
 
@@ -44,7 +46,7 @@
 
 /** Starts a fleet and waits until its routers are ready. */
 export async function startFleet (options: FleetOptions): Promise<Fleet> {
-  const hardware = createHardware(options.reportLagMilliseconds)
+  const hardware = options.hardware ?? createHardware(options.reportLagMilliseconds)
   const engines = new Map(hardware.map(target => [target.name, createTargetEngine(target)]))
   const degraded = new Map<string, number>()
   const keyValue = createMemoryKeyValue(createKeyValueStore())
--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -4,6 +4,7 @@
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
 import type { Experiment, ExperimentResult } from './experiment.js'
+import { CHOICE } from './experiments/choice.js'
 import { HERDING } from './experiments/herding.js'
 import { LATENCY } from './experiments/latency.js'
 import { NOISY_NEIGHBOUR } from './experiments/noisy-neighbour.js'
@@ -18,7 +19,8 @@
   recovery: RECOVERY,
   herding: HERDING,
   'noisy-neighbour': NOISY_NEIGHBOUR,
-  'retry-storm': RETRY_STORM
+  'retry-storm': RETRY_STORM,
+  choice: CHOICE
 }
 const DEFAULT_FOLDER = 'docs/measurements'
 
--- a/packages/wigeonlead/src/request/path-search.ts
+++ b/packages/wigeonlead/src/request/path-search.ts
@@ -23,8 +23,8 @@
 
 interface Reached {
   cost: number
+  /** Failure domain of the first stage by position. */
   first: number
-  domain: number
   option: StageOption
   before?: Reached
 }
@@ -39,30 +39,51 @@
     const own = costs.stage(option)
     if (own === Infinity) continue
     const { domain } = option
-    if (option.from === 0) keep(reached, option.to, { cost: costs.enter(domain) + own, first: domain, domain, option })
-    for (const before of reached.get(option.from) ?? []) {
-      const cost = before.cost + own + costs.pass(before.domain, domain)
-      keep(reached, option.to, { cost, first: before.first, domain, option, before })
+    if (option.from === 0) keep(reached, costs.enter(domain) + own, domain, option, undefined)
+    for (const before of reached.get(option.from) ?? NONE) {
+      keep(reached, before.cost + own + costs.pass(before.option.domain, domain), before.first, option, before)
     }
   }
   let end: Reached | undefined
   let endCost = Infinity
-  for (const last of reached.get(layerCount) ?? []) {
-    const cost = last.cost + costs.close(last.domain, last.first)
+  for (const last of reached.get(layerCount) ?? NONE) {
+    const cost = last.cost + costs.close(last.option.domain, last.first)
     if (cost < endCost) [end, endCost] = [last, cost]
   }
   return end === undefined ? undefined : { options: unwind(end), cost: endCost }
 }
 
-function keep (reached: Map<number, Reached[]>, boundary: number, candidate: Reached): void {
-  const others = reached.get(boundary)
+/**
+ * @returns the cheapest options of each kind, in their order: of those with the same layers in the same failure domain,
+ * no path needs any but the cheapest, and a second path none but the next.
+ */
+export function cheapestOfEachKind (options: readonly StageOption[], costs: PathCosts): StageOption[] {
+  const kinds = new Map<number, { best: StageOption, second?: StageOption }>()
+  for (const option of options) {
+    if (costs.stage(option) === Infinity) continue
+    const kind = kinds.get(option.kind)
+    if (kind === undefined) kinds.set(option.kind, { best: option })
+    else if (costs.stage(option) < costs.stage(kind.best)) kinds.set(option.kind, { best: option, second: kind.best })
+    else if (kind.second === undefined || costs.stage(option) < costs.stage(kind.second)) kind.second = option
+  }
+  const kept = [...kinds.values()].flatMap(({ best, second }) => second === undefined ? [best] : [best, second])
+  return kept.sort((left, right) => left.from - right.from)
+}
+
+const NONE: readonly Reached[] = []
+
+function keep (reached: Map<number, Reached[]>, cost: number, first: number, option: StageOption, before: Reached | undefined): void {
+  const others = reached.get(option.to)
   if (others === undefined) {
-    reached.set(boundary, [candidate])
+    reached.set(option.to, [{ cost, first, option, before }])
+    return
+  }
+  for (const other of others) {
+    if (other.first !== first || other.option.domain !== option.domain) continue
+    if (cost < other.cost) Object.assign(other, { cost, option, before })
     return
   }
-  const position = others.findIndex(other => other.domain === candidate.domain && other.first === candidate.first)
-  if (position < 0) others.push(candidate)
-  else if (candidate.cost < (others[position]?.cost ?? Infinity)) others[position] = candidate
+  others.push({ cost, first, option, before })
 }
 
 function unwind (end: Reached): StageOption[] {
--- a/packages/wigeonlead/src/request/path.ts
+++ b/packages/wigeonlead/src/request/path.ts
@@ -12,7 +12,7 @@
 import type { CompiledModel, CompiledVersion, StageOption } from '../version/index.js'
 import { beginPathRun, type PathRun } from './path-run.js'
 import { LEAN_WEIGHTS, fullMilliseconds, linkKey, targetKey, type StageCosts } from './path-cost.js'
-import { cheapestPath, type PathCosts, type PricedPath } from './path-search.js'
+import { cheapestOfEachKind, cheapestPath, type PathCosts, type PricedPath } from './path-search.js'
 
 /** What a path is wanted for. */
 export interface PathQuery {
@@ -69,9 +69,10 @@
     const layers = query.model.model.layers
     const options = query.model.options.filter(option => isUsable(parts, query, option))
     const costs = costsOf(parts, query)
-    const best = cheapestPath(options, layers, costs)
+    const kept = cheapestOfEachKind(options, costs)
+    const best = cheapestPath(kept, layers, costs)
     if (best === undefined) return failed(noPath(query))
-    const second = withoutCostliest(options, layers, costs, best)
+    const second = withoutCostliest(kept, layers, costs, best)
     const takesSecond = second !== undefined && second.cost <= best.cost * NEAR_BEST_FACTOR && parts.random.nextFloat() < NEAR_BEST_SHARE
     return success((takesSecond ? second : best).options.map(toStage))
   }
@@ -110,7 +111,19 @@
   const names = version.manifest.failureDomains
   const home = version.domains.get(parts.failureDomain) ?? 0
 
+  const links = new Map<number, number>()
+
   function link (from: number, to: number): number {
+    const key = from * names.length + to
+    let cost = links.get(key)
+    if (cost === undefined) {
+      cost = linkCost(from, to)
+      links.set(key, cost)
+    }
+    return cost
+  }
+
+  function linkCost (from: number, to: number): number {
     const observed = from === to ? undefined : parts.times.estimate(linkKey(names[from] ?? '', names[to] ?? ''))
     return (observed ?? version.linkMilliseconds(from, to)) * weights.link
   }
--- a/packages/wigeonlead/src/version/compile.ts
+++ b/packages/wigeonlead/src/version/compile.ts
@@ -17,6 +17,8 @@
   domain: number
   /** Share of the model's layers. */
   share: number
+  /** The same number for the same layers of the same version in the same failure domain. */
+  kind: number
 }
 
 /** A model with the targets that hold parts of it. */
@@ -81,6 +83,12 @@
 }
 
 function compileModel (model: ManifestModel, targets: ManifestTarget[], domains: ReadonlyMap<string, number>): CompiledModel {
+  const kinds = new Map<string, number>()
+  const kindOf = (key: string): number => {
+    const kind = kinds.get(key) ?? kinds.size
+    kinds.set(key, kind)
+    return kind
+  }
   const options = targets.flatMap(target => target.serves.filter(part => part.model === model.name).map(part => ({
     target,
     version: part.version,
@@ -88,7 +96,8 @@
     from: part.layers[0],
     to: part.layers[1],
     domain: domains.get(target.failureDomain) ?? 0,
-    share: (part.layers[1] - part.layers[0]) / model.layers
+    share: (part.layers[1] - part.layers[0]) / model.layers,
+    kind: kindOf(`${part.version} ${part.layers.join()} ${target.failureDomain}`)
   })))
   options.sort((left, right) => left.from - right.from)
   return { model, options, defaultVersion: model.defaultVersion ?? model.versions.at(-1) ?? '' }
