--- a/packages/wigeonlead/src/process/reports.ts
+++ b/packages/wigeonlead/src/process/reports.ts
@@ -53,6 +53,8 @@
 const OTHER_DOMAIN_INTERVALS = 2
 /** Bounds the control traffic of a large fleet; targets of the own failure domain go first. */
 const MOST_REPORTS_A_MESSAGE = 60
+/** Peers of which it is remembered what they heard. */
+const MOST_PEERS = 64
 /** Reports older than this are not passed on and not used, milliseconds. */
 const OLDEST_MILLISECONDS = 30_000
 /** Time constant of the smoothed load of others, milliseconds. */
@@ -92,7 +94,9 @@
 
   function freshFor (peer: string): CompactReport[] {
     const sent = passedOn.get(peer) ?? new Map<string, number>()
+    passedOn.delete(peer)
     passedOn.set(peer, sent)
+    if (passedOn.size > MOST_PEERS) passedOn.delete(passedOn.keys().next().value ?? '')
     const now = Date.now()
     const fresh = [...known.values()].filter(({ report, load }) =>
       report.atMilliseconds > (sent.get(report.target) ?? 0) && now - load.madeAt < OLDEST_MILLISECONDS)
--- a/packages/wigeonlead/src/request/admission.ts
+++ b/packages/wigeonlead/src/request/admission.ts
@@ -65,6 +65,8 @@
   running: number
   /** Time a token of a whole answer takes, milliseconds, exponentially weighted. */
   millisecondsPerToken?: number
+  /** Tokens that answers took of those that they might have, exponentially weighted. */
+  usedShare: number
 }
 
 interface Waiting extends QueuedItem {
@@ -82,7 +84,7 @@
   function stateOf (resource: string): ResourceState {
     let state = resources.get(resource)
     if (state === undefined) {
-      state = { queue: createFairQueue(MOST_WAITING_A_RESOURCE, MOST_WAITING_A_WORKSPACE), running: 0 }
+      state = { queue: createFairQueue(MOST_WAITING_A_RESOURCE, MOST_WAITING_A_WORKSPACE), running: 0, usedShare: 1 }
       resources.set(resource, state)
     }
     return state
@@ -102,7 +104,7 @@
         state.running -= 1
         shares.end(request.workspace)
         limits.settle(request.workspace, expected, tokens)
-        recordEnd(state, tokens, Date.now() - startedAt)
+        recordEnd(state, expected, tokens, Date.now() - startedAt)
         wake()
       }
     }
@@ -209,8 +211,9 @@
   return createProblem(isLimit ? ProblemType.LimitReached : ProblemType.Overloaded, failure.detail, options)
 }
 
-function recordEnd (state: ResourceState, tokens: number, milliseconds: number): void {
+function recordEnd (state: ResourceState, expected: number, tokens: number, milliseconds: number): void {
   if (tokens <= 0) return
+  state.usedShare += RATE_GAIN * (Math.min(1, tokens / expected) - state.usedShare)
   const value = milliseconds / tokens
   state.millisecondsPerToken = state.millisecondsPerToken === undefined
     ? value
@@ -221,11 +224,11 @@
 function expectedWait (state: ResourceState, request: AdmissionRequest): number {
   if (state.millisecondsPerToken === undefined) return 0
   const ahead = state.queue.costAhead(request.workspace.name, request.workspace.weight, request.priority)
-  return ahead * state.millisecondsPerToken / Math.max(1, state.running)
+  return ahead * state.usedShare * state.millisecondsPerToken / Math.max(1, state.running)
 }
 
 function expectedRun (state: ResourceState, request: AdmissionRequest): number {
-  return (request.tokens ?? 1) * (state.millisecondsPerToken ?? 0)
+  return (request.tokens ?? 1) * state.usedShare * (state.millisecondsPerToken ?? 0)
 }
 
 function tooLate (state: ResourceState, detail: string): Failure {
--- /dev/null
+++ b/packages/wigeonlead/test/hang-up.spec.ts
@@ -0,0 +1,44 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { manifestSchema } from '@wigeonlead/protocol'
+import { createEngine, createMemoryEngines, withPausedClock } from '@wigeonlead/stand-ins'
+import { CompletionShape, answerCompletion } from '../src/request/completion.js'
+import { createRoutingParts } from './routing-parts.js'
+
+const MODEL = { model: 'm', version: 'v1' }
+const STEP_MILLISECONDS = 10
+
+const CASES = [
+  { name: 'while a whole answer is made', stream: false, hangUpAt: 105 },
+  { name: 'before the first token', stream: true, hangUpAt: 5 },
+  { name: 'with a streamed answer that nobody reads', stream: true, hangUpAt: 105 }
+]
+
+const hangUps = suite('hang-ups')
+for (const { name, stream, hangUpAt } of CASES) {
+  hangUps(`${name}: the engine's stream ends and the places are free`, () => withPausedClock(async clock => {
+    const engine = createEngine({ name: 'a', held: [{ ...MODEL, adapters: [], layers: { from: 0, to: 4 } }], stepMilliseconds: STEP_MILLISECONDS })
+    const manifest = manifestSchema.parse({
+      format: 1,
+      failureDomains: ['here'],
+      models: [{ name: MODEL.model, layers: 4, versions: [MODEL.version] }],
+      targets: [{ name: 'a', address: '127.0.0.1:1', failureDomain: 'here', accelerator: 'large', serves: [{ ...MODEL, layers: [0, 4] }] }],
+      workspaces: [{ name: 'w', keyDigests: ['0'.repeat(64)] }]
+    })
+    const parts = createRoutingParts({ engines: createMemoryEngines(new Map([['a', engine]])), manifest })
+    const caller = new AbortController()
+    const { context } = parts.request({ ...MODEL, prompt: 'p', maximumTokens: 40, signal: caller.signal, deadlineAt: Date.now() + 30_000 })
+    const body = Buffer.from(JSON.stringify({ model: MODEL.model, prompt: 'p', stream }))
+    void answerCompletion(context, { method: 'POST', url: '/v1/completions', headers: {}, body, signal: caller.signal }, CompletionShape.Text)
+    await clock.advance(hangUpAt)
+    assert.is(parts.targets.inFlight('a'), 1)
+    caller.abort()
+    await clock.advance(100)
+    assert.is(parts.targets.inFlight('a'), 0)
+    assert.is(engine.report().running, 0)
+    const steps = engine.ledger.length
+    await clock.advance(1000)
+    assert.is(engine.ledger.length, steps)
+  }))
+}
+hangUps.run()
