--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -5,6 +5,7 @@
 import { cac } from 'cac'
 import { claimsExperiment } from './claims.js'
 import type { Experiment, ExperimentResult } from './experiment.js'
+import { CHOICE } from './experiments/choice.js'
 import { HERDING } from './experiments/herding.js'
 import { LATENCY } from './experiments/latency.js'
 import { NOISY_NEIGHBOUR } from './experiments/noisy-neighbour.js'
@@ -24,6 +25,7 @@
   herding: HERDING,
   'noisy-neighbour': NOISY_NEIGHBOUR,
   'retry-storm': RETRY_STORM,
+  choice: CHOICE,
   relay,
   claims: claimsExperiment,
   slopes: slopesExperiment,
