--- a/packages/wigeonlead/src/request/services/claimed.ts
+++ b/packages/wigeonlead/src/request/services/claimed.ts
@@ -65,8 +65,10 @@
   return match(outcome)
     .with({ kind: ClaimResult.AnswerNotKept }, ({ status }) =>
       createProblem(ProblemType.AnswerNotKept, `the service answered with status ${status}`, { order: OrderState.Run }))
-    .with({ kind: ClaimResult.NotRun }, ({ failure }) =>
-      createProblem(ProblemType.OrderNotRun, describeFailure(failure), { retryAfterSeconds: retryAfter(failure) }))
+    .with({ kind: ClaimResult.NotRun }, ({ failure }) => {
+      const options = { order: OrderState.NotRun, retryAfterSeconds: retryAfter(failure) }
+      return createProblem(ProblemType.OrderNotRun, describeFailure(failure), options)
+    })
     .with({ kind: ClaimResult.NotSent }, ({ failure }) =>
       refuseUnsent(order, ProblemType.NoPath, describeFailure(failure), { retryAfterSeconds: retryAfter(failure) }))
     .with({ kind: ClaimResult.Unavailable }, ({ failure }) =>
