--- a/packages/protocol/src/manifest/claim-size.ts
+++ b/packages/protocol/src/manifest/claim-size.ts
@@ -4,11 +4,11 @@
 import { ClaimKind, type Manifest } from './schema.js'
 
 /** Buckets over which keys are spread. Every node and every release must agree on it: another count finds no earlier claim. */
-export const CLAIM_BUCKETS = 4
+export const CLAIM_BUCKETS = 2
 /** Bytes at which a bucket's recent entries are moved into a segment that is never rewritten. */
-export const CLAIM_SEGMENT_BYTES = 65_536
+export const CLAIM_SEGMENT_BYTES = 49_152
 /** Segments of one bucket; beyond them new orders are refused, and none is forgotten early. */
-export const CLAIM_SEGMENTS_PER_BUCKET = 256
+export const CLAIM_SEGMENTS_PER_BUCKET = 512
 /** Bytes of one stored claim without its answer. */
 export const CLAIM_ENTRY_BYTES = 176
 /** Largest answer body that is kept for repeats, bytes. */
--- a/packages/wigeonlead/src/request/claims/bucket-store.ts
+++ b/packages/wigeonlead/src/request/claims/bucket-store.ts
@@ -48,6 +48,10 @@
 const MAXIMUM_TRIES = 8
 const CONFLICT_PAUSE_MILLISECONDS = 5
 const SEGMENT_READS_AT_ONCE = 16
+/** Bytes of one segment's name and time in a stored head. */
+const SEGMENT_REFERENCE_BYTES = 32
+/** Short, since a head may name many segments; a segment is only ever created where none has its name. */
+const SEGMENT_NAME_LENGTH = 12
 /** Size of a head beyond which a bucket that may have no more segments takes no more claims. */
 const FULL_HEAD_BYTES = 2 * CLAIM_SEGMENT_BYTES
 
@@ -124,7 +128,7 @@
         isFresh = true
         continue
       }
-      const head = await seal(applied.head)
+      const head = isLarge(before) ? await seal(applied.head) : applied.head
       const value = encodeHead(head)
       const write = await keyValue.compareAndSwap({ key, expectedModRevision: before.modRevision, value })
       if (write.kind === WriteResult.Committed) {
@@ -157,11 +161,11 @@
 
   /** Moves entries into a segment once the head has grown large; those of running orders only where there are many. */
   async function seal (head: BucketHead): Promise<BucketHead> {
-    if (head.segments.length >= CLAIM_SEGMENTS_PER_BUCKET || encodeHead({ ...head, segments: [] }).length < CLAIM_SEGMENT_BYTES) return head
     const entries = [...head.entries.values()]
     const final = entries.filter(entry => entry.state !== ClaimState.Claimed)
     const sealed = encodeSegment(final).length > CLAIM_SEGMENT_BYTES / 2 ? final : entries
-    const segment = { id: shortDigest(random.nextNonce()), expiresAt: Math.max(...sealed.map(entry => entry.expiresAt)) }
+    const id = shortDigest(random.nextNonce()).slice(0, SEGMENT_NAME_LENGTH)
+    const segment = { id, expiresAt: Math.max(...sealed.map(entry => entry.expiresAt)) }
     const text = encodeSegment(sealed)
     unnamed.add(segment.id)
     const write = await keyValue.compareAndSwap({ key: segmentKey(bucket, segment.id), expectedModRevision: 0, value: text })
@@ -214,6 +218,11 @@
   }
 }
 
+function isLarge ({ head, bytes }: KnownHead): boolean {
+  const { length } = head.segments
+  return length < CLAIM_SEGMENTS_PER_BUCKET && bytes - length * SEGMENT_REFERENCE_BYTES > CLAIM_SEGMENT_BYTES
+}
+
 function needsFreshRead (outcome: ClaimChangeOutcome, change: ClaimChange | undefined): boolean {
   const isWanted = change?.kind === ClaimChangeKind.Claim && change.wantsFreshRead === true
   return isFenced(outcome) || (isWanted && outcome.kind === ClaimChangeResult.Found)
