--- a/packages/wigeonlead/src/request/claims/bucket-store.ts
+++ b/packages/wigeonlead/src/request/claims/bucket-store.ts
@@ -8,7 +8,7 @@
   type RandomSource
 } from '@wigeonlead/protocol'
 import { EMPTY_HEAD, applyChanges, type AppliedChanges, type BucketHead } from './bucket.js'
-import { decodeHead, decodeSegment, encodeHead, encodeSegment, headKey, segmentKey, shortDigest } from './encoding.js'
+import { PROBE_KEY, decodeHead, decodeSegment, encodeHead, encodeSegment, headKey, segmentKey, shortDigest } from './encoding.js'
 
 /** One bucket in the key-value service, with what this node remembers of it. */
 export interface BucketStore {
@@ -19,6 +19,8 @@
   commit: (changes: ClaimChange[], isShared: boolean) => Promise<BucketCommit>
   /** What stands in the way of a change as far as this node remembers; undefined where the change would have to be written. */
   peek: (change: ClaimChange) => ClaimChangeOutcome | undefined
+  /** Asks whether the key-value service answers. */
+  isReachable: () => Promise<boolean>
 }
 
 /** What became of a batch. */
@@ -206,7 +208,11 @@
     return changes.map(change => peekAt(before, change) ?? refuse(failure, isAmbiguous))
   }
 
-  return { commit, peek: change => known === undefined ? undefined : peekAt(known, change) }
+  return {
+    commit,
+    peek: change => known === undefined ? undefined : peekAt(known, change),
+    isReachable: async () => (await keyValue.get(PROBE_KEY)).ok
+  }
 }
 
 function decode (entry: KeyValueEntry | undefined): Outcome<KnownHead> {
--- a/packages/wigeonlead/src/request/claims/encoding.ts
+++ b/packages/wigeonlead/src/request/claims/encoding.ts
@@ -6,6 +6,8 @@
 import type { BucketHead, SegmentReference } from './bucket.js'
 
 const KEY_PREFIX = '/wigeonlead/claims/'
+/** A key that is never written, read to see whether the service answers. */
+export const PROBE_KEY = `${KEY_PREFIX}probe`
 const DIGEST_BYTES = 16
 
 /** The numbers that stand for the states; they are stored and never change their meaning. */
--- a/packages/wigeonlead/src/request/claims/group-commit.ts
+++ b/packages/wigeonlead/src/request/claims/group-commit.ts
@@ -26,8 +26,9 @@
 const LATEST_WEIGHT = 0.3
 /** Estimate above which a bucket counts as written by other nodes too. */
 const SHARED_WRITERS = 1.2
-/** How long changes are refused at once after the key-value service failed, before it is tried again. */
-const REFUSAL_MILLISECONDS = 500
+/** Pauses before the key-value service is asked again after it failed; until it answers, changes are refused at once. */
+const FIRST_PROBE_MILLISECONDS = 500
+const LONGEST_PROBE_MILLISECONDS = 3000
 const MAXIMUM_BATCH = 512
 
 /** Makes the group commit of a bucket. The more nodes write the same bucket, the rarer each does, so that the sum stays the same. */
@@ -36,7 +37,8 @@
   let writers = 1
   let lastStart = -Infinity
   let isRunning = false
-  let refusal: { failure: Failure, until: number } | undefined
+  /** Why changes are refused at once. */
+  let outage: Failure | undefined
 
   async function run (): Promise<void> {
     while (waiting.length > 0) {
@@ -59,15 +61,23 @@
       const foreignAnInterval = foreignWrites * interval() / Math.max(elapsed, interval())
       writers += LATEST_WEIGHT * ((1 + foreignAnInterval) * (1 + conflicts) - writers)
     }
-    refusal = failure === undefined ? undefined : { failure, until: performance.now() + REFUSAL_MILLISECONDS }
+    if (failure !== undefined && outage === undefined) probeAfter(FIRST_PROBE_MILLISECONDS)
+    outage = failure
     batch.forEach(({ resolve }, index) => resolve(outcomes[index] as ClaimChangeOutcome))
   }
 
+  function probeAfter (milliseconds: number): void {
+    setTimeout(() => { void probe(milliseconds) }, milliseconds).unref()
+  }
+
+  async function probe (lastPause: number): Promise<void> {
+    if (await store.isReachable()) outage = undefined
+    else probeAfter(Math.min(2 * lastPause, LONGEST_PROBE_MILLISECONDS))
+  }
+
   return {
     submit (change) {
-      if (refusal !== undefined && performance.now() < refusal.until) {
-        return Promise.resolve(store.peek(change) ?? { kind: ClaimChangeResult.Unavailable, failure: refusal.failure })
-      }
+      if (outage !== undefined) return Promise.resolve(store.peek(change) ?? { kind: ClaimChangeResult.Unavailable, failure: outage })
       return new Promise(resolve => {
         waiting.push({ change, resolve })
         if (isRunning) return
--- a/packages/wigeonlead/test/claims.spec.ts
+++ b/packages/wigeonlead/test/claims.spec.ts
@@ -303,6 +303,21 @@
   assert.is(fleet.ledger.length, 3000)
 }))
 
+claims('during a long outage orders are refused at once', () => withPausedClock(async clock => {
+  const { fleet, submit, settle } = createScene(clock)
+  for (const node of fleet.nodes) node.keyValueFault = KeyValueFault.LostRequest
+  for (const key of ['first', 'second', 'third', 'fourth']) for (const node of [0, 1, 2]) await settle(node, { key: `${key}-${node}` })
+  let atOnce = 0
+  for (let index = 0; index < 100; index += 1) {
+    const startedAt = clock.now()
+    void submit(index % 3, { key: `order-${index}` }).then(() => { atOnce += clock.now() - startedAt <= 10 ? 1 : 0 })
+    await clock.advance(100)
+  }
+  await clock.advance(30_000)
+  assert.is(atOnce, 100)
+  assert.is(fleet.ledger.length, 0)
+}))
+
 claims('what has expired is dropped', () => withPausedClock(async clock => {
   const { fleet, submit, settle } = createScene(clock)
   for (let index = 0; index < 3000; index += 1) void submit(index % 3, { key: `order-${index}`, retentionSeconds: 60 })
