Configuration: a refused head is not fetched again at every word of it

Cause: every peer that has a head with a bad part offers it several times a second, and each offer fetched head and parts again.

Change: a refused head, and offers up to its generation, are left alone for two seconds.

--- a/packages/wigeonlead/src/process/configuration/configuration.ts
+++ b/packages/wigeonlead/src/process/configuration/configuration.ts
@@ -39,6 +39,8 @@
 const PEERS_ASKED_FOR_PARTS = 2
 const MAXIMUM_DISPLACED = 4
 const MAXIMUM_REPORTED = 256
+/** Every peer that has a refused head offers it several times a second. */
+const REFUSED_MILLISECONDS = 2000
 
 /** Makes the configuration of a node, empty until it is started. */
 export function createConfiguration ({ keyValue, peers, membership, vmList, seeds, random, logger }: ConfigurationParts): Configuration {
@@ -49,6 +51,8 @@
   /** Heads that one of another line took over from; kept until the one in force holds what they brought. */
   let displaced: ConfigurationHead[] = []
   let previous: ConfigurationHead | undefined
+  /** The head that was refused last, and until when it isn't tried again. */
+  let refused: { head: ConfigurationHead, untilMilliseconds: number } | undefined
   let current: CompiledVersion | undefined
 
   function generation (): number {
@@ -57,7 +61,7 @@
 
   async function observeHead (head: ConfigurationHead, peer?: string): Promise<void> {
     if (head.generation === generation() && head.nonce !== current?.head.nonce) reportOnce(head, 'another head has the same generation')
-    if (head.generation <= generation()) return
+    if (head.generation <= generation() || refusedHead()?.nonce === head.nonce) return
     const running = underWay.get(head.nonce)
     if (running !== undefined) return await running
     const work = adopt(head, peer).finally(() => underWay.delete(head.nonce))
@@ -67,7 +71,7 @@
 
   async function adopt (head: ConfigurationHead, peer: string | undefined): Promise<void> {
     const fetched = await parts.fetch(head, peer, someMembers())
-    if ('missing' in fetched) return reportOnce(head, `part ${fetched.missing} could not be had`)
+    if ('missing' in fetched) return refuse(head, `part ${fetched.missing} could not be had`)
     if (head.generation <= generation()) return
     const version = compile(head, fetched.contents)
     if (version !== undefined) putInForce(version)
@@ -77,11 +81,20 @@
     try {
       return compileVersion(head, joinManifest(contents))
     } catch (error) {
-      reportOnce(head, error instanceof Error ? error.message : String(error))
+      refuse(head, error instanceof Error ? error.message : String(error))
       return undefined
     }
   }
 
+  function refuse (head: ConfigurationHead, reason: string): void {
+    refused = { head, untilMilliseconds: performance.now() + REFUSED_MILLISECONDS }
+    reportOnce(head, reason)
+  }
+
+  function refusedHead (): ConfigurationHead | undefined {
+    return refused !== undefined && performance.now() < refused.untilMilliseconds ? refused.head : undefined
+  }
+
   function putInForce (version: CompiledVersion): void {
     const before = current?.head
     current = version
@@ -127,7 +140,7 @@
     vmList,
     seeds,
     random,
-    generation,
+    isWanted: offered => offered > Math.max(generation(), refusedHead()?.generation ?? 0),
     observe: observeHead,
     isAmiss: repair.isAmiss,
     repair: repair.run,
--- a/packages/wigeonlead/src/process/configuration/sources.ts
+++ b/packages/wigeonlead/src/process/configuration/sources.ts
@@ -16,7 +16,8 @@
   vmList: VmListPort
   seeds: string[]
   random: RandomSource
-  generation: () => number
+  /** Tells whether a generation that a peer has is worth a call. */
+  isWanted: (generation: number) => boolean
   /** Takes a head from the key-value service, or from a peer where one is named. */
   observe: (head: ConfigurationHead, peer?: string) => Promise<void>
   /** Tells whether the key-value service shows another head than it should. */
@@ -163,7 +164,7 @@
 
   async function run (): Promise<void> {
     await takeHighest()
-    membership.onGeneration((generation, address) => { if (generation > parts.generation()) void pullFrom(address) })
+    membership.onGeneration((generation, address) => { if (parts.isWanted(generation)) void pullFrom(address) })
     await Promise.all([pollAgain(), watchAgain()])
   }
 
