--- a/packages/protocol/src/platform/http-json.ts
+++ b/packages/protocol/src/platform/http-json.ts
@@ -4,6 +4,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { z } from 'zod'
 import { FailureKind, failed, success, type Failure, type Outcome, type Step } from '../failure.js'
+import { createLineReader } from './line-reader.js'
 
 const KEEP_ALIVE_AGENT = new Agent({ keepAlive: true, maxSockets: 256, maxFreeSockets: 64 })
 const MAXIMUM_ANSWER_BYTES = 16_777_216
@@ -58,7 +59,10 @@
   try {
     response = await send(url, body, signal, {}, () => {})
     if (response.statusCode !== 200) return
-    for await (const line of readLines(response)) yield JSON.parse(line)
+    const reader = createLineReader(response, MAXIMUM_ANSWER_BYTES)
+    for (let lines = await reader.next(); lines !== undefined; lines = await reader.next()) {
+      for (const line of lines) yield JSON.parse(line)
+    }
   } catch {
     // A broken stream ends like one that the peer closed; the reader starts again.
   } finally {
@@ -87,24 +91,6 @@
   })
 }
 
-/**
- * Yields the lines that are not empty. A reader that stops early leaves the answer to its owner, who drains or destroys it.
- * (Node's `readline` throws a broken stream's error past its reader.)
- */
-export async function * readLines (response: IncomingMessage): AsyncIterable<string> {
-  response.setEncoding('utf8')
-  let rest = ''
-  for await (const chunk of response.iterator({ destroyOnReturn: false }) as AsyncIterable<string>) {
-    const lines = (rest + chunk).split('\n')
-    rest = lines.pop() ?? ''
-    if (rest.length > MAXIMUM_ANSWER_BYTES) throw new Error('the line is too long')
-    for (const line of lines) {
-      if (line.trim() !== '') yield line
-    }
-  }
-  if (rest.trim() !== '') yield rest
-}
-
 async function readText (response: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = []
   let bytes = 0
--- a/packages/stand-ins/src/engine/core.ts
+++ b/packages/stand-ins/src/engine/core.ts
@@ -6,6 +6,7 @@
   type CacheExport, type EngineOrder, type EngineReport, type EngineWireEvent, type GenerationRequest, type HeldPart, type LayerRange,
   type PathStage, type StepInput, type StepRequest, type StepResult
 } from '@wigeonlead/protocol'
+import { createAccelerator, type AcceleratorTiming } from './accelerator.js'
 import { answerLength, runLayers, startState, tokenText } from './model.js'
 
 /** One run of a layer range, as the engine's ledger keeps it. */
@@ -44,6 +45,8 @@
   held: HeldPart[]
   /** Time of one step, milliseconds; 0 by default. */
   stepMilliseconds?: number
+  /** Batches steps as an accelerator does, instead of `stepMilliseconds`. */
+  accelerator?: AcceleratorTiming
   /** The engine refuses orders with an old fencing token. */
   checksFencing?: boolean
   /** Parts that fit into the engine's memory; no bound by default. */
@@ -67,6 +70,8 @@
   /** @returns what was refused, or undefined. */
   order: (fencingToken: number, order: EngineOrder) => string | undefined
   report: () => EngineReport
+  /** Sessions that run now, without the lag of a report; for measurements. */
+  sessions: () => number
   exportCache: (session: string, epoch: number) => CacheExport | undefined
   importCache: (cache: CacheExport, epoch: number) => void
   /** Comes back empty, as after a restart. */
@@ -93,10 +98,12 @@
   let highestFencingToken = 0
   let incarnation = 1
   let running = 0
+  const accelerator = options.accelerator === undefined ? undefined : createAccelerator(options.accelerator, faults)
 
   async function step (request: StepRequest): Promise<StepResult[]> {
     countDown(faults)
-    await pause((options.stepMilliseconds ?? 0) * faults.slowdown)
+    if (accelerator !== undefined) await accelerator.run(request.inputs)
+    else await pause((options.stepMilliseconds ?? 0) * faults.slowdown)
     while (faults.isStalled) await pause(20)
     if (faults.isDead) throw new Error('the engine is dead')
     return request.inputs.map(input => {
@@ -115,7 +122,9 @@
     const state = runLayers(before, input.layers)
     ledger.push({ ...base, ...input.layers })
     const receipt = { target: options.name, layers: input.layers }
+    if (input.index + 1 >= answerLength(cache.prompt)) accelerator?.leave(input.session)
     if (!input.isLast) return { ...base, receipt, activation: writeActivation(state) }
+    if (input.index >= answerLength(cache.prompt)) return { ...base, receipt, finish: FinishReason.Stop }
     const finish = input.index + 1 >= answerLength(cache.prompt) ? FinishReason.Stop : undefined
     return { ...base, receipt, token: tokenText(state), finish }
   }
@@ -132,10 +141,10 @@
   function cacheOf (input: StepInput): SessionCache | undefined {
     if (input.prefill !== undefined) {
       const texts = input.prefill.prefix.map(token => token.text)
-      if (isPrefixOf(sessions.get(input.session), input, texts)) caches.reused += 1
-      sessions.set(input.session, { epoch: input.epoch, prompt: input.prefill.prompt, texts, layers: input.layers })
+      if (isPrefixOf(sessions.get(cacheKey(input.session, input.epoch)), input, texts)) caches.reused += 1
+      sessions.set(cacheKey(input.session, input.epoch), { epoch: input.epoch, prompt: input.prefill.prompt, texts, layers: input.layers })
     }
-    const cache = sessions.get(input.session)
+    const cache = sessions.get(cacheKey(input.session, input.epoch))
     if (cache === undefined || cache.epoch !== input.epoch) return undefined
     if (input.previousToken !== undefined) cache.texts.push(input.previousToken)
     return cache.texts.length === input.index ? cache : undefined
@@ -179,7 +188,11 @@
         receipts.push(last.receipt)
         activation = last.activation
       }
-      const token = { index, text: last?.token ?? '' }
+      if (last?.token === undefined) {
+        yield { kind: EngineEventKind.Finish, attempt, reason: last?.finish ?? FinishReason.Stop, tokens: index }
+        return
+      }
+      const token = { index, text: last.token }
       yield { kind: EngineEventKind.Token, attempt, token, receipt: { session, epoch, index, stages: receipts } }
       previousToken = token.text
       if (last?.finish !== undefined) {
@@ -215,8 +228,12 @@
     caches,
     step,
     generate,
-    cancel: (session, epoch) => { cancelled.set(session, Math.max(epoch, cancelled.get(session) ?? -1)) },
+    cancel (session, epoch) {
+      accelerator?.leave(session)
+      cancelled.set(session, Math.max(epoch, cancelled.get(session) ?? -1))
+    },
     order,
+    sessions: () => accelerator?.sessions() ?? running,
     report: () => ({
       target: options.name,
       incarnation: `${options.name}-${incarnation}`,
@@ -227,17 +244,19 @@
       role,
       held,
       fencingToken: options.checksFencing === true ? highestFencingToken : undefined,
-      cacheEvents: []
+      cacheEvents: [],
+      ...accelerator?.report()
     }),
     exportCache (session, epoch) {
-      const cache = sessions.get(session)
+      const cache = sessions.get(cacheKey(session, epoch))
       if (cache === undefined || cache.epoch !== epoch) return undefined
       caches.exported += 1
       return { session, epoch, tokens: cache.texts.length, layers: cache.layers, content: JSON.stringify(cache) }
     },
     importCache (cache, epoch) {
+      if (sessions.has(cacheKey(cache.session, epoch))) return
       caches.imported += 1
-      sessions.set(cache.session, { ...JSON.parse(cache.content) as SessionCache, epoch })
+      sessions.set(cacheKey(cache.session, epoch), { ...JSON.parse(cache.content) as SessionCache, epoch })
     },
     restart () {
       incarnation += 1
@@ -261,6 +280,10 @@
   if (faults.dieAfterSteps !== undefined && --faults.dieAfterSteps < 0) faults.isDead = true
 }
 
+function cacheKey (session: string, epoch: number): string {
+  return `${session}/${epoch}`
+}
+
 function isPrefixOf (cache: SessionCache | undefined, input: StepInput, texts: string[]): boolean {
   return cache !== undefined && cache.epoch === input.epoch && cache.prompt === input.prefill?.prompt &&
     cache.layers.from === input.layers.from && cache.layers.to === input.layers.to &&
--- a/packages/wigeonlead/src/process/ejections.ts
+++ b/packages/wigeonlead/src/process/ejections.ts
@@ -5,7 +5,8 @@
 /** Which targets are ejected. */
 export interface Ejections {
   isEjected: (target: string) => boolean
-  eject: (target: string) => void
+  /** @returns whether the target was not out and is now. */
+  eject: (target: string) => boolean
   recordSuccess: (target: string) => void
 }
 
@@ -37,12 +38,13 @@
   return {
     isEjected,
     eject (target) {
-      if (isEjected(target) || isHalfOut(target)) return
+      if (isEjected(target) || isHalfOut(target)) return false
       const now = Date.now()
       const length = ejections.get(target)?.next ?? FIRST_EJECTION_MILLISECONDS
       ejections.set(target, {
         from: now, until: now + length, next: Math.min(LONGEST_EJECTION_MILLISECONDS, length * 2), successes: 0
       })
+      return true
     },
     recordSuccess (target) {
       const ejection = ejections.get(target)
--- a/packages/wigeonlead/src/process/index.ts
+++ b/packages/wigeonlead/src/process/index.ts
@@ -10,4 +10,4 @@
 export { createConfiguration, type Configuration } from './configuration/index.js'
 export { createMembership, type DemandShare, type Membership, type MembershipParts } from './membership/index.js'
 export { RequestEnd, createBurn, type Burn, type BurnMeter, type BurnResource } from './burn.js'
-export { createRouter, type Router, type RouterPorts } from './wire.js'
+export { createRouter, type PathPolicyParts, type Router, type RouterOptions, type RouterPorts } from './wire.js'
--- a/packages/wigeonlead/src/request/admission.ts
+++ b/packages/wigeonlead/src/request/admission.ts
@@ -7,6 +7,7 @@
 } from '@wigeonlead/protocol'
 import { createFairQueue, type FairQueue, type QueuedItem } from './admission-queue.js'
 import { createLimits } from './admission-limits.js'
+import { createShares } from './admission-shares.js'
 
 /** What is asked for at admission. */
 export interface AdmissionRequest {
@@ -21,13 +22,16 @@
   tokens?: number
   /**
    * Starts the request if it may run and there is room, under the version that is in force now.
+   * @param isOverShare the workspace already runs more than its share while others run too.
    * @returns `false` where there is no room yet, or the failure that ends the request. Without it there always is room.
    */
-  start?: () => Outcome<boolean>
+  start?: (isOverShare: boolean) => Outcome<boolean>
 }
 
 /** A request that was let in. */
 export interface AdmissionTicket {
+  /** The workspace runs more than its share while others run too: its work yields to theirs. */
+  isOverShare: boolean
   /** Ends the request. @param tokens that it really took. */
   release: (tokens?: number) => void
 }
@@ -35,6 +39,8 @@
 /** Lets requests in. */
 export interface Admission {
   admit: (request: AdmissionRequest) => Promise<Outcome<AdmissionTicket>>
+  /** Requests a second that each workspace asked for lately. */
+  demand: () => Record<string, number>
   /** Requests that wait. */
   waiting: () => number
   /** Tries the waiting requests again, for example when another version is in force. */
@@ -69,6 +75,7 @@
 /** Makes an admission with empty queues. */
 export function createAdmission (parts: AdmissionParts = {}): Admission {
   const resources = new Map<string, ResourceState>()
+  const shares = createShares()
   const limits = createLimits(parts.shareOf ?? (() => 1))
   let timer: NodeJS.Timeout | undefined
 
@@ -86,11 +93,14 @@
     const expected = request.tokens ?? 1
     let isOpen = true
     state.running += 1
+    shares.begin(request.workspace)
     return {
+      isOverShare: shares.isOver(request.workspace),
       release (tokens = expected) {
         if (!isOpen) return
         isOpen = false
         state.running -= 1
+        shares.end(request.workspace)
         limits.settle(request.workspace, expected, tokens)
         recordEnd(state, tokens, Date.now() - startedAt)
         wake()
@@ -116,7 +126,7 @@
         waiting.settle(failed(tooLate(state, 'the deadline passed in the queue')))
         return true
       }
-      const started = request.start?.() ?? success(true)
+      const started = request.start?.(shares.isOver(request.workspace)) ?? success(true)
       if (started.ok && !started.value) return false
       waiting.settle(started.ok ? success(ticketOf(state, request)) : started)
       return true
@@ -133,7 +143,7 @@
 
   async function enter (state: ResourceState, request: AdmissionRequest): Promise<Outcome<AdmissionTicket>> {
     if (state.queue.size() === 0) {
-      const started = request.start?.() ?? success(true)
+      const started = request.start?.(shares.isOver(request.workspace)) ?? success(true)
       if (!started.ok) return started
       if (started.value) return success(ticketOf(state, request))
     }
@@ -152,7 +162,15 @@
         clearTimeout(late)
         resolve(outcome)
       }
-      const waiting: Waiting = { workspace: workspace.name, weight: workspace.weight, priority, cost: request.tokens ?? 1, request, settle }
+      const waiting: Waiting = {
+        workspace: workspace.name,
+        weight: workspace.weight,
+        priority,
+        cost: request.tokens ?? 1,
+        isWithinShare: !shares.isOver(workspace),
+        request,
+        settle
+      }
       const leave = (): void => {
         state.queue.remove(waiting)
         settle(failed({ kind: FailureKind.Aborted, step: Step.Admission, peer: 'local', detail: 'the caller hung up' }))
@@ -172,6 +190,7 @@
 
   return {
     admit,
+    demand: limits.demand,
     waiting: () => [...resources.values()].reduce((sum, state) => sum + state.queue.size(), 0),
     wake
   }
