Experiment on the spread of a change; the property's nodes in a module of their own

Change: `npm run bench -- spread` publishes to whole routers in one process under a paused clock, with all ways, without watches, by gossip from one node and by polls alone, at 33, 154 and 462 nodes. The property's world stands beside it.

--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -13,6 +13,7 @@
 import { renderPlot } from './plot.js'
 import { relay } from './relay.js'
 import { fleetExperiment, slopesExperiment } from './slopes.js'
+import { spreadExperiment } from './spread.js'
 
 const EXPERIMENTS: Record<string, Experiment> = {
   throughput: THROUGHPUT,
@@ -23,7 +24,8 @@
   'retry-storm': RETRY_STORM,
   relay,
   slopes: slopesExperiment,
-  fleet: fleetExperiment
+  fleet: fleetExperiment,
+  spread: spreadExperiment
 }
 const DEFAULT_FOLDER = 'docs/measurements'
 
--- a/packages/wigeonlead/test/properties/configuration.ts
+++ b/packages/wigeonlead/test/properties/configuration.ts
@@ -4,23 +4,15 @@
  */
 import fc from 'fast-check'
 import {
-  CONFIGURATION_HEAD_KEY, PublishResult, StopSubject, VmState, changeHead, manifestSchema, parseHead, publishManifest,
-  type ConfigurationHead, type KeyValueEntry, type KeyValuePort, type PlannedStop, type PublishOutcome, type RandomSource, type VmEntry
+  CONFIGURATION_HEAD_KEY, PublishResult, StopSubject, changeHead, manifestSchema, publishManifest, type ConfigurationHead,
+  type KeyValuePort, type PlannedStop, type PublishOutcome, type RandomSource
 } from '@wigeonlead/protocol'
-import {
-  KeyValueFault, createKeyValueStore, createMemoryKeyValue, createMemoryPeerNetwork, withPausedClock, type KeyValueStore,
-  type MemoryPeerNetwork, type PausedClock
-} from '@wigeonlead/stand-ins'
-import { createConfiguration, type Configuration } from '../../src/process/configuration/index.js'
-import { SILENT_LOGGER } from '../../src/process/logging.js'
-import { createMembership, type Membership } from '../../src/process/membership/index.js'
-import { createSeededRandom } from '../../src/process/random.js'
+import { KeyValueFault, createMemoryKeyValue, withPausedClock, type PausedClock } from '@wigeonlead/stand-ins'
+import { NODES, PUBLISHER, createWorld, headInStore, heal, isCut, restart, restore, type Node, type World } from './configuration-world.js'
 import type { PromiseProperty } from './property.js'
 
-const NODES = ['10.0.0.1:7000', '10.0.0.2:7000', '10.0.1.1:7000']
 const HEALING_MILLISECONDS = 30_000
 const PUBLISH_STEP_MILLISECONDS = 10
-const PUBLISHER = 'publisher-'
 
 type Command =
   | { kind: 'publish' | 'plan-stop' | 'cancel-stop', fault?: KeyValueFault }
@@ -46,31 +38,6 @@
   { weight: 5, arbitrary: fc.record({ kind: fc.constant('wait' as const), milliseconds: fc.integer({ min: 1, max: 6000 }) }) }
 )
 
-interface Node {
-  configuration: Configuration
-  membership: Membership
-  /** Nonces of the heads that were in force here and of their ancestors. */
-  held: Set<string>
-  isCut: boolean
-  staleEntry?: KeyValueEntry
-}
-
-interface World {
-  clock: PausedClock
-  store: KeyValueStore
-  network: MemoryPeerNetwork
-  nodes: Node[]
-  /** Heads of publishers that took effect, in order, without those that a restore lost before any node had them. */
-  standing: ConfigurationHead[]
-  /** Nonces of all changes of publishers that took effect. */
-  committed: Set<string>
-  told: Array<{ nonce: string, outcome: PublishOutcome }>
-  snapshot?: { entries: KeyValueEntry[], revision: number }
-  violations: string[]
-  count: number
-  starts: number
-}
-
 /** The property of the configuration. */
 export const configurationProperty: PromiseProperty = {
   name: 'configuration',
@@ -81,21 +48,7 @@
 }
 
 async function run (clock: PausedClock, commands: Command[]): Promise<void> {
-  const store = createKeyValueStore()
-  const world: World = {
-    clock,
-    store,
-    network: createMemoryPeerNetwork({ delayMilliseconds: () => 1 }),
-    nodes: [],
-    standing: [],
-    committed: new Set(),
-    told: [],
-    violations: [],
-    count: 0,
-    starts: 0
-  }
-  recordCommits(world)
-  NODES.forEach((_, index) => startNode(world, index))
+  const world = createWorld(clock)
   try {
     await apply(world, { kind: 'publish' })
     for (const step of commands) {
@@ -138,86 +91,6 @@
   }
 }
 
-function isCut (pairs: number, from: string, to: string): boolean {
-  const bit = NODES.indexOf(from) + NODES.indexOf(to) - 1
-  return (pairs >> bit) % 2 === 1
-}
-
-function startNode (world: World, index: number): void {
-  const address = NODES[index] as string
-  const random = createSeededRandom(1000 + world.starts++)
-  const peers = world.network.port(address)
-  const vmList = { list: async () => ({ ok: true as const, value: NODES.map(toVm) }) }
-  const state: Pick<Node, 'held' | 'isCut'> & Partial<Node> = { held: new Set(), isCut: false }
-  const membership = createMembership({
-    peers,
-    address,
-    vm: address,
-    failureDomain: toVm(address).failureDomain,
-    seeds: [],
-    generation: () => state.configuration?.current()?.head.generation ?? 0,
-    random,
-    vmList,
-    logger: SILENT_LOGGER
-  })
-  const started: Node = Object.assign(state, {
-    membership,
-    configuration: createConfiguration({
-      keyValue: nodePort(world, state), peers, membership, vmList, seeds: [], random, logger: SILENT_LOGGER
-    })
-  })
-  let generation = 0
-  started.configuration.onChange(({ head }) => {
-    if (head.generation <= generation) world.violations.push(`the generation went from ${generation} to ${head.generation}`)
-    generation = head.generation
-    for (const nonce of [head.nonce, ...(head.ancestors ?? []).map(ancestor => ancestor.nonce)]) started.held.add(nonce)
-  })
-  peers.serve({ ...membership.handlers, ...started.configuration.handlers })
-  world.nodes[index] = started
-  membership.start()
-  started.configuration.start()
-}
-
-function toVm (address: string): VmEntry {
-  const [host = '', port] = address.split(':')
-  const failureDomain = host.startsWith('10.0.0') ? 'howrah' : 'salt-lake'
-  return { name: address, address: host, failureDomain, state: VmState.Live, peerPort: Number(port) }
-}
-
-/** A node's view of the store: cut off, or reads of the head that lag behind. */
-function nodePort (world: World, state: { isCut: boolean, staleEntry?: KeyValueEntry }): KeyValuePort {
-  const port = createMemoryKeyValue(world.store, { fault: () => state.isCut ? KeyValueFault.Unreachable : undefined })
-  return {
-    ...port,
-    async get (key) {
-      const read = await port.get(key)
-      const isStale = read.ok && key === CONFIGURATION_HEAD_KEY && state.staleEntry !== undefined
-      return isStale ? { ok: true, value: { ...read.value, entry: state.staleEntry } } : read
-    },
-    async * watch (key, afterRevision, signal) {
-      for await (const events of port.watch(key, afterRevision, signal)) {
-        if (state.isCut) return
-        yield events
-        yield events
-      }
-    }
-  }
-}
-
-function recordCommits (world: World): void {
-  const { compareAndSwap } = world.store
-  world.store.compareAndSwap = write => {
-    const result = compareAndSwap(write)
-    const isHead = write.key === CONFIGURATION_HEAD_KEY && write.value !== undefined
-    const head = isHead ? JSON.parse(write.value ?? '') as ConfigurationHead : undefined
-    if (result.committed && head !== undefined && head.nonce.startsWith(PUBLISHER)) {
-      world.standing.push(head)
-      world.committed.add(head.nonce)
-    }
-    return result
-  }
-}
-
 function publisherPort (world: World, fault: KeyValueFault | undefined): KeyValuePort {
   let isFirst = true
   return createMemoryKeyValue(world.store, {
@@ -259,45 +132,6 @@
   while (!progress.isDone) await world.clock.advance(PUBLISH_STEP_MILLISECONDS)
 }
 
-function restart (world: World, index: number): void {
-  const old = world.nodes[index] as Node
-  old.configuration.stop()
-  old.membership.stop()
-  old.held.clear()
-  world.network.remove(NODES[index] as string)
-  world.network.resume(NODES[index] as string)
-  forgetLost(world)
-  startNode(world, index)
-}
-
-function heal (world: World): void {
-  world.network.heal()
-  world.nodes.forEach((node, index) => {
-    node.isCut = false
-    node.staleEntry = undefined
-    world.network.resume(NODES[index] as string)
-  })
-}
-
-function restore (world: World): void {
-  if (world.snapshot === undefined) return
-  world.store.restore(world.snapshot.entries, world.snapshot.revision)
-  forgetLost(world)
-}
-
-/** What neither the service nor any live node has is lost to any design that keeps nothing else. */
-function forgetLost (world: World): void {
-  const stored = headInStore(world)
-  const held = world.nodes.flatMap(node => [...node.held])
-  const known = new Set([...held, stored?.nonce, ...(stored?.ancestors ?? []).map(({ nonce }) => nonce)])
-  world.standing = world.standing.filter(head => known.has(head.nonce))
-}
-
-function headInStore (world: World): ConfigurationHead | undefined {
-  const entry = world.store.get(CONFIGURATION_HEAD_KEY)
-  return entry === undefined ? undefined : parseHead(entry)
-}
-
 /** An accepted change took effect; one that was superseded or failed never did. */
 function checkOutcomes ({ told, committed }: World): void {
   for (const { nonce, outcome } of told) {
