A version that is no longer declared is kept for the drain

Cause: requests end under the version they began with, but an undeclared version of unknown use was unloaded after 10 s where engines seemed idle, as those do whose stages the router steps. Change: only an engine's count of the part's sessions lets such a version go before the drain of 120 s. Conclusion: cut-off requests of an old version need a longer drain or engines that count sessions by part.

--- a/packages/wigeonlead/src/process/reconciler/plan.ts
+++ b/packages/wigeonlead/src/process/reconciler/plan.ts
@@ -141,7 +141,7 @@
   const isDeclared = model?.versions.includes(held.version) === true
   const adapters = declaredAdapters(input, held)
   if (isDeclared && departures.some(departure => isKept(departure, adapters, serving, model.layers))) return PendingReason.LastReplica
-  const isUsed = isDeclared ? isPartUsed(input, report, held) : isVersionUsed(input, held)
+  const isUsed = isDeclared ? isPartUsed(input, held, isIdle(report)) : isVersionUsed(input, held)
   return isUsed ? PendingReason.InUse : undefined
 }
 
@@ -156,14 +156,19 @@
   return [undefined, ...own].some(adapter => !isStillServed({ ...departure, adapter }, serving, layers))
 }
 
-function isPartUsed (input: PlanInput, report: EngineReport, held: EngineReport['held'][number]): boolean {
+/** Requests end under the version that they began with, so a version of unknown use is kept for the drain. */
+function isVersionUsed (input: PlanInput, held: HeldPart): boolean {
+  return [...input.reports.values()].some(report => report.held.some(part =>
+    part.model === held.model && part.version === held.version && isPartUsed(input, part, false)))
+}
+
+function isPartUsed (input: PlanInput, held: EngineReport['held'][number], isSurelyUnused: boolean): boolean {
   if (held.running !== undefined) return held.running > 0
-  return report.running + report.queued > 0 && input.inForceForMilliseconds < input.drainMilliseconds
+  return !isSurelyUnused && input.inForceForMilliseconds < input.drainMilliseconds
 }
 
-function isVersionUsed (input: PlanInput, held: HeldPart): boolean {
-  return [...input.reports.values()].some(report => report.held.some(part =>
-    part.model === held.model && part.version === held.version && isPartUsed(input, report, part)))
+function isIdle (report: EngineReport): boolean {
+  return report.running + report.queued === 0
 }
 
 function listServing (input: PlanInput): ServingPart[] {
--- a/packages/wigeonlead/test/process/reconciler/plan.spec.ts
+++ b/packages/wigeonlead/test/process/reconciler/plan.spec.ts
@@ -110,6 +110,21 @@
     input: { inForceForMilliseconds: 60_000 },
     expected: ['two unload v1 0-4 in-use', 'three unload v1 0-4 in-use']
   },
+  {
+    name: 'a version of unknown use is kept for the drain',
+    declared: { versions: ['v2'], serves: [V2] },
+    held: [V2, FULL],
+    input: { inForceForMilliseconds: 60_000 },
+    expected: ['two unload v1 0-4 in-use']
+  },
+  {
+    name: 'a version that nothing uses goes at once',
+    declared: { versions: ['v2'], serves: [V2] },
+    held: [V2, FULL],
+    reports: { two: { held: [{ ...toPart(FULL[0]!), running: 0 }] } },
+    input: { inForceForMilliseconds: 60_000 },
+    expected: ['two unload v1 0-4']
+  },
   {
     name: 'its use is unknown after the drain',
     declared: { versions: ['v2'], serves: [V2] },
--- a/packages/wigeonlead/test/properties/reconciler-world.ts
+++ b/packages/wigeonlead/test/properties/reconciler-world.ts
@@ -54,7 +54,7 @@
 
 export const DOMAIN = 'howrah'
 export const LAYERS = 4
-const SETTINGS: Settings['reconciler'] = settingsSchema.shape.reconciler.parse({})
+const SETTINGS: Settings['reconciler'] = settingsSchema.shape.reconciler.parse({ drainMilliseconds: 20_000 })
 const LOSS_WINDOW_MILLISECONDS = 12_000
 const DECLARED_WINDOW_MILLISECONDS = 40_000
 const TARGETS = [
