--- a/packages/wigeonlead/src/connection/json-lines.ts
+++ b/packages/protocol/src/platform/line-reader.ts
@@ -39,12 +39,15 @@
     const pieces = (partial + chunk).split('\n')
     partial = pieces.pop() ?? ''
     if (partial.length > maximumCharacters) response.destroy(new Error(`a line is over ${maximumCharacters} characters`))
-    for (const piece of pieces) if (piece !== '') lines.push(piece)
+    for (const piece of pieces) if (piece.trim() !== '') lines.push(piece)
     if (lines.length === 0) return
     if (wake === undefined) response.pause()
     settle()
   })
-  response.on('end', () => end(response.complete ? undefined : new Error('the answer ended early')))
+  response.on('end', () => {
+    if (partial.trim() !== '') lines.push(partial)
+    end()
+  })
   response.on('error', end)
   response.on('close', () => end(response.complete ? undefined : new Error('the connection closed')))
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -4,14 +4,17 @@
 export { listen, readJson, answerJson, type RunningServer } from './http.js'
 export { createKeyValueStore, type KeyValueStore, type StoreCounts, type StoreWrite } from './platform/store.js'
 export { createMemoryKeyValue, KeyValueFault, type MemoryKeyValueOptions } from './platform/memory.js'
-export { loopbackVm, startKeyValueServer, startVmListServer, type KeyValueServerOptions } from './platform/server.js'
+export {
+  ServerFault, WatchFault, loopbackVm, startKeyValueServer, startVmListServer, type KeyValueServerOptions
+} from './platform/server.js'
 export {
   PeerFault, createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerOptions, type MemoryPeerTraffic, type PeerCall
 } from './peers/memory.js'
 export {
   createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry, type OrderLedgerEntry
 } from './engine/core.js'
-export { createMemoryEngines } from './engine/memory.js'
+export { createMemoryEngines, type MemoryEnginesOptions } from './engine/memory.js'
+export type { AcceleratorTiming } from './engine/accelerator.js'
 export { startEngineServer } from './engine/server.js'
 export { answerLength, referenceAnswer } from './engine/model.js'
 export { withPausedClock, type PausedClock } from './paused-clock.js'
--- a/packages/wigeonlead/src/index.ts
+++ b/packages/wigeonlead/src/index.ts
@@ -4,7 +4,11 @@
 export {
   SILENT_LOGGER, checkSettings, createLogger, createRouter, createSeededRandom, createSystemRandom, readSettings, serveRouter,
   settingsSchema,
-  type Logger, type Router, type RouterPorts, type RunningRouter, type Settings, type SettingsCheck, type SettingsInput
+  type Logger, type PathPolicyParts, type Router, type RouterOptions, type RouterPorts, type RunningRouter, type Settings,
+  type SettingsCheck, type SettingsInput
 } from './process/index.js'
-export type { CallerHandler, CallerRequest, CallerResponse } from './request/index.js'
-export { createHttpEngines, createHttpPeers, createHttpServices } from './connection/index.js'
+export { ClaimResult, createClaims, type ClaimOutcome, type ClaimedOrder, type Claims, type ClaimsParts } from './request/claims/index.js'
+export { createPathChooser } from './request/index.js'
+export type { CallerHandler, CallerRequest, CallerResponse, PathChooser, PathQuery, PathRun } from './request/index.js'
+export type { CompiledVersion, StageOption } from './version/index.js'
+export { createHttpEngines, createHttpPeers, createHttpServices, type HttpPeers } from './connection/index.js'
--- a/packages/wigeonlead/src/request/completion.ts
+++ b/packages/wigeonlead/src/request/completion.ts
@@ -11,6 +11,8 @@
 import { DeliveryKind, generate, type Delivery } from './generation.js'
 import { endOfRefusal, meterDeliveries } from './metered.js'
 
+/** Added to the priority of a workspace that runs more than its share, so that engines serve the others first. */
+const YIELDING_PRIORITY = 4
 const STREAM_HEADERS = { 'content-type': 'text/event-stream', 'cache-control': 'no-store' }
 const STREAM_END = 'data: [DONE]\n\n'
 
@@ -37,6 +39,7 @@
     meter.end(endOfRefusal(problem, context.signal))
     return refusal(problem)
   }
+  if (admitted.value.isOverShare) start.context = { ...start.context, priority: start.context.priority + YIELDING_PRIORITY }
   return await answerAdmitted(start, meter, input, shape, admitted.value.release)
 }
 
--- a/packages/wigeonlead/src/request/generation.ts
+++ b/packages/wigeonlead/src/request/generation.ts
@@ -3,8 +3,8 @@
  * with the tokens already delivered as prefix. Each token index is delivered once.
  */
 import {
-  FailureKind, isCertainlyNotSent,
-  type Failure, type FinishReason, type GenerationRequest, type ModelReference, type Outcome, type PathStage, type Problem, type Token
+  FailureKind, FinishReason, isCertainlyNotSent,
+  type Failure, type GenerationRequest, type ModelReference, type Outcome, type PathStage, type Problem, type Token
 } from '@wigeonlead/protocol'
 import type { CompiledModel } from '../version/index.js'
 import { LogEvent } from '../process/logging.js'
@@ -44,6 +44,9 @@
 const MOST_FRUITLESS_EPOCHS = 10
 /** Fruitless epochs before the next one is held back. */
 const EPOCHS_AT_ONCE = 2
+/** A target that is known to have failed counts as much as so many failures that it may have caused. */
+const BLAMED_STRIKES = 3
+const NONE: ReadonlySet<string> = new Set()
 const FIRST_PAUSE_MILLISECONDS = 25
 const LONGEST_PAUSE_MILLISECONDS = 1000
 
@@ -60,7 +63,8 @@
 interface Progress {
   session: string
   delivered: Token[]
-  excluded: Set<string>
+  /** How often each target was part of a failure. */
+  strikes: Map<string, number>
   epoch: number
   /** Epochs in a row without a token. */
   fruitless: number
@@ -73,7 +77,7 @@
 async function * runEpochs (context: RequestContext, order: GenerationOrder, watch: Watch): AsyncGenerator<Delivery> {
   const { parts } = context
   const progress: Progress = {
-    session: parts.random.nextNonce(), delivered: [], excluded: new Set(), epoch: 0, fruitless: 0, wasSent: false
+    session: parts.random.nextNonce(), delivered: [], strikes: new Map(), epoch: 0, fruitless: 0, wasSent: false
   }
   parts.retries.recordFirstTry(order.reference.model)
   for (; ; progress.epoch += 1) {
@@ -85,6 +89,9 @@
     if (end.kind === 'moved') continue
     if (end.kind === 'interrupted') return yield refusal(refuseLate(progress.delivered.length, progress.wasSent))
     if (path.ok) await takeFailure(context, progress, path.value, end)
+    if (progress.delivered.length >= order.maximumTokens) {
+      return yield { kind: DeliveryKind.Finish, reason: FinishReason.Length, tokens: progress.delivered.length }
+    }
     progress.fruitless = progress.delivered.length > before ? 1 : progress.fruitless + 1
     if (!mayGoOn(context, order, progress)) return yield refusal(refuseFailed(progress.lastFailure ?? end.failure, progress.wasSent))
     const interruption = await holdBack(progress, watch)
@@ -98,11 +105,7 @@
   if (nextPath !== undefined) return { ok: true, value: nextPath }
   if (progress.epoch === 0 && order.firstPath !== undefined) return { ok: true, value: order.firstPath }
   const { model, reference, prompt } = order
-  const query = { version: context.version, model, reference, prompt, excluded: progress.excluded }
-  const path = context.parts.paths.choose(query)
-  if (path.ok || progress.excluded.size === 0) return path
-  progress.excluded.clear()
-  return context.parts.paths.choose(query)
+  return context.parts.paths.choose({ version: context.version, model, reference, prompt, excluded: NONE, strikes: progress.strikes })
 }
 
 async function * deliverEpoch (
@@ -132,7 +135,11 @@
   const { failure } = end
   const blamed = end.blamed ?? await findFailedTargets(engines, stages, failure)
   for (const target of blamed) targets.recordFailure(target, failure)
-  for (const target of blamed.length > 0 ? blamed : stages.map(stage => stage.target)) progress.excluded.add(target)
+  const isUnclear = blamed.length === 0 || failure.kind === FailureKind.TimedOut
+  for (const { target } of stages) {
+    const strikes = blamed.includes(target) ? BLAMED_STRIKES : isUnclear ? 1 : 0
+    if (strikes > 0) progress.strikes.set(target, (progress.strikes.get(target) ?? 0) + strikes)
+  }
   progress.lastFailure = failure
   metrics.count('stage_failures_total', { kind: failure.kind })
   const { peer, step, kind, detail } = failure
