Peers pass on which declared parts a target lacks

Cause: only the node that polls a target knew that it came back empty; the others sent it work that it refused. Change: a passed-on report names the missing parts, and nothing when none is; process/held-parts.ts keeps the latest word for the path choice. Conclusion: no byte is added while every declared part is held.

--- a/packages/protocol/src/peers/messages.ts
+++ b/packages/protocol/src/peers/messages.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationHead } from '../manifest/head.js'
 import type { ManifestPartContent } from '../manifest/parts.js'
 import type { Outcome } from '../failure.js'
+import type { HeldPart } from '../targets/engine.js'
 import type { ClaimCommitParameters, ClaimCommitResult, ClaimInquiryParameters, ClaimInquiryResult } from './claims.js'
 import type { KeyValueRead, KeyValueWrite, WriteOutcome } from '../platform/key-value.js'
 
@@ -97,6 +98,8 @@
   running: number
   queued: number
   tokensPerSecond: number
+  /** Declared parts that the target doesn't hold; `adapters` names what a held part lacks. Absent where it holds all. */
+  missing?: HeldPart[]
 }
 
 /** Reports that the sender has and the receiver may lack; the answer has the same shape. */
--- a/packages/wigeonlead/src/process/reports.ts
+++ b/packages/wigeonlead/src/process/reports.ts
@@ -4,10 +4,11 @@
  */
 import {
   MemberState, PeerMethod,
-  type CompactReport, type EnginePort, type EngineReport, type ManifestTarget, type MemberEntry, type PeerHandlers, type PeerPort,
-  type RandomSource
+  type CompactReport, type EnginePort, type EngineReport, type HeldPart, type ManifestTarget, type MemberEntry, type PeerHandlers,
+  type PeerPort, type RandomSource
 } from '@wigeonlead/protocol'
 import type { CompiledVersion } from '../version/index.js'
+import { listMissing } from './held-parts.js'
 import { rendezvousOwner } from './rendezvous.js'
 
 /** What is known of a target's load, and how old it is. */
@@ -42,6 +43,8 @@
   inFlightAt: (target: string, atMilliseconds: number) => number
   /** Hears each whole report that this node polled. */
   onReport: (report: EngineReport) => void
+  /** Hears of each later report which declared parts its target lacks. */
+  onMissing?: (target: string, missing: readonly HeldPart[]) => void
 }
 
 const INTERVAL_MILLISECONDS = 1000
@@ -74,6 +77,7 @@
     const gain = before === undefined ? 1 : 1 - Math.exp((before.load.madeAt - madeAt) / OTHERS_SMOOTHING_MILLISECONDS)
     const others = (before?.load.others ?? 0) * (1 - gain) + seen * gain
     const { running, queued, tokensPerSecond } = report
+    parts.onMissing?.(report.target, report.missing ?? [])
     known.set(report.target, { report, load: { running, queued, tokensPerSecond, madeAt, others } })
   }
 
@@ -83,7 +87,8 @@
     parts.onReport(outcome.value)
     const { atMilliseconds, running, queued, tokensPerSecond } = outcome.value
     const ageMilliseconds = Math.max(0, Date.now() - atMilliseconds)
-    take({ target: target.name, atMilliseconds, ageMilliseconds, running, queued, tokensPerSecond })
+    const missing = listMissing(target, outcome.value)
+    take({ target: target.name, atMilliseconds, ageMilliseconds, running, queued, tokensPerSecond, missing })
   }
 
   function isOwn (target: string): boolean {
--- a/packages/wigeonlead/src/process/targets.ts
+++ b/packages/wigeonlead/src/process/targets.ts
@@ -1,10 +1,9 @@
 /**
  * What this node knows of its targets: requests in flight, concurrency windows, recent failures, whether a target is leaving.
  */
-import {
-  FailureKind, MemberState, type EngineReport, type Failure, type LayerRange, type ModelReference
-} from '@wigeonlead/protocol'
+import { FailureKind, MemberState, type Failure } from '@wigeonlead/protocol'
 import { createEjections } from './ejections.js'
+import { createHeldParts, type HeldParts } from './held-parts.js'
 import { createWindow, type Window } from './window.js'
 
 /** Whether a target gets new work. */
@@ -17,7 +16,7 @@
 }
 
 /** The board of targets at one node. */
-export interface TargetBoard {
+export interface TargetBoard extends HeldParts {
   availability: (target: string) => TargetAvailability
   inFlight: (target: string) => number
   /** @returns the work in flight at an earlier time, as far as it is remembered. */
@@ -35,10 +34,6 @@
   window: (target: string, capacity: number) => number
   /** Takes note of a state learnt from peers, planned stops or the VM list; a suspicion ends by itself. */
   setState: (target: string, state: MemberState) => void
-  /** Takes note of which parts a target holds. */
-  noteHeld: (report: EngineReport) => void
-  /** Tells whether a target holds a part of a model, ready to serve; undefined where no report was seen, treated as usable. */
-  holds: (target: string, reference: ModelReference, layers: LayerRange) => boolean | undefined
 }
 
 /** What the board needs. */
@@ -57,7 +52,6 @@
 export function createTargetBoard (parts: TargetBoardParts = {}): TargetBoard {
   const loads = new Map<string, Load>()
   const states = new Map<string, MemberState>()
-  const heldParts = new Map<string, EngineReport['held']>()
   const windows = new Map<string, Window>()
   const ejections = createEjections(parts.groupOf ?? (() => []))
 
@@ -110,10 +104,7 @@
       states.set(target, state)
       if (state === MemberState.Suspect) ejections.eject(target)
     },
-    noteHeld: report => { heldParts.set(report.target, report.held) },
-    holds: (target, { model, version, adapter }, layers) => heldParts.get(target)?.some(part =>
-      part.model === model && part.version === version && part.layers.from <= layers.from && part.layers.to >= layers.to &&
-      (adapter === undefined || part.adapters.includes(adapter)))
+    ...createHeldParts()
   }
 }
 
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -117,7 +117,8 @@
     onReport (report) {
       prefixes.learn(report)
       targets.noteHeld(report)
-    }
+    },
+    onMissing: targets.noteMissing
   })
   const times = createPathTimes()
   const costs = createStageCosts({ targets, reports, times, prefixes, random: ports.random, nodes: countCompetitors })
