--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -13,6 +13,8 @@
 import { THROUGHPUT } from './experiments/throughput.js'
 import { renderPlot } from './plot.js'
 import { relay } from './relay.js'
+import { capacityExperiment } from './slopes-capacity.js'
+import { failuresExperiment } from './slopes-failures.js'
 import { fleetExperiment, slopesExperiment } from './slopes.js'
 
 const EXPERIMENTS: Record<string, Experiment> = {
@@ -25,7 +27,9 @@
   relay,
   claims: claimsExperiment,
   slopes: slopesExperiment,
-  fleet: fleetExperiment
+  fleet: fleetExperiment,
+  failures: failuresExperiment,
+  capacity: capacityExperiment
 }
 const DEFAULT_FOLDER = 'docs/measurements'
 
