--- a/packages/wigeonlead/src/connection/services.ts
+++ b/packages/wigeonlead/src/connection/services.ts
@@ -4,7 +4,7 @@
 import { Agent, request, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step,
+  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step, destroyOnAbort,
   type Failure, type HeaderRecord, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort, type TargetAddress
 } from '@wigeonlead/protocol'
 
@@ -59,9 +59,9 @@
     const outgoing = request(`http://${target.address}${call.path}`, {
       method: call.method,
       agent: call.isFreshConnection ? false : agent,
-      signal,
       headers: { ...call.headers, 'content-length': call.body.byteLength }
     })
+    destroyOnAbort(outgoing, signal)
     outgoing.on('socket', socket => watchConnection(exchange, outgoing, socket))
     outgoing.on('response', resolve)
     outgoing.on('error', reject)
