--- a/packages/wigeonlead/test/routing-parts.ts
+++ b/packages/wigeonlead/test/routing-parts.ts
@@ -2,6 +2,7 @@
  * The parts of a router that a generation uses, for tests: the real ones over an engine port and a manifest.
  */
 import type { EnginePort, Manifest } from '@wigeonlead/protocol'
+import { createBurn } from '../src/process/burn.js'
 import { createFirstTokenTimes } from '../src/process/first-token-times.js'
 import { SILENT_LOGGER, createMetrics, createSeededRandom, createTargetBoard, type TargetBoard } from '../src/process/index.js'
 import { createPathTimes } from '../src/process/path-times.js'
@@ -57,6 +58,7 @@
     claims: { run: async () => { throw new Error('no claims here') } },
     retries: createRetryBudget(),
     metrics: createMetrics(),
+    burn: createBurn(),
     logger: SILENT_LOGGER,
     failureDomain,
     defaultDeadlineMilliseconds: 60_000
