An unobserved path is given 900 ms for its second token

Cause: a target declared at 1,000 tokens a second and running at 2.5 was taken for stalled 200 ms after its first token, since the wait came from the declared rate alone; with nothing else serving, the answer was refused. Two cases of the planned-stop table showed it. The first wait is now at least 900 ms, within the second that the recovery goal gives.

--- a/packages/wigeonlead/src/process/path-times.ts
+++ b/packages/wigeonlead/src/process/path-times.ts
@@ -30,6 +30,8 @@
 
 /** The least wait for a next token, milliseconds. */
 export const STALL_TIMEOUT_FLOOR_MILLISECONDS = 200
+/** The least wait before anything was observed of the path, milliseconds: what is declared of a target may be far off. */
+export const UNOBSERVED_STALL_TIMEOUT_MILLISECONDS = 900
 /** The longest wait for a next token, milliseconds. */
 export const STALL_TIMEOUT_CEILING_MILLISECONDS = 5000
 const STALL_MEANS = 4
@@ -61,15 +63,17 @@
     follow (parts) {
       let mean = parts.reduce((sum, part) => sum + timeOf(part), 0)
       let deviation = mean / 2
+      let floor = UNOBSERVED_STALL_TIMEOUT_MILLISECONDS
       return {
         record (milliseconds) {
           correct(parts, milliseconds)
+          floor = STALL_TIMEOUT_FLOOR_MILLISECONDS
           deviation += PATH_GAIN * (Math.abs(milliseconds - mean) - deviation)
           mean += PATH_GAIN * (milliseconds - mean)
         },
         stallTimeout () {
           const wanted = STALL_MEANS * mean + STALL_DEVIATIONS * deviation
-          return Math.min(STALL_TIMEOUT_CEILING_MILLISECONDS, Math.max(STALL_TIMEOUT_FLOOR_MILLISECONDS, wanted))
+          return Math.min(STALL_TIMEOUT_CEILING_MILLISECONDS, Math.max(floor, wanted))
         }
       }
     },
