--- a/packages/wigeonlead/src/request/claims/bucket-store.ts
+++ b/packages/wigeonlead/src/request/claims/bucket-store.ts
@@ -28,8 +28,8 @@
   outcomes: ClaimChangeOutcome[]
   /** Compare-and-swaps that found another writer's value. */
   conflicts: number
-  /** Writes of other nodes since this node's last one, where it wrote now. */
-  foreignWrites?: number
+  /** Nodes that wrote the bucket lately, where this one wrote now. */
+  writers?: number
   /** Why the key-value service could not be used, where it could not. */
   failure?: Failure
 }
@@ -54,6 +54,9 @@
 const SEGMENT_REFERENCE_BYTES = 32
 /** Short, since a head may name many segments; a segment is only ever created where none has its name. */
 const SEGMENT_NAME_LENGTH = 12
+const WRITER_NAME_LENGTH = 6
+/** Writes after which a node that wrote no more is not counted among the writers. */
+const WRITES_REMEMBERED = 64
 /** Size of a head beyond which a bucket that may have no more segments takes no more claims. */
 const FULL_HEAD_BYTES = 2 * CLAIM_SEGMENT_BYTES
 
@@ -64,7 +67,7 @@
   /** Segments that were written but may not be named by the head. */
   const unnamed = new Set<string>()
   let known: KnownHead | undefined
-  let lastWrites: number | undefined
+  const writer = shortDigest(random.nextNonce()).slice(0, WRITER_NAME_LENGTH)
 
   function findSealed (head: BucketHead): (keyDigest: string) => ClaimEntry | undefined {
     return keyDigest => {
@@ -130,15 +133,13 @@
         isFresh = true
         continue
       }
-      const head = isLarge(before) ? await seal(applied.head) : applied.head
+      const head = noteWriter(isLarge(before) ? await seal(applied.head) : applied.head, writer)
       const value = encodeHead(head)
       const write = await keyValue.compareAndSwap({ key, expectedModRevision: before.modRevision, value })
       if (write.kind === WriteResult.Committed) {
         known = { head, modRevision: write.revision, bytes: value.length }
         dropSegments(before.head, head)
-        const foreignWrites = head.writes - 1 - (lastWrites ?? head.writes - 1)
-        lastWrites = head.writes
-        return { outcomes: applied.outcomes, conflicts, foreignWrites }
+        return { outcomes: applied.outcomes, conflicts, writers: head.writers.size }
       }
       if (write.kind === WriteResult.NotSent) {
         return { outcomes: withoutWrite(before, changes, write.failure, isAmbiguous), conflicts, failure: write.failure }
@@ -175,7 +176,7 @@
     const content = new Map(sealed.map(entry => [entry.keyDigest, entry]))
     segments.set(segment.id, content)
     const left = new Map([...head.entries].filter(([keyDigest]) => !content.has(keyDigest)))
-    return { writes: head.writes, entries: left, segments: [...head.segments, segment] }
+    return { ...head, entries: left, segments: [...head.segments, segment] }
   }
 
   async function isStored (id: string, text: string): Promise<boolean> {
@@ -229,6 +230,11 @@
   return length < CLAIM_SEGMENTS_PER_BUCKET && bytes - length * SEGMENT_REFERENCE_BYTES > CLAIM_SEGMENT_BYTES
 }
 
+function noteWriter (head: BucketHead, writer: string): BucketHead {
+  const recent = [...head.writers].filter(([, write]) => write > head.writes - WRITES_REMEMBERED)
+  return { ...head, writers: new Map(recent).set(writer, head.writes) }
+}
+
 function needsFreshRead (outcome: ClaimChangeOutcome, change: ClaimChange | undefined): boolean {
   const isWanted = change?.kind === ClaimChangeKind.Claim && change.wantsFreshRead === true
   return isFenced(outcome) || (isWanted && outcome.kind === ClaimChangeResult.Found)
--- a/packages/wigeonlead/src/request/claims/bucket.ts
+++ b/packages/wigeonlead/src/request/claims/bucket.ts
@@ -15,8 +15,10 @@
 
 /** The part of a bucket that is rewritten: recent entries, and the list of its segments from old to new. */
 export interface BucketHead {
-  /** Writes of the head so far, by which a node learns how often others write it. */
+  /** Writes of the head so far. */
   writes: number
+  /** Latest write of each node that wrote the head lately, by a name of the node. */
+  writers: ReadonlyMap<string, number>
   entries: ReadonlyMap<string, ClaimEntry>
   segments: readonly SegmentReference[]
 }
@@ -34,7 +36,7 @@
 /** The count of previous attempts that fences no submission. */
 export const NO_FENCE = -1
 /** A bucket that was never written. */
-export const EMPTY_HEAD: BucketHead = { writes: 0, entries: new Map(), segments: [] }
+export const EMPTY_HEAD: BucketHead = { writes: 0, writers: new Map(), entries: new Map(), segments: [] }
 
 /** A claim is refused so long before its entry would be dropped, since the node that drops entries may have a faster clock. */
 const CLAIM_MARGIN_MILLISECONDS = 2000 * CLAIM_CLOCK_SKEW_SECONDS
@@ -71,7 +73,7 @@
   })
   if (!isChanged) return { head, outcomes, isChanged }
   const segments = head.segments.filter(each => each.expiresAt > now)
-  return { head: { writes: head.writes + 1, entries: dropExpired(entries, now), segments }, outcomes, isChanged }
+  return { head: { ...head, writes: head.writes + 1, entries: dropExpired(entries, now), segments }, outcomes, isChanged }
 }
 
 function judge (change: ClaimChange, found: ClaimEntry | undefined, isSealed: boolean, now: number): Verdict {
--- a/packages/wigeonlead/src/request/claims/encoding.ts
+++ b/packages/wigeonlead/src/request/claims/encoding.ts
@@ -19,7 +19,12 @@
 
 type Cell = string | number | Record<string, string>
 
-const headSchema = z.object({ n: z.number(), s: z.array(z.tuple([z.string(), z.number()])), e: z.array(z.array(z.unknown())) })
+const headSchema = z.object({
+  n: z.number(),
+  w: z.array(z.tuple([z.string(), z.number()])),
+  s: z.array(z.tuple([z.string(), z.number()])),
+  e: z.array(z.array(z.unknown()))
+})
 const segmentSchema = z.array(z.array(z.unknown()))
 
 /** @returns the key under which a bucket's head is stored. */
@@ -40,14 +45,14 @@
 /** Renders a head for storing. */
 export function encodeHead (head: BucketHead): string {
   const segments = head.segments.map(({ id, expiresAt }) => [id, expiresAt])
-  return JSON.stringify({ n: head.writes, s: segments, e: [...head.entries.values()].map(toCells) })
+  return JSON.stringify({ n: head.writes, w: [...head.writers], s: segments, e: [...head.entries.values()].map(toCells) })
 }
 
 /** Reads a stored head. Throws where it is malformed. */
 export function decodeHead (text: string): BucketHead {
   const stored = headSchema.parse(JSON.parse(text))
   const segments = stored.s.map(([id, expiresAt]): SegmentReference => ({ id, expiresAt }))
-  return { writes: stored.n, segments, entries: byKeyDigest(stored.e.map(fromCells)) }
+  return { writes: stored.n, writers: new Map(stored.w), segments, entries: byKeyDigest(stored.e.map(fromCells)) }
 }
 
 /** Renders the entries of a segment for storing. */
--- a/packages/wigeonlead/src/request/claims/group-commit.ts
+++ b/packages/wigeonlead/src/request/claims/group-commit.ts
@@ -22,10 +22,10 @@
 }
 
 const MAXIMUM_INTERVAL_MILLISECONDS = 1000
-/** Weight of the latest write in the estimate of how many nodes write the bucket. */
+/** Weight of the latest batch in the estimate of the fleet's writes. */
 const LATEST_WEIGHT = 0.3
 /** Estimate above which a bucket counts as written by other nodes too. */
-const SHARED_WRITERS = 1.2
+const SHARED_FROM = 1.2
 /** Pauses before the key-value service is asked again after it failed; until it answers, changes are refused at once. */
 const FIRST_PROBE_MILLISECONDS = 500
 const LONGEST_PROBE_MILLISECONDS = 3000
@@ -34,7 +34,8 @@
 /** Makes the group commit of a bucket. The more nodes write the same bucket, the rarer each does, so that the sum stays the same. */
 export function createGroupCommit (store: BucketStore, { intervalMilliseconds }: GroupCommitOptions): GroupCommit {
   const waiting: Waiting[] = []
-  let writers = 1
+  /** Writes of the whole fleet for each batch of this node. */
+  let share = 1
   let lastStart = -Infinity
   let isRunning = false
   /** Why changes are refused at once. */
@@ -44,23 +45,19 @@
     while (waiting.length > 0) {
       const rest = lastStart + interval() - performance.now()
       if (rest > 0) await new Promise(resolve => setTimeout(resolve, rest))
-      const elapsed = performance.now() - lastStart
       lastStart = performance.now()
-      await commitBatch(waiting.splice(0, MAXIMUM_BATCH), elapsed)
+      await commitBatch(waiting.splice(0, MAXIMUM_BATCH))
     }
     isRunning = false
   }
 
   function interval (): number {
-    return Math.min(MAXIMUM_INTERVAL_MILLISECONDS, intervalMilliseconds * writers)
+    return Math.min(MAXIMUM_INTERVAL_MILLISECONDS, intervalMilliseconds * share)
   }
 
-  async function commitBatch (batch: Waiting[], elapsed: number): Promise<void> {
-    const { outcomes, conflicts, foreignWrites, failure } = await store.commit(batch.map(({ change }) => change), writers > SHARED_WRITERS)
-    if (foreignWrites !== undefined) {
-      const foreignAnInterval = foreignWrites * interval() / Math.max(elapsed, interval())
-      writers += LATEST_WEIGHT * ((1 + foreignAnInterval) * (1 + conflicts) - writers)
-    }
+  async function commitBatch (batch: Waiting[]): Promise<void> {
+    const { outcomes, conflicts, writers, failure } = await store.commit(batch.map(({ change }) => change), share > SHARED_FROM)
+    if (writers !== undefined) share += LATEST_WEIGHT * (writers * (1 + conflicts) - share)
     if (failure !== undefined && outage === undefined) probeAfter(FIRST_PROBE_MILLISECONDS)
     outage = failure
     batch.forEach(({ resolve }, index) => resolve(outcomes[index] as ClaimChangeOutcome))
