--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -16,7 +16,8 @@
 } from './platform/vm-list.js'
 export { createEtcdKeyValue, type EtcdOptions } from './platform/etcd.js'
 export { createVmListClient } from './platform/vm-list-client.js'
-export { postJson, postStream, type JsonCallOptions } from './platform/http-json.js'
+export { destroyOnAbort, postJson, postStream, type JsonCallOptions } from './platform/http-json.js'
+export { createLineReader, type LineReader } from './platform/line-reader.js'
 export {
   CacheEventKind, EngineEventKind, EngineOrderKind, EngineRole, FinishReason, cacheExportSchema, engineOrderSchema,
   engineReportSchema, engineWireEventSchema, generationRequestSchema, heldPartSchema, layerRangeSchema, modelReferenceSchema,
@@ -46,7 +47,6 @@
 export {
   checkManifest, checkManifestText, type ManifestCheck, type ManifestFault
 } from './manifest/check.js'
-export { CLAIM_RECORD_BYTES, CLAIM_STORE_BYTES } from './manifest/check-claims.js'
 export { listCoverageFaults } from './manifest/check-coverage.js'
 export {
   PublishResult, changeHead, parseHead, publishManifest, readHead, writeParts, type HeadContent, type HeadRead, type PublishOutcome
--- a/packages/protocol/src/peers/messages.ts
+++ b/packages/protocol/src/peers/messages.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationHead } from '../manifest/head.js'
 import type { ManifestPartContent } from '../manifest/parts.js'
 import type { Outcome } from '../failure.js'
+import type { HeldPart } from '../targets/engine.js'
 import type { ClaimCommitParameters, ClaimCommitResult, ClaimInquiryParameters, ClaimInquiryResult } from './claims.js'
 import type { KeyValueRead, KeyValueWrite, WriteOutcome } from '../platform/key-value.js'
 
@@ -69,6 +70,8 @@
   sender: MemberEntry
   /** Digest of the sender's table of its failure domain; a receiver with another one answers with its whole table. */
   digest: string
+  /** Digest of the events of targets that are leaving or gone; a receiver with another one answers with all of them. */
+  targetDigest: string
   /** Asks for everything that the receiver keeps: said by a node that has just started. */
   wantsAll?: boolean
   /** Entries that changed lately, or the whole table. */
@@ -95,6 +98,8 @@
   running: number
   queued: number
   tokensPerSecond: number
+  /** Declared parts that the target doesn't hold; `adapters` names what a held part lacks. Absent where it holds all. */
+  missing?: HeldPart[]
 }
 
 /** Reports that the sender has and the receiver may lack; the answer has the same shape. */
--- a/packages/protocol/src/platform/http-json.ts
+++ b/packages/protocol/src/platform/http-json.ts
@@ -1,12 +1,12 @@
 /**
  * JSON over Node's `http` for the clients of this package: one call with a deadline, or a stream of JSON lines.
  */
-import { Agent, request, type IncomingMessage } from 'node:http'
-import { createInterface } from 'node:readline'
+import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { z } from 'zod'
 import { FailureKind, failed, success, type Failure, type Outcome, type Step } from '../failure.js'
+import { createLineReader } from './line-reader.js'
 
-const KEEP_ALIVE_AGENT = new Agent({ keepAlive: true, maxFreeSockets: 64 })
+const KEEP_ALIVE_AGENT = new Agent({ keepAlive: true, maxSockets: 256, maxFreeSockets: 64 })
 const MAXIMUM_ANSWER_BYTES = 16_777_216
 
 /** Options of a JSON call. */
@@ -15,6 +15,17 @@
   headers?: Record<string, string>
 }
 
+/**
+ * Destroys a request when a signal aborts, without an error: with one, as with the `signal` option of `request`, the socket emits
+ * that error, and while it goes back to the agent's pool nothing listens there, so that the process would end.
+ */
+export function destroyOnAbort (outgoing: ClientRequest, signal: AbortSignal): void {
+  const destroy = (): void => { outgoing.destroy() }
+  if (signal.aborted) return destroy()
+  signal.addEventListener('abort', destroy, { once: true })
+  outgoing.once('close', () => signal.removeEventListener('abort', destroy))
+}
+
 /** Posts a JSON body and reads a JSON answer that follows the schema. */
 export async function postJson<T> (
   url: string, body: unknown, schema: z.ZodType<T>, step: Step, deadlineMilliseconds: number, options: JsonCallOptions = {}
@@ -22,9 +33,10 @@
   const origin = { step, peer: new URL(url).host }
   let isConnected = false
   let response: IncomingMessage
-  const signal = AbortSignal.timeout(deadlineMilliseconds)
+  const aborter = new AbortController()
+  const timer = setTimeout(() => aborter.abort(), deadlineMilliseconds)
   try {
-    response = await send(url, body, signal, options, () => { isConnected = true })
+    response = await send(url, body, aborter.signal, options, () => { isConnected = true })
     const text = await readText(response)
     const status = response.statusCode ?? 0
     if (status < 200 || status > 299) return failed(statusFailure(origin, status, text))
@@ -34,24 +46,27 @@
     if (cause instanceof SyntaxError) return failed({ ...origin, kind: FailureKind.Malformed, detail: 'not JSON', cause })
     const detail = cause instanceof Error ? cause.message : String(cause)
     if (!isConnected) return failed({ ...origin, kind: FailureKind.Unreachable, detail, cause })
-    if (signal.aborted) return failed({ ...origin, kind: FailureKind.TimedOut, detail, afterMilliseconds: deadlineMilliseconds })
+    if (aborter.signal.aborted) return failed({ ...origin, kind: FailureKind.TimedOut, detail, afterMilliseconds: deadlineMilliseconds })
     return failed({ ...origin, kind: FailureKind.Broken, detail, cause })
+  } finally {
+    clearTimeout(timer)
   }
 }
 
 /** Posts a JSON body and yields each line of the answer as JSON; ends when the connection does. */
 export async function * postStream (url: string, body: unknown, signal: AbortSignal): AsyncIterable<unknown> {
+  let response: IncomingMessage | undefined
   try {
-    const response = await send(url, body, signal, {}, () => {})
-    if (response.statusCode !== 200) {
-      response.resume()
-      return
-    }
-    for await (const line of createInterface({ input: response, crlfDelay: Infinity })) {
-      if (line !== '') yield JSON.parse(line)
+    response = await send(url, body, signal, {}, () => {})
+    if (response.statusCode !== 200) return
+    const reader = createLineReader(response, MAXIMUM_ANSWER_BYTES)
+    for (let lines = await reader.next(); lines !== undefined; lines = await reader.next()) {
+      for (const line of lines) yield JSON.parse(line)
     }
   } catch {
     // A broken stream ends like one that the peer closed; the reader starts again.
+  } finally {
+    response?.destroy()
   }
 }
 
@@ -63,7 +78,6 @@
     const outgoing = request(url, {
       method: options.method ?? 'POST',
       agent: KEEP_ALIVE_AGENT,
-      signal,
       headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(content), ...options.headers }
     })
     outgoing.on('socket', socket => {
@@ -72,6 +86,7 @@
     })
     outgoing.on('response', resolve)
     outgoing.on('error', reject)
+    destroyOnAbort(outgoing, signal)
     outgoing.end(content)
   })
 }
--- a/packages/stand-ins/src/bench/experiment.ts
+++ b/packages/stand-ins/src/bench/experiment.ts
@@ -5,6 +5,14 @@
 /** A cell of a result table. */
 export type Cell = string | number
 
+/** Figures for a plot: one value a group in each series. */
+export interface ExperimentPlot {
+  title: string
+  unit: string
+  groups: string[]
+  series: Array<{ name: string, values: number[] }>
+}
+
 /** The result of an experiment: rows under named columns, with the units in the names. */
 export interface ExperimentResult {
   columns: string[]
@@ -13,6 +21,7 @@
   notes: string[]
   /** Data beside the table, such as fits and the machine's load; kept in the file, not printed. */
   details?: Record<string, unknown>
+  plot?: ExperimentPlot
 }
 
 /** Options of a run. */
--- a/packages/stand-ins/src/bench/slopes-points.ts
+++ b/packages/stand-ins/src/bench/slopes-points.ts
@@ -45,12 +45,17 @@
   keyValueReadsPerSecond: number
   keyValueWritesPerSecond: number
   engineReportsPerSecond: number
+  peerCallsPerSecond: number
+  /** Bodies sent and received, those of calls by others included. */
+  gossipBodyBytesPerSecond: number
+  reportsBodyBytesPerSecond: number
   inForceMedianMilliseconds: number
   inForceWorstMilliseconds: number
   deathNoticedMilliseconds: number
 }
 
-const MANY: Omit<Point, 'slope'> = {
+/** Many nodes in few processes: what is measured is a mean of roles. */
+export const MANY: Omit<Point, 'slope'> = {
   failureDomains: 3,
   nodesInDomain: 10,
   targets: 30,
@@ -116,6 +121,9 @@
     keyValueReadsPerSecond: perNode(sample => sample.keyValueReads),
     keyValueWritesPerSecond: perNode(sample => sample.keyValueWrites),
     engineReportsPerSecond: perNode(sample => sample.engineReports),
+    peerCallsPerSecond: perNode(sample => sample.peerCalls),
+    gossipBodyBytesPerSecond: 2 * perNode(sample => sample.gossipBytes),
+    reportsBodyBytesPerSecond: 2 * perNode(sample => sample.reportsBytes),
     inForceMedianMilliseconds: sorted[Math.floor(sorted.length / 2)] ?? NaN,
     inForceWorstMilliseconds: sorted.at(-1) ?? NaN
   }
--- a/packages/wigeonlead/src/process/logging.ts
+++ b/packages/wigeonlead/src/process/logging.ts
@@ -11,7 +11,8 @@
   ConfigurationInForce = 'configuration-in-force',
   ConfigurationRefused = 'configuration-refused',
   ConfigurationWrittenBack = 'configuration-written-back',
-  RequestEnded = 'request-ended',
+  /** The answer has begun; a streamed one may still be under way. */
+  RequestAnswered = 'request-answered',
   TargetFailed = 'target-failed',
   MemberChanged = 'member-changed',
   PeerRefused = 'peer-refused',
@@ -21,6 +22,7 @@
   EngineOrdered = 'engine-ordered',
   TargetLeaving = 'target-leaving',
   TargetServing = 'target-serving',
+  SessionMoved = 'session-moved',
   RequestCutOff = 'request-cut-off',
   InternalFault = 'internal-fault'
 }
--- a/packages/wigeonlead/src/request/generation.ts
+++ b/packages/wigeonlead/src/request/generation.ts
@@ -3,14 +3,15 @@
  * with the tokens already delivered as prefix. Each token index is delivered once.
  */
 import {
-  FailureKind, isCertainlyNotSent,
-  type Failure, type FinishReason, type GenerationRequest, type ModelReference, type Outcome, type PathStage, type Problem, type Token
+  FailureKind, FinishReason, isCertainlyNotSent,
+  type Failure, type GenerationRequest, type ModelReference, type Outcome, type PathStage, type Problem, type Token
 } from '@wigeonlead/protocol'
 import type { CompiledModel } from '../version/index.js'
 import { LogEvent } from '../process/logging.js'
 import type { RequestContext } from './context.js'
 import { findFailedTargets } from './generation-blame.js'
 import { runEpoch, type EpochEnd } from './generation-epoch.js'
+import { createGenerationMover } from './generation-move.js'
 import { refuseFailed, refuseLate } from './generation-refusal.js'
 import { Interruption, createWatch, type Watch } from './generation-watch.js'
 
@@ -43,6 +44,9 @@
 const MOST_FRUITLESS_EPOCHS = 10
 /** Fruitless epochs before the next one is held back. */
 const EPOCHS_AT_ONCE = 2
+/** A target that is known to have failed counts as much as so many failures that it may have caused. */
+const BLAMED_STRIKES = 3
+const NONE: ReadonlySet<string> = new Set()
 const FIRST_PAUSE_MILLISECONDS = 25
 const LONGEST_PAUSE_MILLISECONDS = 1000
 
@@ -59,18 +63,21 @@
 interface Progress {
   session: string
   delivered: Token[]
-  excluded: Set<string>
+  /** How often each target was part of a failure. */
+  strikes: Map<string, number>
   epoch: number
   /** Epochs in a row without a token. */
   fruitless: number
   wasSent: boolean
+  /** Where the next epoch runs after a move. */
+  nextPath?: PathStage[]
   lastFailure?: Failure
 }
 
 async function * runEpochs (context: RequestContext, order: GenerationOrder, watch: Watch): AsyncGenerator<Delivery> {
   const { parts } = context
   const progress: Progress = {
-    session: parts.random.nextNonce(), delivered: [], excluded: new Set(), epoch: 0, fruitless: 0, wasSent: false
+    session: parts.random.nextNonce(), delivered: [], strikes: new Map(), epoch: 0, fruitless: 0, wasSent: false
   }
   parts.retries.recordFirstTry(order.reference.model)
   for (; ; progress.epoch += 1) {
@@ -79,8 +86,12 @@
     const before = progress.delivered.length
     const end = path.ok ? yield * deliverEpoch(context, order, progress, path.value, watch) : { kind: 'failed' as const, failure: path.failure }
     if (end.kind === 'whole') return yield { kind: DeliveryKind.Finish, reason: end.reason, tokens: end.tokens }
+    if (end.kind === 'moved') continue
     if (end.kind === 'interrupted') return yield refusal(refuseLate(progress.delivered.length, progress.wasSent))
     if (path.ok) await takeFailure(context, progress, path.value, end)
+    if (progress.delivered.length >= order.maximumTokens) {
+      return yield { kind: DeliveryKind.Finish, reason: FinishReason.Length, tokens: progress.delivered.length }
+    }
     progress.fruitless = progress.delivered.length > before ? 1 : progress.fruitless + 1
     if (!mayGoOn(context, order, progress)) return yield refusal(refuseFailed(progress.lastFailure ?? end.failure, progress.wasSent))
     const interruption = await holdBack(progress, watch)
@@ -89,19 +100,20 @@
 }
 
 function choosePath (context: RequestContext, order: GenerationOrder, progress: Progress): Outcome<PathStage[]> {
+  const { nextPath } = progress
+  progress.nextPath = undefined
+  if (nextPath !== undefined) return { ok: true, value: nextPath }
   if (progress.epoch === 0 && order.firstPath !== undefined) return { ok: true, value: order.firstPath }
   const { model, reference, prompt } = order
-  const query = { version: context.version, model, reference, prompt, excluded: progress.excluded }
-  const path = context.parts.paths.choose(query)
-  if (path.ok || progress.excluded.size === 0) return path
-  progress.excluded.clear()
-  return context.parts.paths.choose(query)
+  const { version, workspace } = context
+  return context.parts.paths.choose({ version, model, reference, prompt, workspace, excluded: NONE, strikes: progress.strikes })
 }
 
 async function * deliverEpoch (
   context: RequestContext, order: GenerationOrder, progress: Progress, stages: PathStage[], watch: Watch
-): AsyncGenerator<Delivery, EpochEnd> {
+): AsyncGenerator<Delivery, EpochEnd | { kind: 'moved' }> {
   const { delivered } = progress
+  const mover = createGenerationMover(context, order)
   const request = toRequest(context, order, progress, stages)
   progress.wasSent = true
   const tokens = runEpoch(context, { model: order.model, request, delivered, watch })
@@ -109,6 +121,8 @@
     for (let next = await tokens.next(); ; next = await tokens.next()) {
       if (next.done === true) return next.value
       yield { kind: DeliveryKind.Token, token: next.value }
+      progress.nextPath = mover.consider(request, delivered.length)
+      if (progress.nextPath !== undefined) return { kind: 'moved' }
     }
   } finally {
     await tokens.return({ kind: 'interrupted', interruption: Interruption.HungUp })
@@ -122,7 +136,11 @@
   const { failure } = end
   const blamed = end.blamed ?? await findFailedTargets(engines, stages, failure)
   for (const target of blamed) targets.recordFailure(target, failure)
-  for (const target of blamed.length > 0 ? blamed : stages.map(stage => stage.target)) progress.excluded.add(target)
+  const isUnclear = blamed.length === 0 || failure.kind === FailureKind.TimedOut
+  for (const { target } of stages) {
+    const strikes = blamed.includes(target) ? BLAMED_STRIKES : isUnclear ? 1 : 0
+    if (strikes > 0) progress.strikes.set(target, (progress.strikes.get(target) ?? 0) + strikes)
+  }
   progress.lastFailure = failure
   metrics.count('stage_failures_total', { kind: failure.kind })
   const { peer, step, kind, detail } = failure
--- a/packages/wigeonlead/src/request/path-search.ts
+++ b/packages/wigeonlead/src/request/path-search.ts
@@ -3,14 +3,16 @@
  */
 import type { StageOption } from '../version/index.js'
 
-/** Costs of a path, in any one unit. */
+/** Costs of a path, in any one unit. Failure domains are given by position. */
 export interface PathCosts {
   /** Cost of a stage by itself; `Infinity` keeps it out. */
   stage: (option: StageOption) => number
-  /** Cost of the way between two failure domains by position. */
-  link: (from: number, to: number) => number
-  /** Position of the failure domain in which the path begins and ends. */
-  home: number
+  /** Cost of the way to the first stage. */
+  enter: (first: number) => number
+  /** Cost of the way from one stage to the next. */
+  pass: (from: number, to: number) => number
+  /** Cost of the way from the last stage back to the first. */
+  close: (last: number, first: number) => number
 }
 
 /** A path with its cost. */
@@ -21,8 +23,9 @@
 
 interface Reached {
   cost: number
-  domain: number
-  option?: StageOption
+  /** Failure domain of the first stage by position. */
+  first: number
+  option: StageOption
   before?: Reached
 }
 
@@ -31,41 +34,60 @@
  * @param options ordered by their first layer.
  */
 export function cheapestPath (options: readonly StageOption[], layerCount: number, costs: PathCosts): PricedPath | undefined {
-  const reached = new Map<number, Reached[]>([[0, [{ cost: 0, domain: costs.home }]]])
+  const reached = new Map<number, Reached[]>()
   for (const option of options) {
-    const befores = reached.get(option.from)
-    if (befores === undefined) continue
     const own = costs.stage(option)
     if (own === Infinity) continue
-    let best: Reached | undefined
-    for (const before of befores) {
-      const cost = before.cost + own + costs.link(before.domain, option.domain)
-      if (best === undefined || cost < best.cost) best = { cost, domain: option.domain, option, before }
+    const { domain } = option
+    if (option.from === 0) keep(reached, costs.enter(domain) + own, domain, option, undefined)
+    for (const before of reached.get(option.from) ?? NONE) {
+      keep(reached, before.cost + own + costs.pass(before.option.domain, domain), before.first, option, before)
     }
-    if (best !== undefined) keep(reached, option.to, best)
   }
   let end: Reached | undefined
   let endCost = Infinity
-  for (const last of reached.get(layerCount) ?? []) {
-    const cost = last.cost + costs.link(last.domain, costs.home)
+  for (const last of reached.get(layerCount) ?? NONE) {
+    const cost = last.cost + costs.close(last.option.domain, last.first)
     if (cost < endCost) [end, endCost] = [last, cost]
   }
   return end === undefined ? undefined : { options: unwind(end), cost: endCost }
 }
 
-function keep (reached: Map<number, Reached[]>, boundary: number, candidate: Reached): void {
-  const others = reached.get(boundary)
+/**
+ * @returns the cheapest options of each kind, in their order: of those with the same layers in the same failure domain,
+ * no path needs any but the cheapest, and a second path none but the next.
+ */
+export function cheapestOfEachKind (options: readonly StageOption[], costs: PathCosts): StageOption[] {
+  const kinds = new Map<number, { best: StageOption, second?: StageOption }>()
+  for (const option of options) {
+    if (costs.stage(option) === Infinity) continue
+    const kind = kinds.get(option.kind)
+    if (kind === undefined) kinds.set(option.kind, { best: option })
+    else if (costs.stage(option) < costs.stage(kind.best)) kinds.set(option.kind, { best: option, second: kind.best })
+    else if (kind.second === undefined || costs.stage(option) < costs.stage(kind.second)) kind.second = option
+  }
+  const kept = [...kinds.values()].flatMap(({ best, second }) => second === undefined ? [best] : [best, second])
+  return kept.sort((left, right) => left.from - right.from)
+}
+
+const NONE: readonly Reached[] = []
+
+function keep (reached: Map<number, Reached[]>, cost: number, first: number, option: StageOption, before: Reached | undefined): void {
+  const others = reached.get(option.to)
   if (others === undefined) {
-    reached.set(boundary, [candidate])
+    reached.set(option.to, [{ cost, first, option, before }])
+    return
+  }
+  for (const other of others) {
+    if (other.first !== first || other.option.domain !== option.domain) continue
+    if (cost < other.cost) Object.assign(other, { cost, option, before })
     return
   }
-  const position = others.findIndex(other => other.domain === candidate.domain)
-  if (position < 0) others.push(candidate)
-  else if (candidate.cost < (others[position]?.cost ?? Infinity)) others[position] = candidate
+  others.push({ cost, first, option, before })
 }
 
 function unwind (end: Reached): StageOption[] {
   const options: StageOption[] = []
-  for (let at: Reached | undefined = end; at?.option !== undefined; at = at.before) options.unshift(at.option)
+  for (let at: Reached | undefined = end; at !== undefined; at = at.before) options.unshift(at.option)
   return options
 }
--- a/packages/wigeonlead/src/version/compile.ts
+++ b/packages/wigeonlead/src/version/compile.ts
@@ -15,6 +15,10 @@
   to: number
   /** Position of the target's failure domain in the manifest. */
   domain: number
+  /** Share of the model's layers. */
+  share: number
+  /** The same number for the same layers of the same version in the same failure domain. */
+  kind: number
 }
 
 /** A model with the targets that hold parts of it. */
@@ -79,13 +83,21 @@
 }
 
 function compileModel (model: ManifestModel, targets: ManifestTarget[], domains: ReadonlyMap<string, number>): CompiledModel {
+  const kinds = new Map<string, number>()
+  const kindOf = (key: string): number => {
+    const kind = kinds.get(key) ?? kinds.size
+    kinds.set(key, kind)
+    return kind
+  }
   const options = targets.flatMap(target => target.serves.filter(part => part.model === model.name).map(part => ({
     target,
     version: part.version,
     adapters: part.adapters,
     from: part.layers[0],
     to: part.layers[1],
-    domain: domains.get(target.failureDomain) ?? 0
+    domain: domains.get(target.failureDomain) ?? 0,
+    share: (part.layers[1] - part.layers[0]) / model.layers,
+    kind: kindOf(`${part.version} ${part.layers.join()} ${target.failureDomain}`)
   })))
   options.sort((left, right) => left.from - right.from)
   return { model, options, defaultVersion: model.defaultVersion ?? model.versions.at(-1) ?? '' }
