Demand is viewed once a second, not at each request and message

Cause: `demandOf` summed the demand of the fleet, and each message sorted this node's, at every call; with 3,600 workspaces that is milliseconds a request.

Change: one view, at most a second old, holds the sums and the heaviest workspaces; the heaviest are picked in one pass.

--- a/packages/wigeonlead/src/process/membership/demand.ts
+++ b/packages/wigeonlead/src/process/membership/demand.ts
@@ -18,40 +18,101 @@
 /** Part of a limit that is split evenly, so that a node without demand can begin to serve at once. */
 const FLOOR_PART = 0.2
 const HEAVY_WORKSPACES = 16
+const VIEW_MILLISECONDS = 1000
 
-/** @returns the heaviest workspaces of a record, rounded to two digits. */
-export function heaviest (demand: Record<string, number>): Record<string, number> {
-  const heavy = Object.entries(demand).filter(([, rate]) => rate > 0).sort(([, left], [, right]) => right - left).slice(0, HEAVY_WORKSPACES)
-  return Object.fromEntries(heavy.map(([workspace, rate]) => [workspace, Number(rate.toPrecision(2))]))
+/** Where the demand comes from. */
+export interface DemandSources {
+  own: () => Record<string, number>
+  /** Of the other nodes of the failure domain. */
+  ownDomain: () => Iterable<Record<string, number>>
+  /** Nodes of the failure domain that take work, this one included. */
+  aliveInDomain: () => number
+  /** The last word of each other failure domain; it stands while that can't be heard. */
+  others: () => DomainSummary[]
 }
 
-/** @returns the sum of several records of demand. */
-export function sumDemand (records: Iterable<Record<string, number>>): Record<string, number> {
-  const sum: Record<string, number> = {}
-  for (const record of records) {
-    for (const [workspace, rate] of Object.entries(record)) sum[workspace] = (sum[workspace] ?? 0) + rate
+/** Demand over the fleet as this node sees it, at most a second old: requests and messages may ask each time. */
+export interface Demand {
+  /** A workspace's limits are split by demand, with a floor a node. */
+  shareOf: (workspace: string) => DemandShare
+  /** The heaviest workspaces at this node. */
+  ownHeaviest: () => Record<string, number>
+  /** The heaviest workspaces of the failure domain. */
+  domainHeaviest: () => Record<string, number>
+}
+
+interface DemandView {
+  own: Record<string, number>
+  ownHeaviest: Record<string, number>
+  domainHeaviest: Record<string, number>
+  /** At all other nodes. */
+  elsewhere: Record<string, number>
+  nodes: number
+}
+
+/** Makes the view of the demand. */
+export function createDemand (sources: DemandSources): Demand {
+  let view: DemandView | undefined
+  let viewedMilliseconds = 0
+
+  function read (): DemandView {
+    const now = performance.now()
+    if (view === undefined || now - viewedMilliseconds >= VIEW_MILLISECONDS) {
+      view = viewDemand(sources)
+      viewedMilliseconds = now
+    }
+    return view
+  }
+
+  return {
+    shareOf (workspace) {
+      const { own, elsewhere, nodes } = read()
+      const rate = own[workspace] ?? 0
+      return splitByDemand(rate, rate + (elsewhere[workspace] ?? 0), nodes)
+    },
+    ownHeaviest: () => read().ownHeaviest,
+    domainHeaviest: () => read().domainHeaviest
   }
-  return sum
 }
 
-/**
- * Splits a workspace's limits by demand, with a floor a node.
- * @param own demand at this node, requests a second.
- * @param ownDomain demand of the other nodes of the failure domain.
- * @param aliveInDomain nodes of the failure domain that take work, this one included.
- * @param others the last word of each other failure domain; it stands while that can't be heard.
- */
-export function splitByDemand (
-  workspace: string, own: number, ownDomain: Iterable<Record<string, number>>, aliveInDomain: number, others: DomainSummary[]
-): DemandShare {
-  let total = own
-  for (const record of ownDomain) total += record[workspace] ?? 0
-  let nodes = aliveInDomain
-  for (const summary of others) {
-    total += summary.demand[workspace] ?? 0
-    nodes += summary.aliveMembers
+function viewDemand (sources: DemandSources): DemandView {
+  const own = sources.own()
+  const ownHeaviest = heaviest(own)
+  const ownDomain = [...sources.ownDomain()]
+  const summaries = sources.others()
+  return {
+    own,
+    ownHeaviest,
+    domainHeaviest: heaviest(sumDemand([ownHeaviest, ...ownDomain])),
+    elsewhere: sumDemand([...ownDomain, ...summaries.map(summary => summary.demand)]),
+    nodes: summaries.reduce((sum, summary) => sum + summary.aliveMembers, sources.aliveInDomain())
   }
+}
+
+function splitByDemand (own: number, total: number, nodes: number): DemandShare {
   const even = 1 / Math.max(1, nodes)
   const share = total === 0 ? even : FLOOR_PART * even + (1 - FLOOR_PART) * own / total
   return { own, total, nodes, share }
 }
+
+/** The heaviest workspaces of a record, rounded to two digits. */
+function heaviest (demand: Record<string, number>): Record<string, number> {
+  const heavy: Array<[string, number]> = []
+  let least = 0
+  for (const [workspace, rate] of Object.entries(demand)) {
+    if (rate <= least) continue
+    heavy.push([workspace, rate])
+    if (heavy.length <= HEAVY_WORKSPACES) continue
+    heavy.sort(([, left], [, right]) => right - left).pop()
+    least = heavy.at(-1)?.[1] ?? 0
+  }
+  return Object.fromEntries(heavy.map(([workspace, rate]) => [workspace, Number(rate.toPrecision(2))]))
+}
+
+function sumDemand (records: Iterable<Record<string, number>>): Record<string, number> {
+  const sum: Record<string, number> = {}
+  for (const record of records) {
+    for (const [workspace, rate] of Object.entries(record)) sum[workspace] = (sum[workspace] ?? 0) + rate
+  }
+  return sum
+}
--- a/packages/wigeonlead/src/process/membership/membership.ts
+++ b/packages/wigeonlead/src/process/membership/membership.ts
@@ -6,7 +6,7 @@
   type RandomSource, type TargetEvent, type VmListPort
 } from '@wigeonlead/protocol'
 import { LogEvent, type Logger } from '../logging.js'
-import { heaviest, splitByDemand, sumDemand, type DemandShare } from './demand.js'
+import { createDemand, type DemandShare } from './demand.js'
 import { createOtherDomains } from './domains.js'
 import { createGossip } from './gossip.js'
 import { MergeResult, createMemberTable, isNewer } from './table.js'
@@ -82,6 +82,12 @@
   let state = MemberState.Alive
   let isJoined = false
   let readDemand = (): Record<string, number> => ({})
+  const demand = createDemand({
+    own: () => readDemand(),
+    ownDomain: () => demands.values(),
+    aliveInDomain: () => aliveMembersOfDomain().length,
+    others: others.summaries
+  })
 
   function self (): MemberEntry {
     return { address, vm, failureDomain, incarnation, state, generation: parts.generation() }
@@ -114,8 +120,7 @@
     const alive = aliveMembersOfDomain()
     const first = Math.floor(random.nextFloat() * alive.length)
     const contacts = [...alive.slice(first), ...alive.slice(0, first)].slice(0, CONTACTS_OF_A_SUMMARY)
-    const demand = heaviest(sumDemand([readDemand(), ...demands.values()]))
-    return { failureDomain, aliveMembers: alive.length, contacts, demand, ageMilliseconds: 0 }
+    return { failureDomain, aliveMembers: alive.length, contacts, demand: demand.domainHeaviest(), ageMilliseconds: 0 }
   }
 
   function compose (receiverDomain: string | undefined, isWhole: boolean): GossipMessage {
@@ -129,7 +134,7 @@
       members: isOwnDomain ? (isWhole ? table.whole() : table.takeRumors(RUMORS_OF_A_MESSAGE)) : [],
       domains: isOwnDomain ? domains : [summarize(), ...domains],
       targetEvents: isWhole ? targetEvents.all(TARGET_EVENTS_OF_A_START) : targetEvents.takeRumors(TARGET_EVENTS_OF_A_MESSAGE),
-      demand: isOwnDomain || receiverDomain === undefined ? heaviest(readDemand()) : {}
+      demand: isOwnDomain || receiverDomain === undefined ? demand.ownHeaviest() : {}
     }
   }
 
@@ -204,8 +209,7 @@
       gossip.pushEverywhere()
     },
     onTargetEvent: callback => subscribe(targetListeners, callback),
-    demandOf: workspace => splitByDemand(
-      workspace, readDemand()[workspace] ?? 0, demands.values(), aliveMembersOfDomain().length, others.summaries()),
+    demandOf: demand.shareOf,
     setDemandSource: read => { readDemand = read },
     onGeneration: callback => subscribe(generationListeners, callback),
     pushSoon: gossip.pushSoon,
