--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -3,7 +3,9 @@
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
+import { claimsExperiment } from './claims.js'
 import type { Experiment, ExperimentResult } from './experiment.js'
+import { CHOICE } from './experiments/choice.js'
 import { HERDING } from './experiments/herding.js'
 import { LATENCY } from './experiments/latency.js'
 import { NOISY_NEIGHBOUR } from './experiments/noisy-neighbour.js'
@@ -12,6 +14,8 @@
 import { THROUGHPUT } from './experiments/throughput.js'
 import { renderPlot } from './plot.js'
 import { relay } from './relay.js'
+import { capacityExperiment } from './slopes-capacity.js'
+import { failuresExperiment } from './slopes-failures.js'
 import { fleetExperiment, slopesExperiment } from './slopes.js'
 import { spreadExperiment } from './spread.js'
 
@@ -22,9 +26,13 @@
   herding: HERDING,
   'noisy-neighbour': NOISY_NEIGHBOUR,
   'retry-storm': RETRY_STORM,
+  choice: CHOICE,
   relay,
+  claims: claimsExperiment,
   slopes: slopesExperiment,
   fleet: fleetExperiment,
+  failures: failuresExperiment,
+  capacity: capacityExperiment,
   spread: spreadExperiment
 }
 const DEFAULT_FOLDER = 'docs/measurements'
--- a/packages/wigeonlead/src/process/reports.ts
+++ b/packages/wigeonlead/src/process/reports.ts
@@ -4,10 +4,11 @@
  */
 import {
   MemberState, PeerMethod,
-  type CompactReport, type EnginePort, type EngineReport, type ManifestTarget, type MemberEntry, type PeerHandlers, type PeerPort,
-  type RandomSource
+  type CompactReport, type EnginePort, type EngineReport, type HeldPart, type ManifestTarget, type MemberEntry, type PeerHandlers,
+  type PeerPort, type RandomSource
 } from '@wigeonlead/protocol'
 import type { CompiledVersion } from '../version/index.js'
+import { listMissing } from './held-parts.js'
 import { rendezvousOwner } from './rendezvous.js'
 
 /** What is known of a target's load, and how old it is. */
@@ -42,6 +43,8 @@
   inFlightAt: (target: string, atMilliseconds: number) => number
   /** Hears each whole report that this node polled. */
   onReport: (report: EngineReport) => void
+  /** Hears of each later report which declared parts its target lacks. */
+  onMissing?: (target: string, missing: readonly HeldPart[]) => void
 }
 
 const INTERVAL_MILLISECONDS = 1000
@@ -53,6 +56,8 @@
 const OTHER_DOMAIN_INTERVALS = 2
 /** Bounds the control traffic of a large fleet; targets of the own failure domain go first. */
 const MOST_REPORTS_A_MESSAGE = 60
+/** Peers of which it is remembered what they heard. */
+const MOST_PEERS = 64
 /** Reports older than this are not passed on and not used, milliseconds. */
 const OLDEST_MILLISECONDS = 30_000
 /** Time constant of the smoothed load of others, milliseconds. */
@@ -74,6 +79,7 @@
     const gain = before === undefined ? 1 : 1 - Math.exp((before.load.madeAt - madeAt) / OTHERS_SMOOTHING_MILLISECONDS)
     const others = (before?.load.others ?? 0) * (1 - gain) + seen * gain
     const { running, queued, tokensPerSecond } = report
+    parts.onMissing?.(report.target, report.missing ?? [])
     known.set(report.target, { report, load: { running, queued, tokensPerSecond, madeAt, others } })
   }
 
@@ -83,7 +89,8 @@
     parts.onReport(outcome.value)
     const { atMilliseconds, running, queued, tokensPerSecond } = outcome.value
     const ageMilliseconds = Math.max(0, Date.now() - atMilliseconds)
-    take({ target: target.name, atMilliseconds, ageMilliseconds, running, queued, tokensPerSecond })
+    const missing = listMissing(target, outcome.value)
+    take({ target: target.name, atMilliseconds, ageMilliseconds, running, queued, tokensPerSecond, missing })
   }
 
   function isOwn (target: string): boolean {
@@ -92,7 +99,9 @@
 
   function freshFor (peer: string): CompactReport[] {
     const sent = passedOn.get(peer) ?? new Map<string, number>()
+    passedOn.delete(peer)
     passedOn.set(peer, sent)
+    if (passedOn.size > MOST_PEERS) passedOn.delete(passedOn.keys().next().value ?? '')
     const now = Date.now()
     const fresh = [...known.values()].filter(({ report, load }) =>
       report.atMilliseconds > (sent.get(report.target) ?? 0) && now - load.madeAt < OLDEST_MILLISECONDS)
--- a/packages/wigeonlead/src/request/claims/bucket-store.ts
+++ b/packages/wigeonlead/src/request/claims/bucket-store.ts
@@ -8,14 +8,19 @@
   type RandomSource
 } from '@wigeonlead/protocol'
 import { EMPTY_HEAD, applyChanges, type AppliedChanges, type BucketHead } from './bucket.js'
-import { decodeHead, decodeSegment, encodeHead, encodeSegment, headKey, segmentKey, shortDigest } from './encoding.js'
+import { PROBE_KEY, decodeHead, decodeSegment, encodeHead, encodeSegment, headKey, segmentKey, shortDigest } from './encoding.js'
 
 /** One bucket in the key-value service, with what this node remembers of it. */
 export interface BucketStore {
-  /** Commits changes in order. Never rejects. */
-  commit: (changes: ClaimChange[]) => Promise<BucketCommit>
+  /**
+   * Commits changes in order. Never rejects.
+   * @param isShared whether other nodes write the bucket too, so that it is read first: a read costs less than a lost write.
+   */
+  commit: (changes: ClaimChange[], isShared: boolean) => Promise<BucketCommit>
   /** What stands in the way of a change as far as this node remembers; undefined where the change would have to be written. */
   peek: (change: ClaimChange) => ClaimChangeOutcome | undefined
+  /** Asks whether the key-value service answers. */
+  isReachable: () => Promise<boolean>
 }
 
 /** What became of a batch. */
@@ -23,6 +28,8 @@
   outcomes: ClaimChangeOutcome[]
   /** Compare-and-swaps that found another writer's value. */
   conflicts: number
+  /** Writes of other nodes since this node's last one, where it wrote now. */
+  foreignWrites?: number
   /** Why the key-value service could not be used, where it could not. */
   failure?: Failure
 }
@@ -43,6 +50,10 @@
 const MAXIMUM_TRIES = 8
 const CONFLICT_PAUSE_MILLISECONDS = 5
 const SEGMENT_READS_AT_ONCE = 16
+/** Bytes of one segment's name and time in a stored head. */
+const SEGMENT_REFERENCE_BYTES = 32
+/** Short, since a head may name many segments; a segment is only ever created where none has its name. */
+const SEGMENT_NAME_LENGTH = 12
 /** Size of a head beyond which a bucket that may have no more segments takes no more claims. */
 const FULL_HEAD_BYTES = 2 * CLAIM_SEGMENT_BYTES
 
@@ -53,6 +64,7 @@
   /** Segments that were written but may not be named by the head. */
   const unnamed = new Set<string>()
   let known: KnownHead | undefined
+  let lastWrites: number | undefined
 
   function findSealed (head: BucketHead): (keyDigest: string) => ClaimEntry | undefined {
     return keyDigest => {
@@ -102,12 +114,12 @@
     }
   }
 
-  async function commit (changes: ClaimChange[]): Promise<BucketCommit> {
-    let isFresh = known === undefined
+  async function commit (changes: ClaimChange[], isShared: boolean): Promise<BucketCommit> {
+    let isFresh = known === undefined || isShared
     let isAmbiguous = false
     let conflicts = 0
     for (let attempt = 0; attempt < MAXIMUM_TRIES; attempt += 1) {
-      const loaded = known === undefined ? await load() : success(known)
+      const loaded = known === undefined || (isShared && attempt === 0) ? await load() : success(known)
       if (!loaded.ok) return { outcomes: refuseAll(changes, loaded.failure, isAmbiguous), conflicts, failure: loaded.failure }
       const before = loaded.value
       const applied = apply(before, changes)
@@ -118,13 +130,15 @@
         isFresh = true
         continue
       }
-      const head = await seal(applied.head)
+      const head = isLarge(before) ? await seal(applied.head) : applied.head
       const value = encodeHead(head)
       const write = await keyValue.compareAndSwap({ key, expectedModRevision: before.modRevision, value })
       if (write.kind === WriteResult.Committed) {
         known = { head, modRevision: write.revision, bytes: value.length }
         dropSegments(before.head, head)
-        return { outcomes: applied.outcomes, conflicts }
+        const foreignWrites = head.writes - 1 - (lastWrites ?? head.writes - 1)
+        lastWrites = head.writes
+        return { outcomes: applied.outcomes, conflicts, foreignWrites }
       }
       if (write.kind === WriteResult.NotSent) {
         return { outcomes: withoutWrite(before, changes, write.failure, isAmbiguous), conflicts, failure: write.failure }
@@ -149,18 +163,19 @@
 
   /** Moves entries into a segment once the head has grown large; those of running orders only where there are many. */
   async function seal (head: BucketHead): Promise<BucketHead> {
-    if (head.segments.length >= CLAIM_SEGMENTS_PER_BUCKET || encodeHead({ ...head, segments: [] }).length < CLAIM_SEGMENT_BYTES) return head
     const entries = [...head.entries.values()]
     const final = entries.filter(entry => entry.state !== ClaimState.Claimed)
     const sealed = encodeSegment(final).length > CLAIM_SEGMENT_BYTES / 2 ? final : entries
-    const segment = { id: shortDigest(random.nextNonce()), expiresAt: Math.max(...sealed.map(entry => entry.expiresAt)) }
+    const id = shortDigest(random.nextNonce()).slice(0, SEGMENT_NAME_LENGTH)
+    const segment = { id, expiresAt: Math.max(...sealed.map(entry => entry.expiresAt)) }
     const text = encodeSegment(sealed)
     unnamed.add(segment.id)
     const write = await keyValue.compareAndSwap({ key: segmentKey(bucket, segment.id), expectedModRevision: 0, value: text })
     if (write.kind === WriteResult.Ambiguous ? !await isStored(segment.id, text) : write.kind !== WriteResult.Committed) return head
     const content = new Map(sealed.map(entry => [entry.keyDigest, entry]))
     segments.set(segment.id, content)
-    return { entries: new Map([...head.entries].filter(([keyDigest]) => !content.has(keyDigest))), segments: [...head.segments, segment] }
+    const left = new Map([...head.entries].filter(([keyDigest]) => !content.has(keyDigest)))
+    return { writes: head.writes, entries: left, segments: [...head.segments, segment] }
   }
 
   async function isStored (id: string, text: string): Promise<boolean> {
@@ -193,7 +208,11 @@
     return changes.map(change => peekAt(before, change) ?? refuse(failure, isAmbiguous))
   }
 
-  return { commit, peek: change => known === undefined ? undefined : peekAt(known, change) }
+  return {
+    commit,
+    peek: change => known === undefined ? undefined : peekAt(known, change),
+    isReachable: async () => (await keyValue.get(PROBE_KEY)).ok
+  }
 }
 
 function decode (entry: KeyValueEntry | undefined): Outcome<KnownHead> {
@@ -205,6 +224,11 @@
   }
 }
 
+function isLarge ({ head, bytes }: KnownHead): boolean {
+  const { length } = head.segments
+  return length < CLAIM_SEGMENTS_PER_BUCKET && bytes - length * SEGMENT_REFERENCE_BYTES > CLAIM_SEGMENT_BYTES
+}
+
 function needsFreshRead (outcome: ClaimChangeOutcome, change: ClaimChange | undefined): boolean {
   const isWanted = change?.kind === ClaimChangeKind.Claim && change.wantsFreshRead === true
   return isFenced(outcome) || (isWanted && outcome.kind === ClaimChangeResult.Found)
--- a/packages/wigeonlead/src/request/path.ts
+++ b/packages/wigeonlead/src/request/path.ts
@@ -3,7 +3,7 @@
  */
 import {
   DriverKind, FailureKind, Step, failed, prefixDigest, success,
-  type ModelReference, type Outcome, type PathStage, type RandomSource
+  type ManifestWorkspace, type ModelReference, type Outcome, type PathStage, type RandomSource
 } from '@wigeonlead/protocol'
 import type { FirstTokenTimes } from '../process/first-token-times.js'
 import type { PathPart, PathTimes } from '../process/path-times.js'
@@ -12,7 +12,8 @@
 import type { CompiledModel, CompiledVersion, StageOption } from '../version/index.js'
 import { beginPathRun, type PathRun } from './path-run.js'
 import { LEAN_WEIGHTS, fullMilliseconds, linkKey, targetKey, type StageCosts } from './path-cost.js'
-import { cheapestPath, type PathCosts, type PricedPath } from './path-search.js'
+import { isServedIn } from './placement.js'
+import { cheapestOfEachKind, cheapestPath, type PathCosts, type PricedPath } from './path-search.js'
 
 /** What a path is wanted for. */
 export interface PathQuery {
@@ -20,6 +21,8 @@
   model: CompiledModel
   reference: ModelReference
   prompt: string
+  /** Where the request may be served; everywhere by default. */
+  workspace?: Pick<ManifestWorkspace, 'failureDomains'>
   /** Targets that failed for this request. */
   excluded: ReadonlySet<string>
   /** How often targets were part of a failure of this request; they are used only where nothing else serves. */
@@ -69,9 +72,10 @@
     const layers = query.model.model.layers
     const options = query.model.options.filter(option => isUsable(parts, query, option))
     const costs = costsOf(parts, query)
-    const best = cheapestPath(options, layers, costs)
+    const kept = cheapestOfEachKind(options, costs)
+    const best = cheapestPath(kept, layers, costs)
     if (best === undefined) return failed(noPath(query))
-    const second = withoutCostliest(options, layers, costs, best)
+    const second = withoutCostliest(kept, layers, costs, best)
     const takesSecond = second !== undefined && second.cost <= best.cost * NEAR_BEST_FACTOR && parts.random.nextFloat() < NEAR_BEST_SHARE
     return success((takesSecond ? second : best).options.map(toStage))
   }
@@ -110,7 +114,19 @@
   const names = version.manifest.failureDomains
   const home = version.domains.get(parts.failureDomain) ?? 0
 
+  const links = new Map<number, number>()
+
   function link (from: number, to: number): number {
+    const key = from * names.length + to
+    let cost = links.get(key)
+    if (cost === undefined) {
+      cost = linkCost(from, to)
+      links.set(key, cost)
+    }
+    return cost
+  }
+
+  function linkCost (from: number, to: number): number {
     const observed = from === to ? undefined : parts.times.estimate(linkKey(names[from] ?? '', names[to] ?? ''))
     return (observed ?? version.linkMilliseconds(from, to)) * weights.link
   }
@@ -162,6 +178,7 @@
 function isUsable (parts: PathChooserParts, query: PathQuery, option: StageOption): boolean {
   return option.version === query.reference.version &&
     (query.reference.adapter === undefined || option.adapters.includes(query.reference.adapter)) &&
+    (query.workspace === undefined || isServedIn(query.workspace, option.target.failureDomain)) &&
     !query.excluded.has(option.target.name) &&
     parts.targets.availability(option.target.name) !== TargetAvailability.Leaving &&
     !query.version.isTargetStopping(option.target.name, Date.now())
