Refused peers are logged at most once a second for each address

Cause: every refused call wrote a line, so that anyone who reaches the listener could flood the logs. Change: one line a second for each address, 256 addresses remembered. Measured: `npx uvu packages "dist/test/connection/.*\.spec\.js$" -i node_modules`: 39 of 39. Conclusion: the refusals stay visible and bounded.

--- a/packages/wigeonlead/src/connection/peers/listener.ts
+++ b/packages/wigeonlead/src/connection/peers/listener.ts
@@ -16,7 +16,7 @@
   traffic: TrafficCounter
   tls?: PeerTlsFiles
   answer: PeerAnswerer
-  /** Called with each refused caller. */
+  /** Called with refused callers. */
   onRefused: (peer: string, reason: string) => void
 }
 
@@ -29,6 +29,8 @@
 const HEADERS_TIMEOUT_MILLISECONDS = 5000
 const REQUEST_TIMEOUT_MILLISECONDS = 10_000
 const KEEP_ALIVE_MILLISECONDS = 60_000
+const REPORT_INTERVAL_MILLISECONDS = 1000
+const MAXIMUM_REPORTED = 256
 
 /** Makes the listener, not yet listening. */
 export function createPeerListener (parts: PeerListenerParts): Server {
@@ -36,8 +38,18 @@
   const timeouts = {
     headersTimeout: HEADERS_TIMEOUT_MILLISECONDS, requestTimeout: REQUEST_TIMEOUT_MILLISECONDS, keepAliveTimeout: KEEP_ALIVE_MILLISECONDS
   }
+  const reportedAt = new Map<string, number>()
   let served = 0
 
+  /** One report a second for each peer, so that a flood of refused calls doesn't flood the logs. */
+  function report (peer: string, reason: string): void {
+    const now = performance.now()
+    if (now - (reportedAt.get(peer) ?? -Infinity) < REPORT_INTERVAL_MILLISECONDS) return
+    if (reportedAt.size >= MAXIMUM_REPORTED) reportedAt.clear()
+    reportedAt.set(peer, now)
+    parts.onRefused(peer, reason)
+  }
+
   async function reply (incoming: IncomingMessage): Promise<Reply> {
     const peer = incoming.socket.remoteAddress ?? 'unknown'
     const body = await readBody(incoming, limits.messageBytes)
@@ -45,7 +57,7 @@
     const { check, request } = signer.checkRequest(typeof header === 'string' ? header : undefined, body)
     if (check === SignatureCheck.OffTime) return { status: 409, body: JSON.stringify({ nowMilliseconds: Date.now() }), request }
     if (check !== SignatureCheck.Valid) {
-      parts.onRefused(peer, check)
+      report(peer, check)
       return { status: 401, body: '{}' }
     }
     if (served >= limits.servedCalls) return { status: 503, body: '{}', request }
@@ -71,6 +83,6 @@
   const server = createTlsServer({
     ...timeouts, cert: tls.certificate, key: tls.key, ca: tls.authority, requestCert: true, rejectUnauthorized: true
   }, listener)
-  server.on('tlsClientError', (error, socket) => parts.onRefused(socket.remoteAddress ?? 'unknown', error.message))
+  server.on('tlsClientError', (error, socket) => report(socket.remoteAddress ?? 'unknown', error.message))
   return server
 }
--- a/packages/wigeonlead/src/connection/peers/peers.ts
+++ b/packages/wigeonlead/src/connection/peers/peers.ts
@@ -22,7 +22,7 @@
   tls?: PeerTlsFiles
   /** Bounds other than the default ones. */
   limits?: Partial<PeerLimits>
-  /** Called with each refused caller and the reason. */
+  /** Called with a refused caller and the reason, at most once a second for each address. */
   onRefused?: (peer: string, reason: string) => void
 }
 
