The mover's question after each token allocates nothing while no target leaves

Cause: it is asked for every token of every answer. Change: it takes the request itself, and asks for leaves before it lists them.

--- a/packages/wigeonlead/src/request/generation-move.ts
+++ b/packages/wigeonlead/src/request/generation-move.ts
@@ -34,12 +34,11 @@
 
   return {
     consider (request, delivered) {
-      const { session, epoch, stages, maximumTokens } = request
-      const move = mover.consider({ session, epoch, stages, delivered, maximumTokens })
+      const move = mover.consider(request, delivered)
       if (move === undefined) return undefined
       metrics.count('sessions_moved_total', { kind: move.kind })
       const targets = move.stages.map(stage => stage.target).join(',')
-      logger.info(LogEvent.SessionMoved, { kind: move.kind, targets, delivered, epoch, detail: move.failure?.detail })
+      logger.info(LogEvent.SessionMoved, { kind: move.kind, targets, delivered, epoch: request.epoch, detail: move.failure?.detail })
       return move.stages
     }
   }
--- a/packages/wigeonlead/src/request/move.ts
+++ b/packages/wigeonlead/src/request/move.ts
@@ -3,18 +3,10 @@
  * replacement with the same layers; failing that, the session is resumed elsewhere by prefill. The old epoch goes on
  * delivering while the caches are handed over.
  */
-import type { EnginePort, Failure, LayerRange, Outcome, PathStage } from '@wigeonlead/protocol'
+import type { EnginePort, Failure, GenerationRequest, LayerRange, Outcome, PathStage } from '@wigeonlead/protocol'
 
-/** A session on its path, at a token boundary. */
-export interface SessionOnPath {
-  session: string
-  epoch: number
-  stages: PathStage[]
-  /** Tokens delivered so far. */
-  delivered: number
-  /** Highest number of tokens of the whole answer. */
-  maximumTokens: number
-}
+/** A session on its path. */
+export type SessionOnPath = Pick<GenerationRequest, 'session' | 'epoch' | 'stages' | 'maximumTokens'>
 
 /** How the session goes on along its new path. */
 export enum MoveKind {
@@ -36,9 +28,10 @@
 export interface SessionMover {
   /**
    * To be asked after each delivered token; never waits.
+   * @param delivered number of tokens of the answer delivered so far.
    * @returns the move after which the next epoch runs, or undefined where this one goes on for now.
    */
-  consider: (session: SessionOnPath) => Move | undefined
+  consider: (session: SessionOnPath, delivered: number) => Move | undefined
 }
 
 /** What a mover needs. */
@@ -62,9 +55,13 @@
   let notBefore = -Infinity
   let handover: { stages: PathStage[], move?: Move } | undefined
 
-  function endsInTime ({ delivered, maximumTokens }: SessionOnPath, leaves: Array<{ untilMilliseconds?: number }>): boolean {
+  function isLeaving ({ target }: PathStage): boolean {
+    return parts.leaveOf(target) !== undefined
+  }
+
+  function endsInTime (tokensLeft: number, leaves: Array<{ untilMilliseconds?: number }>): boolean {
     const betweenTokens = (performance.now() - startedAt) / considered
-    const endsAt = Date.now() + (maximumTokens - delivered) * betweenTokens * FORECAST_MARGIN
+    const endsAt = Date.now() + tokensLeft * betweenTokens * FORECAST_MARGIN
     return leaves.every(({ untilMilliseconds }) => untilMilliseconds !== undefined && endsAt < untilMilliseconds)
   }
 
@@ -72,7 +69,7 @@
     const used = new Set(session.stages.map(stage => stage.target))
     const stages = session.stages.map(stage => {
       if (!excluded.has(stage.target)) return stage
-      const substitute = parts.substitutes(stage.layers).find(({ target }) => !used.has(target) && parts.leaveOf(target) === undefined)
+      const substitute = parts.substitutes(stage.layers).find(stage => !used.has(stage.target) && !isLeaving(stage))
       if (substitute !== undefined) used.add(substitute.target)
       return substitute
     })
@@ -86,15 +83,16 @@
   }
 
   return {
-    consider (session) {
+    consider (session, delivered) {
       considered += 1
-      if (handover?.stages.some(({ target }) => parts.leaveOf(target) !== undefined) === true) handover = undefined
+      if (handover === undefined && !session.stages.some(isLeaving)) return undefined
+      if (handover?.stages.some(isLeaving) === true) handover = undefined
       if (handover !== undefined) return handover.move
       const leaves = session.stages.flatMap(({ target }) => {
         const leave = parts.leaveOf(target)
         return leave === undefined ? [] : [{ target, ...leave }]
       })
-      if (leaves.length === 0 || performance.now() < notBefore || endsInTime(session, leaves)) return undefined
+      if (leaves.length === 0 || performance.now() < notBefore || endsInTime(session.maximumTokens - delivered, leaves)) return undefined
       const stages = replace(session, new Set(leaves.map(({ target }) => target)))
       if (stages === undefined) notBefore = performance.now() + RETRY_MILLISECONDS
       else begin(session, stages)
--- a/packages/wigeonlead/test/request/move.spec.ts
+++ b/packages/wigeonlead/test/request/move.spec.ts
@@ -75,10 +75,9 @@
     const reading = readTokens(port, request, DELIVERED, before)
     await clock.advance(2 * DELIVERED * STEP_MILLISECONDS)
     await reading
-    const session = { ...request, delivered: DELIVERED }
-    assert.is(mover.consider(session), undefined)
+    assert.is(mover.consider(request, DELIVERED), undefined)
     await clock.advance(1)
-    const move = mover.consider(session)
+    const move = mover.consider(request, DELIVERED)
     assert.equal(move && { kind: move.kind, targets: move.stages.map(stage => stage.target) }, row.expected)
     if (move === undefined) return
     const after: Token[] = []
