One reader of bodies and one of headers for every HTTP side

Cause: the same loop stood in four adapters and the flattening of headers in two; the callers' one destroyed the connection of a sender of chunks over the limit before the 413 could be written. The new row 'a sender of chunks over the limit' covers it.

--- a/packages/protocol/src/platform/http-json.ts
+++ b/packages/protocol/src/platform/http-json.ts
@@ -5,6 +5,7 @@
 import type { z } from 'zod'
 import { FailureKind, failed, success, type Failure, type Outcome, type Step } from '../failure.js'
 import { createLineReader } from './line-reader.js'
+import { readAnswer } from './read-body.js'
 
 const KEEP_ALIVE_AGENT = new Agent({ keepAlive: true, maxSockets: 256, maxFreeSockets: 64 })
 const MAXIMUM_ANSWER_BYTES = 16_777_216
@@ -37,7 +38,7 @@
   const timer = setTimeout(() => aborter.abort(), deadlineMilliseconds)
   try {
     response = await send(url, body, aborter.signal, options, () => { isConnected = true })
-    const text = await readText(response)
+    const text = (await readAnswer(response, MAXIMUM_ANSWER_BYTES)).toString()
     const status = response.statusCode ?? 0
     if (status < 200 || status > 299) return failed(statusFailure(origin, status, text))
     const parsed = schema.safeParse(text === '' ? {} : JSON.parse(text))
@@ -91,17 +92,6 @@
   })
 }
 
-async function readText (response: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of response as AsyncIterable<Buffer>) {
-    bytes += chunk.length
-    if (bytes > MAXIMUM_ANSWER_BYTES) throw new Error('the answer is too large')
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks).toString()
-}
-
 function statusFailure (origin: { step: Step, peer: string }, status: number, text: string): Failure {
   const detail = `status ${status}: ${text.slice(0, 200)}`
   if (status === 401 || status === 403) return { ...origin, kind: FailureKind.Unauthenticated, detail }
--- a/packages/wigeonlead/src/connection/callers.ts
+++ b/packages/wigeonlead/src/connection/callers.ts
@@ -3,9 +3,10 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { ProblemType, createProblem, type HeaderRecord, type Problem } from '@wigeonlead/protocol'
+import { ProblemType, createProblem, readBody, type Problem } from '@wigeonlead/protocol'
 import { problemResponse, type CallerHandler, type CallerResponse } from '../request/index.js'
 import type { Settings } from '../process/settings.js'
+import { flattenHeaders } from './headers.js'
 
 const KEEP_ALIVE_MILLISECONDS = 60_000
 const TIMEOUT_CHECK_INTERVAL_MILLISECONDS = 500
@@ -42,7 +43,7 @@
     return
   }
   const answer = await handle({
-    method: request.method ?? 'GET', url: request.url ?? '/', headers: flattenHeaders(request), body, signal: hungUp.signal
+    method: request.method ?? 'GET', url: request.url ?? '/', headers: flattenHeaders(request.headers), body, signal: hungUp.signal
   })
   await write(response, answer)
 }
@@ -73,26 +74,6 @@
   })
 }
 
-async function readBody (request: IncomingMessage, maximumBytes: number): Promise<Uint8Array | undefined> {
-  if (Number(request.headers['content-length'] ?? 0) > maximumBytes) return undefined
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    bytes += chunk.length
-    if (bytes > maximumBytes) return undefined
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks)
-}
-
-function flattenHeaders (request: IncomingMessage): HeaderRecord {
-  const flat: HeaderRecord = {}
-  for (const [key, value] of Object.entries(request.headers)) {
-    if (value !== undefined) flat[key] = Array.isArray(value) ? value.join(', ') : value
-  }
-  return flat
-}
-
 const CONNECTION_PROBLEMS: Record<string, Problem> = {
   HPE_HEADER_OVERFLOW: createProblem(ProblemType.HeadersTooLarge, 'the header is over the limit'),
   ERR_HTTP_REQUEST_TIMEOUT: createProblem(ProblemType.RequestTimeout, 'the request did not arrive within the time limit')
--- a/packages/wigeonlead/src/connection/peers/client.ts
+++ b/packages/wigeonlead/src/connection/peers/client.ts
@@ -3,9 +3,9 @@
  */
 import { Agent, request as requestHttp, type ClientRequest, type IncomingMessage } from 'node:http'
 import { Agent as TlsAgent, request as requestHttps } from 'node:https'
-import { FailureKind, Step, destroyOnAbort, failed, success, type Failure, type Outcome } from '@wigeonlead/protocol'
+import { FailureKind, Step, destroyOnAbort, failed, readAnswer, success, type Failure, type Outcome } from '@wigeonlead/protocol'
 import { z } from 'zod'
-import { SIGNATURE_HEADER, readBody, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
+import { SIGNATURE_HEADER, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
 import type { Signer } from './signature.js'
 
 /** Sends one body to a peer and gives back the answer's body. Never rejects. */
@@ -66,7 +66,7 @@
       destroyOnAbort(outgoing, aborter.signal)
       const response = await send(outgoing, body, tls !== undefined, () => { isConnected = true })
       const { socket } = response
-      const text = await readBody(response, limits.messageBytes)
+      const text = (await readAnswer(response, limits.messageBytes)).toString()
       traffic.observe(socket)
       const answerSignature = response.headers[SIGNATURE_HEADER]
       return success({ status: response.statusCode ?? 0, body: text, signature: typeof answerSignature === 'string' ? answerSignature : undefined })
--- a/packages/wigeonlead/src/connection/peers/listener.ts
+++ b/packages/wigeonlead/src/connection/peers/listener.ts
@@ -3,7 +3,8 @@
  */
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
-import { SIGNATURE_HEADER, readBody, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
+import { readBody } from '@wigeonlead/protocol'
+import { SIGNATURE_HEADER, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
 import { SignatureCheck, type SignedRequest, type Signer } from './signature.js'
 
 /** Answers one authenticated body. */
@@ -52,7 +53,9 @@
 
   async function reply (incoming: IncomingMessage): Promise<Reply> {
     const peer = incoming.socket.remoteAddress ?? 'unknown'
-    const body = await readBody(incoming, limits.messageBytes)
+    const content = await readBody(incoming, limits.messageBytes)
+    if (content === undefined) throw new Error('the message is too large')
+    const body = content.toString()
     const header = incoming.headers[SIGNATURE_HEADER]
     const { check, request } = signer.checkRequest(typeof header === 'string' ? header : undefined, body)
     if (check === SignatureCheck.OffTime) return { status: 409, body: JSON.stringify({ nowMilliseconds: Date.now() }), request }
--- a/packages/wigeonlead/src/connection/peers/shared.ts
+++ b/packages/wigeonlead/src/connection/peers/shared.ts
@@ -1,7 +1,6 @@
 /**
- * What both sides of the calls between entry VMs share: limits, TLS files, counted bytes, bounded bodies.
+ * What both sides of the calls between entry VMs share: limits, TLS files, counted bytes.
  */
-import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { PeerTraffic } from '@wigeonlead/protocol'
 
@@ -60,15 +59,3 @@
     counts: () => ({ ...total })
   }
 }
-
-/** Reads a body; rejects where it is larger than the limit. */
-export async function readBody (incoming: IncomingMessage, maximumBytes: number): Promise<string> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of incoming as AsyncIterable<Buffer>) {
-    bytes += chunk.length
-    if (bytes > maximumBytes) throw new Error('the message is too large')
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks).toString()
-}
--- a/packages/wigeonlead/src/connection/services.ts
+++ b/packages/wigeonlead/src/connection/services.ts
@@ -1,12 +1,13 @@
 /**
  * Adapter of the service port to HTTP: one request, one whole answer, and the proof of what was not sent.
  */
-import { Agent, request, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
+import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step, destroyOnAbort,
-  type Failure, type HeaderRecord, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort, type TargetAddress
+  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step, destroyOnAbort, readAnswer,
+  type Failure, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort, type TargetAddress
 } from '@wigeonlead/protocol'
+import { flattenHeaders } from './headers.js'
 
 /** Options of the adapter. */
 export interface HttpServicesOptions {
@@ -43,8 +44,8 @@
   if (signal.aborted) return notSent(exchange, FailureKind.Aborted, 'given up before it was sent')
   try {
     const response = await send(exchange)
-    const body = await readBody(response, call.maximumResponseBytes)
-    return judgeAnswer(target, { status: response.statusCode ?? 502, headers: flatten(response.headers), body })
+    const body = await readAnswer(response, call.maximumResponseBytes)
+    return judgeAnswer(target, { status: response.statusCode ?? 502, headers: flattenHeaders(response.headers), body })
   } catch (cause) {
     const detail = cause instanceof Error ? cause.message : String(cause)
     if (!exchange.isPossiblySent) return notSent(exchange, FailureKind.Unreachable, detail, cause)
@@ -114,23 +115,3 @@
   const { code } = cause as { code?: unknown }
   return typeof code === 'string' && code.startsWith(PARSE_ERROR_PREFIX)
 }
-
-async function readBody (response: IncomingMessage, maximumBytes: number): Promise<Uint8Array> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of response as AsyncIterable<Buffer>) {
-    bytes += chunk.length
-    if (bytes > maximumBytes) throw new Error(`the answer is over ${maximumBytes} bytes`)
-    chunks.push(chunk)
-  }
-  if (!response.complete) throw new Error('the answer ended early')
-  return Buffer.concat(chunks)
-}
-
-function flatten (headers: IncomingHttpHeaders): HeaderRecord {
-  const flat: HeaderRecord = {}
-  for (const [key, value] of Object.entries(headers)) {
-    if (value !== undefined) flat[key] = Array.isArray(value) ? value.join(', ') : value
-  }
-  return flat
-}
--- a/packages/wigeonlead/test/callers.spec.ts
+++ b/packages/wigeonlead/test/callers.spec.ts
@@ -138,6 +138,11 @@
 })
 
 const RAW_CASES = [
+  {
+    name: 'a sender of chunks over the limit',
+    text: `POST /v1/completions HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n1388\r\n${'x'.repeat(5000)}\r\n`,
+    status: 413
+  },
   { name: 'a sender that is too slow with its header', text: 'POST /v1/completions HTTP/1.1\r\nhost: a\r\n', status: 408 },
   { name: 'a sender that is too slow with its body', text: 'POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n{', status: 408 },
   { name: 'what is not HTTP', text: 'hello\r\n\r\n', status: 400 }
