--- a/packages/wigeonlead/test/request/move-router.spec.ts
+++ b/packages/wigeonlead/test/request/move-router.spec.ts
@@ -18,6 +18,7 @@
 const LAYERS = 8
 const PROMPT = 'Draft a rank description for a stopped diapason'
 const STEP_MILLISECONDS = 200
+const CAPACITY = 16
 const STOP_AFTER_MILLISECONDS = 2000
 const IN_FORCE_MILLISECONDS = 3000
 const ANSWER_MILLISECONDS = 120_000
@@ -91,7 +92,8 @@
       address: `10.0.0.${index + 1}:80`,
       failureDomain: 'kingston-shop',
       accelerator: 'large',
-      tokensPerSecond: engine.name in HALVES ? 1000 : 10,
+      capacity: CAPACITY,
+      tokensPerSecond: (engine.name in HALVES ? 1 : 0.5) * CAPACITY * 1000 / STEP_MILLISECONDS,
       serves: engine.report().held.map(part => ({ ...MODEL, layers: [part.layers.from, part.layers.to] }))
     })),
     workspaces: [{ name: 'voicers', keyDigests: [digestText(KEY)] }]
