--- a/packages/protocol/src/callers/problem.ts
+++ b/packages/protocol/src/callers/problem.ts
@@ -34,13 +34,16 @@
   KeyReused = 'idempotency-key-reused',
   KeyExpired = 'idempotency-key-expired',
   OrderUncertain = 'order-uncertain',
+  OrderNotRun = 'order-not-run',
+  AnswerNotKept = 'answer-not-kept',
   LimitReached = 'limit-reached',
   Overloaded = 'overloaded',
   DeadlineUnreachable = 'deadline-unreachable',
   NoPath = 'no-path',
   TargetFailed = 'target-failed',
   ClaimsUnavailable = 'claims-unavailable',
-  NotReady = 'not-ready'
+  NotReady = 'not-ready',
+  InternalFault = 'internal-fault'
 }
 
 /** A refusal in the shape of RFC 9457. */
@@ -73,13 +76,16 @@
   [ProblemType.KeyReused]: { status: 422, title: 'The Idempotency-Key was used for another request' },
   [ProblemType.KeyExpired]: { status: 410, title: 'The Idempotency-Key is older than what is kept' },
   [ProblemType.OrderUncertain]: { status: 502, title: 'Whether the order ran is not known' },
+  [ProblemType.OrderNotRun]: { status: 409, title: 'The order was given up without being run' },
+  [ProblemType.AnswerNotKept]: { status: 409, title: 'The order has run, but its answer was too large to keep' },
   [ProblemType.LimitReached]: { status: 429, title: 'The workspace reached its limit' },
   [ProblemType.Overloaded]: { status: 503, title: 'The service is overloaded' },
   [ProblemType.DeadlineUnreachable]: { status: 503, title: 'The deadline cannot be met' },
   [ProblemType.NoPath]: { status: 503, title: 'No target can serve this now' },
   [ProblemType.TargetFailed]: { status: 502, title: 'The target failed' },
   [ProblemType.ClaimsUnavailable]: { status: 503, title: 'Orders cannot be claimed now' },
-  [ProblemType.NotReady]: { status: 503, title: 'The router has no configuration yet' }
+  [ProblemType.NotReady]: { status: 503, title: 'The router has no configuration yet' },
+  [ProblemType.InternalFault]: { status: 500, title: 'The router failed' }
 }
 
 /** Parts of a problem beyond its type. */
@@ -91,9 +97,9 @@
 
 /**
  * Makes a problem.
- * @param options by default nothing was sent and nothing of the order ran; pass what differs.
+ * @param options by default this router sent nothing, and of the order nothing is known; pass what differs.
  */
 export function createProblem (type: ProblemType, detail: string, options: ProblemOptions = {}): Problem {
-  const { submission = Submission.NotSent, order = OrderState.NotRun, retryAfterSeconds } = options
+  const { submission = Submission.NotSent, order = OrderState.Unknown, retryAfterSeconds } = options
   return { type, ...PROBLEM_FORMS[type], detail, submission, order, retryAfterSeconds }
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -16,7 +16,8 @@
 } from './platform/vm-list.js'
 export { createEtcdKeyValue, type EtcdOptions } from './platform/etcd.js'
 export { createVmListClient } from './platform/vm-list-client.js'
-export { postJson, postStream, type JsonCallOptions } from './platform/http-json.js'
+export { destroyOnAbort, postJson, postStream, type JsonCallOptions } from './platform/http-json.js'
+export { createLineReader, type LineReader } from './platform/line-reader.js'
 export {
   CacheEventKind, EngineEventKind, EngineOrderKind, EngineRole, FinishReason, cacheExportSchema, engineOrderSchema,
   engineReportSchema, engineWireEventSchema, generationRequestSchema, heldPartSchema, layerRangeSchema, modelReferenceSchema,
@@ -26,7 +27,7 @@
   type PathStage, type Receipt, type StepInput, type StepRequest, type StepResult, type TargetAddress, type Token
 } from './targets/engine.js'
 export {
-  ServiceResult, type HeaderRecord, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort
+  NOT_ACCEPTED_HEADER, ServiceResult, type HeaderRecord, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort
 } from './targets/service.js'
 export {
   OrderState, PROBLEM_FORMS, ProblemType, Submission, createProblem, type Problem, type ProblemOptions
@@ -46,12 +47,26 @@
 export {
   checkManifest, checkManifestText, type ManifestCheck, type ManifestFault
 } from './manifest/check.js'
+export { listCoverageFaults } from './manifest/check-coverage.js'
 export {
   PublishResult, changeHead, parseHead, publishManifest, readHead, writeParts, type HeadContent, type HeadRead, type PublishOutcome
 } from './manifest/publish.js'
 export { isBuiltOn, mergeHeads } from './manifest/lineage.js'
 export {
-  MemberState, PeerMethod, type ClaimCommitParameters, type ClaimInquiryParameters, type CompactReport, type DomainSummary,
+  MemberState, PeerMethod, type CompactReport, type DomainSummary,
   type GossipMessage, type KeyValueRelayParameters, type KeyValueRelayResult, type MemberEntry, type NodeStatus,
   type PeerHandler, type PeerHandlers, type PeerMethods, type PeerPort, type PeerTraffic, type ReportsMessage, type TargetEvent
 } from './peers/messages.js'
+export {
+  ClaimChangeKind, ClaimChangeResult, ClaimInquiryKind, ClaimState, claimChangeSchema, claimEntrySchema, type ClaimChange,
+  type ClaimChangeOutcome, type ClaimCommitParameters, type ClaimCommitResult, type ClaimEntry, type ClaimInquiryParameters,
+  type ClaimInquiryResult, type Claimant, type ClaimedEntry, type FinishedEntry, type RecordedAnswer, type ReleasedEntry
+} from './peers/claims.js'
+export {
+  CLAIM_ANSWER_BYTES, CLAIM_BUCKETS, CLAIM_CLOCK_SKEW_SECONDS, CLAIM_ENTRY_BYTES, CLAIM_SEGMENTS_PER_BUCKET, CLAIM_SEGMENT_BYTES,
+  claimLoads, claimSize, type ClaimLoad, type ClaimSize
+} from './manifest/claim-size.js'
+export {
+  BURN_SERIES_STEP_MINUTES, BURN_WINDOWS_MINUTES, ObjectiveKind, ResourceKind, burnRate, burnReportSchema, nodeStatusSchema,
+  type BurnCounts, type BurnReport, type NodeStatusReport, type ObjectiveBurn
+} from './operators/reports.js'
--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -3,6 +3,7 @@
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { cac } from 'cac'
+import { claimsExperiment } from './claims.js'
 import type { Experiment, ExperimentResult } from './experiment.js'
 import { CHOICE } from './experiments/choice.js'
 import { HERDING } from './experiments/herding.js'
@@ -12,6 +13,10 @@
 import { RETRY_STORM } from './experiments/retry-storm.js'
 import { THROUGHPUT } from './experiments/throughput.js'
 import { renderPlot } from './plot.js'
+import { relay } from './relay.js'
+import { capacityExperiment } from './slopes-capacity.js'
+import { failuresExperiment } from './slopes-failures.js'
+import { fleetExperiment, slopesExperiment } from './slopes.js'
 
 const EXPERIMENTS: Record<string, Experiment> = {
   throughput: THROUGHPUT,
@@ -20,7 +25,13 @@
   herding: HERDING,
   'noisy-neighbour': NOISY_NEIGHBOUR,
   'retry-storm': RETRY_STORM,
-  choice: CHOICE
+  choice: CHOICE,
+  relay,
+  claims: claimsExperiment,
+  slopes: slopesExperiment,
+  fleet: fleetExperiment,
+  failures: failuresExperiment,
+  capacity: capacityExperiment
 }
 const DEFAULT_FOLDER = 'docs/measurements'
 
--- /dev/null
+++ b/packages/stand-ins/src/bench/slopes.ts
@@ -0,0 +1,110 @@
+/**
+ * The slopes experiment: what the control code of one node costs as peers, targets, workspaces, models, the manifest
+ * and the rate of changes grow. Nodes run on real loopback sockets, some to a process; the platform runs in another.
+ */
+import { loadavg } from 'node:os'
+import type { Cell, Experiment, ExperimentOptions } from './experiment.js'
+import { askChild, type FleetSample } from './slopes-messages.js'
+import {
+  describeFit, fitOf, PLANNED_FLEET, SLOPES, Slope, summarise, type MeasuredPoint, type Measures, type Point
+} from './slopes-points.js'
+import { askAll, latest, measureAll, pause, startFleet, type Publisher, type RunningFleet } from './slopes-run.js'
+
+const WARM_UP_MILLISECONDS = 6000
+const MEASURE_MILLISECONDS = 10_000
+const QUICK_DIVISOR = 5
+const CHANGES_TIMED = 4
+const NOTICED_TIMEOUT_MILLISECONDS = 15_000
+
+/** The slopes experiment. */
+export const slopesExperiment: Experiment = {
+  summary: 'bytes, processor time, memory, key-value calls and time in force of a node as the fleet grows',
+  async run (options) {
+    const points = Object.values(Slope).flatMap(slope =>
+      SLOPES[slope].values.map((value): Point => ({ ...SLOPES[slope].base, slope, [slope]: value })))
+    const measured = await measurePoints(points, options)
+    const names = Object.keys(measured[0]?.measures ?? {}) as Array<keyof Measures>
+    const fits = Object.values(Slope).flatMap(slope => names.map(measure => fitOf(slope, measure, measured)))
+    return {
+      ...tabulate(measured),
+      notes: [...fits.filter(({ fit }) => Math.abs(fit.slope) > 0).map(describeFit), describeLoad()],
+      details: { slopes: SLOPES, fits, loadAverage: loadavg() }
+    }
+  }
+}
+
+/** One fleet of the size that the users plan, as a check on what the slopes give. */
+export const fleetExperiment: Experiment = {
+  summary: 'the same measures of a node in one fleet of 462 nodes in 11 failure domains',
+  async run (options) {
+    const measured = await measurePoints([{ ...PLANNED_FLEET, slope: Slope.FailureDomains }], options)
+    return { ...tabulate(measured), notes: [describeLoad()], details: { fleet: PLANNED_FLEET, loadAverage: loadavg() } }
+  }
+}
+
+async function measurePoints (points: Point[], options: ExperimentOptions): Promise<MeasuredPoint[]> {
+  const measured: MeasuredPoint[] = []
+  for (const point of points) {
+    const measures = await measurePoint(point, options)
+    measured.push({ point, measures })
+    process.stderr.write(`${point.slope} ${point[point.slope]} ${JSON.stringify(measures)}\n`)
+  }
+  return measured
+}
+
+function tabulate (measured: MeasuredPoint[]): { columns: string[], rows: Cell[][] } {
+  const names = Object.keys(measured[0]?.measures ?? {}) as Array<keyof Measures>
+  return {
+    columns: ['slope', 'value', 'nodes', ...names],
+    rows: measured.map(({ point, measures }) =>
+      [point.slope, point[point.slope], point.failureDomains * point.nodesInDomain, ...names.map(name => measures[name])])
+  }
+}
+
+function describeLoad (): string {
+  return `load average of the machine over a minute at the end: ${loadavg()[0]?.toFixed(1)}`
+}
+
+async function measurePoint (point: Point, { quick }: ExperimentOptions): Promise<Measures> {
+  const divisor = quick ? QUICK_DIVISOR : 1
+  const fleet = await startFleet(point)
+  try {
+    await pause(WARM_UP_MILLISECONDS / divisor)
+    const samples = await measureSteady(point, fleet, MEASURE_MILLISECONDS / divisor)
+    const delays: number[] = []
+    for (let change = 0; change < CHANGES_TIMED; change += 1) {
+      const acceptedAt = await fleet.publisher.publish()
+      delays.push(await fleet.whenInForce(fleet.processes) - acceptedAt)
+    }
+    const deathNoticedMilliseconds = point.isDeathMeasured ? await measureDeath(fleet) : NaN
+    return { ...summarise(samples, delays), manifestKilobytes: fleet.publisher.kilobytes(), deathNoticedMilliseconds }
+  } finally {
+    fleet.stop()
+  }
+}
+
+async function measureSteady (point: Point, { processes, publisher }: RunningFleet, milliseconds: number): Promise<FleetSample[]> {
+  const over = new AbortController()
+  const changes = publishSteadily(point.changesPerSecond, publisher, over.signal)
+  const samples = await measureAll(processes, milliseconds)
+  over.abort()
+  await changes
+  return samples
+}
+
+async function publishSteadily (perSecond: number, publisher: Publisher, over: AbortSignal): Promise<void> {
+  if (perSecond === 0) return
+  while (!over.aborted) {
+    await publisher.publish()
+    await pause(1000 / perSecond)
+  }
+}
+
+async function measureDeath ({ processes }: RunningFleet): Promise<number> {
+  const [first] = processes
+  if (first === undefined) return NaN
+  const diedAt = Date.now()
+  const addresses = await askChild(first, 'halt', { count: 1 })
+  const wanted = { addresses, timeoutMilliseconds: NOTICED_TIMEOUT_MILLISECONDS }
+  return latest(await askAll(processes, child => askChild(child, 'noticed', wanted))) - diedAt
+}
--- a/packages/wigeonlead/src/index.ts
+++ b/packages/wigeonlead/src/index.ts
@@ -7,7 +7,8 @@
   type Logger, type PathPolicyParts, type Router, type RouterOptions, type RouterPorts, type RunningRouter, type Settings,
   type SettingsCheck, type SettingsInput
 } from './process/index.js'
+export { ClaimResult, createClaims, type ClaimOutcome, type ClaimedOrder, type Claims, type ClaimsParts } from './request/claims/index.js'
 export { createPathChooser } from './request/index.js'
 export type { CallerHandler, CallerRequest, CallerResponse, PathChooser, PathQuery, PathRun } from './request/index.js'
 export type { CompiledVersion, StageOption } from './version/index.js'
-export { createHttpEngines, createHttpPeers, createHttpServices } from './connection/index.js'
+export { createHttpEngines, createHttpPeers, createHttpServices, type HttpPeers } from './connection/index.js'
--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -3,12 +3,14 @@
  */
 import {
   MemberState, PeerMethod,
-  type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
+  type BurnReport, type EnginePort, type KeyValuePort, type NodeStatus, type PeerPort, type RandomSource, type ServicePort, type VmListPort
 } from '@wigeonlead/protocol'
 import {
   createAdmission, createCallerHandler, createClaims, createPathChooser, createStageCosts,
   type CallerHandler, type PathChooser, type PathChooserParts
 } from '../request/index.js'
+import { createRelayedKeyValue } from '../connection/index.js'
+import { createBurn } from './burn.js'
 import { createConfiguration } from './configuration/index.js'
 import { createFirstTokenTimes } from './first-token-times.js'
 import { createInFlight } from './in-flight.js'
@@ -16,6 +18,7 @@
 import { LogEvent, SILENT_LOGGER, type Logger } from './logging.js'
 import { createMembership } from './membership/index.js'
 import { createMetrics } from './metrics.js'
+import { createObservedLatency } from './observed-latency.js'
 import { createPathTimes } from './path-times.js'
 import { createPrefixMemory } from './prefix-memory.js'
 import { createReconciler } from './reconciler/index.js'
@@ -46,6 +49,8 @@
   isReady: () => boolean
   renderMetrics: () => string
   status: () => NodeStatus
+  /** Service-level burn at this node. */
+  burn: () => BurnReport
   /** Says that this node is leaving, waits for the balancer's lag and for every request in flight, then stops. */
   shutdown: (closeListener?: CloseListener) => Promise<void>
   isLeaving: () => boolean
@@ -73,6 +78,7 @@
   const { failureDomain, vm } = settings.node
   const logger = ports.logger ?? SILENT_LOGGER
   const metrics = createMetrics()
+  const burn = createBurn()
   const inFlight = createInFlight(({ method, url }) => logger.warn(LogEvent.RequestCutOff, { method, path: url.split('?')[0] }))
   const membership = createMembership({
     peers: ports.peers,
@@ -136,6 +142,10 @@
     isLeaving: target => targets.availability(target) === TargetAvailability.Leaving,
     onReport: targets.noteHeld
   })
+  const relayed = createRelayedKeyValue({ direct: ports.keyValue, peers: ports.peers, self: membership.self, members: membership.members })
+  const claims = createClaims({
+    keyValue: relayed.keyValue, peers: ports.peers, random: ports.random, self: membership.self, members: membership.members
+  })
   const handle = createCallerHandler({
     engines: ports.engines,
     services: ports.services,
@@ -143,16 +153,19 @@
     targets,
     paths,
     admission,
-    claims: createClaims({ keyValue: ports.keyValue, random: ports.random }),
+    claims,
     retries: createRetryBudget(),
+    latencies: createObservedLatency(),
     metrics,
+    burn,
     logger,
     failureDomain,
+    leaveOf: target => leaving.leaveOf(target),
     defaultDeadlineMilliseconds: settings.callers.defaultDeadlineMilliseconds
   }, configuration.current)
   const leaving = createLeaving({
     vmList: ports.vmList,
-    announcements: { announceTarget: () => {}, onTargetEvent: () => () => {} },
+    announcements: membership,
     logger,
     vm,
     failureDomain,
@@ -161,7 +174,14 @@
     current: configuration.current,
     setState: targets.setState
   })
-  const shutdown = createShutdown({ settings: settings.shutdown, inFlight, leave: membership.leave, release: reconciler.release, halt })
+  const shutdown = createShutdown({
+    settings: settings.shutdown,
+    inFlight,
+    leave: membership.leave,
+    finishOrders: claims.whenIdle,
+    release: reconciler.release,
+    halt
+  })
 
   /** Entry VMs use the targets of their own failure domain first; where it has few of them, those of others count as well. */
   function countCompetitors (domain: string): number {
@@ -194,11 +214,19 @@
 
   metrics.gauge('requests_in_flight', inFlight.count)
   metrics.gauge('requests_waiting', admission.waiting)
+  metrics.gauge('orders_running', claims.running)
   metrics.gauge('configuration_generation', () => configuration.current()?.head.generation ?? 0)
   metrics.gauge('control_sent_bytes', () => ports.peers.traffic?.().sentBytes ?? 0)
   metrics.gauge('control_received_bytes', () => ports.peers.traffic?.().receivedBytes ?? 0)
   metrics.gauge('members_of_failure_domain', () => membership.membersOfDomain().length)
-  ports.peers.serve({ ...configuration.handlers, ...membership.handlers, ...reports.handlers, [PeerMethod.Status]: async () => status() })
+  ports.peers.serve({
+    ...configuration.handlers,
+    ...membership.handlers,
+    ...reports.handlers,
+    ...claims.handlers,
+    ...relayed.handlers,
+    [PeerMethod.Status]: async () => status()
+  })
 
   return {
     handle: inFlight.track(handle),
@@ -210,8 +238,9 @@
       leaving.start()
     },
     isReady: () => !shutdown.isLeaving() && configuration.current() !== undefined,
-    renderMetrics: metrics.render,
+    renderMetrics: () => metrics.render() + burn.renderMetrics(),
     status,
+    burn: () => ({ vm, failureDomain, atMilliseconds: Date.now(), objectives: burn.report() }),
     shutdown: shutdown.begin,
     isLeaving: shutdown.isLeaving,
     onPlannedStop: leaving.onOwnStop,
--- a/packages/wigeonlead/src/request/completion-start.ts
+++ b/packages/wigeonlead/src/request/completion-start.ts
@@ -3,7 +3,7 @@
  * generation has begun.
  */
 import { FailureKind, ProblemType, Step, createProblem, failed, success, type Outcome, type Problem } from '@wigeonlead/protocol'
-import type { ParsedCompletion } from './completion.js'
+import type { CompletionInput } from './completion-input.js'
 import type { RequestContext } from './context.js'
 import type { GenerationOrder } from './generation.js'
 
@@ -26,7 +26,7 @@
 
 /** @param parseAgain reads the request under the context of the start. */
 export function createStart (
-  context: RequestContext, parsed: ParsedCompletion, parseAgain: () => ParsedCompletion | Problem
+  context: RequestContext, parsed: CompletionInput, parseAgain: () => CompletionInput | Problem
 ): CompletionStart {
   const start: CompletionStart = { tryStart, context, order: parsed.order, release: () => {} }
 
@@ -48,9 +48,9 @@
   }
 
   function reserve (isOverShare: boolean): Outcome<boolean> {
-    const { parts, version } = start.context
+    const { parts, version, workspace } = start.context
     const { model, reference, prompt } = start.order
-    const query = { version, model, reference, prompt, excluded: new Set<string>() }
+    const query = { version, model, reference, prompt, workspace, excluded: new Set<string>() }
     const path = parts.paths.choose({ ...query, needsRoom: true, roomShare: isOverShare ? OVER_SHARE_ROOM : 1 })
     if (!path.ok) {
       const any = parts.paths.choose(query)
--- a/packages/wigeonlead/src/request/context.ts
+++ b/packages/wigeonlead/src/request/context.ts
@@ -2,8 +2,10 @@
  * What every request reads: the version that it began with, its workspace, and the parts of the process that it uses.
  */
 import type { EnginePort, ManifestWorkspace, RandomSource, ServicePort } from '@wigeonlead/protocol'
+import type { Burn } from '../process/burn.js'
 import type { Logger } from '../process/logging.js'
 import type { Metrics } from '../process/metrics.js'
+import type { ObservedLatency } from '../process/observed-latency.js'
 import type { RetryBudget } from '../process/retry-budget.js'
 import type { TargetBoard } from '../process/targets.js'
 import type { CompiledVersion } from '../version/index.js'
@@ -21,9 +23,14 @@
   admission: Admission
   claims: Claims
   retries: RetryBudget
+  /** Latencies of services' operations. */
+  latencies: ObservedLatency
   metrics: Metrics
+  burn: Burn
   logger: Logger
   failureDomain: string
+  /** When a leaving target will be gone, where anybody says; undefined while it stays. No session is moved when absent. */
+  leaveOf?: (target: string) => { untilMilliseconds?: number } | undefined
   /** Deadline of a request that names none, milliseconds. */
   defaultDeadlineMilliseconds: number
 }
--- a/packages/wigeonlead/src/request/generation-epoch.ts
+++ b/packages/wigeonlead/src/request/generation-epoch.ts
@@ -44,7 +44,10 @@
     while (true) {
       const startedAt = performance.now()
       const next = await nextEvent(context, events, request, run, watch)
-      if ('kind' in next) return next
+      if ('kind' in next) {
+        if (next.kind === 'failed' && next.blamed?.length === 0) run.recordStall(performance.now() - startedAt)
+        return next
+      }
       const { event } = next
       if (event.attempt !== request.attempt) return fault({ detail: 'the event belongs to another attempt' })
       if (event.kind === EngineEventKind.Failure) return { kind: 'failed', failure: event.failure }
@@ -65,7 +68,8 @@
     ended.abort()
     for (const release of releases) release()
     run.end()
-    if (!isWhole) leaveBehind(context, request, events)
+    void Promise.resolve(events.return?.()).catch(() => {})
+    if (!isWhole) cancelStages(context, request)
   }
 }
 
@@ -147,7 +151,6 @@
   return { kind: 'failed', failure: { kind: FailureKind.Broken, step: Step.Engine, peer, detail: 'the stream ended early' } }
 }
 
-function leaveBehind (context: RequestContext, request: GenerationRequest, events: AsyncIterator<EngineEvent>): void {
+function cancelStages (context: RequestContext, request: GenerationRequest): void {
   for (const stage of request.stages) void context.parts.engines.cancel(stage, request.session, request.epoch)
-  void Promise.resolve(events.return?.()).catch(() => {})
 }
