--- a/packages/wigeonlead/src/request/path-run.ts
+++ b/packages/wigeonlead/src/request/path-run.ts
@@ -12,6 +12,8 @@
 export interface PathRun {
   /** Takes note of the time in which the next token came, milliseconds. */
   recordToken: (milliseconds: number) => void
+  /** Takes note of a stall without a stage to blame: the path may be slower than it was known to be. */
+  recordStall: (milliseconds: number) => void
   /** @returns how long to wait for the next token before the path counts as stalled, milliseconds. */
   stallTimeout: () => number
   /** Ends the run. */
@@ -77,6 +79,9 @@
       observer.record(milliseconds)
       if (tokens % TOKENS_A_PACE === 0) recordPaces()
     },
+    recordStall (milliseconds) {
+      if (tokens > 0) observer.record(milliseconds)
+    },
     stallTimeout: () => tokens === 0 ? parts.firstTokens.stallTimeout(model, characters) : observer.stallTimeout(),
     end: ejectSlowest
   }
--- a/packages/wigeonlead/src/request/path.ts
+++ b/packages/wigeonlead/src/request/path.ts
@@ -12,8 +12,8 @@
 import type { CompiledModel, CompiledVersion, StageOption } from '../version/index.js'
 import { beginPathRun, type PathRun } from './path-run.js'
 import { LEAN_WEIGHTS, fullMilliseconds, linkKey, targetKey, type StageCosts } from './path-cost.js'
-import { isServedIn } from './placement.js'
 import { cheapestOfEachKind, cheapestPath, type PathCosts, type PricedPath } from './path-search.js'
+import { isServedIn } from './placement.js'
 
 /** What a path is wanted for. */
 export interface PathQuery {
--- a/packages/wigeonlead/test/hang-up.spec.ts
+++ b/packages/wigeonlead/test/hang-up.spec.ts
@@ -2,8 +2,8 @@
 import * as assert from 'uvu/assert'
 import { manifestSchema } from '@wigeonlead/protocol'
 import { createEngine, createMemoryEngines, withPausedClock } from '@wigeonlead/stand-ins'
-import { answerCompletion } from '../src/request/completion.js'
 import { CompletionShape } from '../src/request/completion-input.js'
+import { answerCompletion } from '../src/request/completion.js'
 import { createRoutingParts } from './routing-parts.js'
 
 const MODEL = { model: 'm', version: 'v1' }
