--- a/packages/wigeonlead/src/request/claims/claims.ts
+++ b/packages/wigeonlead/src/request/claims/claims.ts
@@ -216,7 +216,7 @@
 
 function refusedClaim (outcome: ClaimChangeOutcome): ClaimOutcome {
   if ('failure' in outcome) return { kind: ClaimResult.Unavailable, failure: outcome.failure }
-  return { kind: ClaimResult.NotRun, failure: claimFailure('local', 'every submission up to this one was given up without being run') }
+  return { kind: ClaimResult.FencedOff, failure: claimFailure('local', 'every submission up to this one was given up without being run') }
 }
 
 function repeated (found: ClaimEntry, wanted: ClaimedEntry): ClaimOutcome {
--- a/packages/wigeonlead/src/request/claims/outcome.ts
+++ b/packages/wigeonlead/src/request/claims/outcome.ts
@@ -25,6 +25,8 @@
   AnswerNotKept = 'answer-not-kept',
   /** No submission of the order so far has run or ever will. */
   NotRun = 'not-run',
+  /** The same, since an earlier release fences this submission off. */
+  FencedOff = 'fenced-off',
   /** This submission sent nothing and never will; of others with the same key nothing is known. */
   NotSent = 'not-sent',
   /** The order may have run. */
@@ -43,7 +45,7 @@
 export type ClaimOutcome =
   | { kind: ClaimResult.Answered, answer: ServiceAnswer, isRepeat: boolean }
   | { kind: ClaimResult.AnswerNotKept, status: number }
-  | { kind: ClaimResult.NotRun | ClaimResult.NotSent | ClaimResult.Unavailable, failure: Failure }
+  | { kind: ClaimResult.NotRun | ClaimResult.FencedOff | ClaimResult.NotSent | ClaimResult.Unavailable, failure: Failure }
   | { kind: ClaimResult.Uncertain, failure: Failure, wasSent: boolean }
   | { kind: ClaimResult.KeyReused | ClaimResult.KeyExpired | ClaimResult.KeyFromFuture }
 
--- a/packages/wigeonlead/src/request/services/claimed.ts
+++ b/packages/wigeonlead/src/request/services/claimed.ts
@@ -67,8 +67,10 @@
       createProblem(ProblemType.AnswerNotKept, `the service answered with status ${status}`, { order: OrderState.Run }))
     .with({ kind: ClaimResult.NotRun }, ({ failure }) => {
       const options = { order: OrderState.NotRun, retryAfterSeconds: retryAfter(failure) }
-      return createProblem(ProblemType.OrderNotRun, describeFailure(failure), options)
+      return createProblem(ProblemType.NoPath, describeFailure(failure), options)
     })
+    .with({ kind: ClaimResult.FencedOff }, ({ failure }) =>
+      createProblem(ProblemType.OrderNotRun, describeFailure(failure), { order: OrderState.NotRun }))
     .with({ kind: ClaimResult.NotSent }, ({ failure }) =>
       refuseUnsent(order, ProblemType.NoPath, describeFailure(failure), { retryAfterSeconds: retryAfter(failure) }))
     .with({ kind: ClaimResult.Unavailable }, ({ failure }) =>
