A suspicion does not end a leave; a missing part is priced by itself

Cause: 'suspect' overwrote 'leaving' on the target board, so a leaving target could get new work; path costs were kept by target name, so one missing part priced every part of its target. Each new test fails with the fault put back (seen for both) and passes now.

--- a/packages/wigeonlead/src/process/targets.ts
+++ b/packages/wigeonlead/src/process/targets.ts
@@ -108,8 +108,8 @@
     recordPace: (target, slowness) => { windowOf(target, UNLIMITED_CAPACITY).recordPace(slowness) },
     window: (target, capacity) => windowOf(target, capacity).size(capacity),
     setState (target, state) {
-      states.set(target, state)
       if (state === MemberState.Suspect) ejections.eject(target)
+      else states.set(target, state)
     },
     ...createHeldParts()
   }
--- a/packages/wigeonlead/src/request/path.ts
+++ b/packages/wigeonlead/src/request/path.ts
@@ -110,7 +110,7 @@
   const { version } = query
   const weights = LEAN_WEIGHTS[version.manifest.routing.lean]
   const prefix = prefixDigest(query.prompt)
-  const priced = new Map<string, number>()
+  const priced = new Map<StageOption, number>()
   const names = version.manifest.failureDomains
   const home = version.domains.get(parts.failureDomain) ?? 0
 
@@ -133,14 +133,14 @@
 
   function stage (option: StageOption): number {
     const { target } = option
-    let cost = priced.get(target.name)
+    let cost = priced.get(option)
     if (cost === undefined) {
       const isFull = query.needsRoom === true && !parts.costs.hasRoom(target, weights.windowShare * (query.roomShare ?? 1))
       const strikes = (query.strikes?.get(target.name) ?? 0) * STRIKE_MILLISECONDS
       const isMissing = parts.targets.holds(target.name, query.reference, option) === false
       const missing = isMissing ? MISSING_MILLISECONDS : 0
       cost = isFull ? Infinity : parts.costs.cost(option, prefix, weights) + strikes + missing
-      priced.set(target.name, cost)
+      priced.set(option, cost)
     }
     return cost
   }
--- a/packages/wigeonlead/test/routing.spec.ts
+++ b/packages/wigeonlead/test/routing.spec.ts
@@ -1,7 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import {
-  CacheEventKind, EngineRole, FailureKind, PeerMethod, Step, manifestSchema, success,
+  CacheEventKind, EngineRole, FailureKind, MemberState, PeerMethod, Step, manifestSchema, success,
   type CompactReport, type EnginePort, type EngineReport, type MemberEntry, type PeerHandlers, type PeerPort
 } from '@wigeonlead/protocol'
 import { createMemoryEngines, withPausedClock } from '@wigeonlead/stand-ins'
@@ -12,6 +12,7 @@
 import { rendezvousOwner } from '../src/process/rendezvous.js'
 import { createReports, type Reports } from '../src/process/reports.js'
 import { createRetryBudget } from '../src/process/retry-budget.js'
+import { TargetAvailability } from '../src/process/targets.js'
 import { createWindow } from '../src/process/window.js'
 import { cheapestPath } from '../src/request/index.js'
 import { compileVersion, type CompiledVersion, type StageOption } from '../src/version/index.js'
@@ -105,6 +106,24 @@
   })
 }
 
+routing('a leaving target that is suspected goes on leaving', () => {
+  const { targets } = createRoutingParts({ engines: createMemoryEngines(new Map()), manifest: manifestOf([A, B]) })
+  targets.setState('a', MemberState.Leaving)
+  targets.setState('a', MemberState.Suspect)
+  assert.is(targets.availability('a'), TargetAvailability.Leaving)
+})
+
+routing('a missing part of a target does not stand for its other parts', () => {
+  const manifest = manifestOf([A, B])
+  manifest.targets[0]!.serves.push({ ...MODEL, adapters: [], layers: [4, 8] })
+  const made = createRoutingParts({ engines: createMemoryEngines(new Map()), manifest })
+  for (let each = 0; each < 3; each += 1) made.targets.begin('b')
+  made.targets.noteHeld(reportOf({ held: [{ ...MODEL, adapters: [], layers: { from: 0, to: 4 } }] }))
+  const model = made.version.models.get(MODEL.model)!
+  const chosen = made.paths.choose({ version: made.version, model, reference: MODEL, prompt: 'p', excluded: new Set() })
+  assert.equal(chosen.ok ? chosen.value.map(stage => stage.target) : undefined, ['a', 'b'])
+})
+
 routing('the cheapest path is the cheapest of all paths', () => {
   const random = createSeededRandom(7)
   for (let turn = 0; turn < 200; turn += 1) {
