--- a/packages/wigeonlead/src/connection/peers/body.ts
+++ b/packages/wigeonlead/src/connection/peers/body.ts
@@ -2,6 +2,7 @@
  * Bodies between entry VMs as they go over the wire: long ones are deflated. What is signed is the wire's bytes, so that nothing
  * is inflated before its sender is known.
  */
+import type { IncomingHttpHeaders } from 'node:http'
 import { deflateSync, inflateSync } from 'node:zlib'
 
 /** A body as it goes over the wire. */
@@ -10,8 +11,7 @@
   isDeflated: boolean
 }
 
-/** Value of the header `content-encoding` of a deflated body. */
-export const DEFLATE_ENCODING = 'deflate'
+const DEFLATE_ENCODING = 'deflate'
 
 /** Shorter bodies gain nothing. */
 const DEFLATED_FROM_BYTES = 512
@@ -24,6 +24,11 @@
   return { bytes: deflateSync(bytes, { level: DEFLATE_LEVEL }), isDeflated: true }
 }
 
+/** @returns what came over the wire as a body, by its headers. */
+export function toWireBody (bytes: Buffer, headers: IncomingHttpHeaders): WireBody {
+  return { bytes, isDeflated: headers['content-encoding'] === DEFLATE_ENCODING }
+}
+
 /**
  * Reads the wire's form of a body.
  * @param maximumBytes bound of the inflated body.
--- a/packages/wigeonlead/src/connection/peers/listener.ts
+++ b/packages/wigeonlead/src/connection/peers/listener.ts
@@ -3,8 +3,9 @@
  */
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
-import { bodyHeaders, packBody, unpackBody } from './body.js'
-import { SIGNATURE_HEADER, readBody, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
+import { readBody } from '@wigeonlead/protocol'
+import { bodyHeaders, packBody, toWireBody, unpackBody } from './body.js'
+import { SIGNATURE_HEADER, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
 import { SignatureCheck, type SignedRequest, type Signer } from './signature.js'
 
 /** Answers one authenticated body. */
@@ -53,7 +54,9 @@
 
   async function reply (incoming: IncomingMessage): Promise<Reply> {
     const peer = incoming.socket.remoteAddress ?? 'unknown'
-    const body = await readBody(incoming, limits.messageBytes)
+    const content = await readBody(incoming, limits.messageBytes)
+    if (content === undefined) throw new Error('the message is too large')
+    const body = toWireBody(content, incoming.headers)
     const header = incoming.headers[SIGNATURE_HEADER]
     const { check, request } = signer.checkRequest(typeof header === 'string' ? header : undefined, body.bytes)
     if (check === SignatureCheck.OffTime) return { status: 409, body: JSON.stringify({ nowMilliseconds: Date.now() }), request }
