--- a/packages/wigeonlead/src/connection/peers/body.ts
+++ b/packages/wigeonlead/src/connection/peers/body.ts
@@ -11,12 +11,18 @@
   isDeflated: boolean
 }
 
+/** Value of the header `content-encoding` of a deflated body. */
 const DEFLATE_ENCODING = 'deflate'
 
 /** Shorter bodies gain nothing. */
 const DEFLATED_FROM_BYTES = 512
 const DEFLATE_LEVEL = 1
 
+/** @returns the wire's form of a body that was read. */
+export function wireBody (bytes: Buffer, headers: IncomingHttpHeaders): WireBody {
+  return { bytes, isDeflated: headers['content-encoding'] === DEFLATE_ENCODING }
+}
+
 /** Makes the wire's form of a body. */
 export function packBody (text: string): WireBody {
   const bytes = Buffer.from(text)
@@ -24,11 +30,6 @@
   return { bytes: deflateSync(bytes, { level: DEFLATE_LEVEL }), isDeflated: true }
 }
 
-/** @returns what came over the wire as a body, by its headers. */
-export function toWireBody (bytes: Buffer, headers: IncomingHttpHeaders): WireBody {
-  return { bytes, isDeflated: headers['content-encoding'] === DEFLATE_ENCODING }
-}
-
 /**
  * Reads the wire's form of a body.
  * @param maximumBytes bound of the inflated body.
--- a/packages/wigeonlead/src/connection/peers/client.ts
+++ b/packages/wigeonlead/src/connection/peers/client.ts
@@ -5,7 +5,7 @@
 import { Agent as TlsAgent, request as requestHttps } from 'node:https'
 import { FailureKind, Step, destroyOnAbort, failed, readAnswer, success, type Failure, type Outcome } from '@wigeonlead/protocol'
 import { z } from 'zod'
-import { bodyHeaders, packBody, toWireBody, unpackBody, type WireBody } from './body.js'
+import { bodyHeaders, packBody, unpackBody, wireBody, type WireBody } from './body.js'
 import { SIGNATURE_HEADER, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
 import type { Signer } from './signature.js'
 
@@ -75,7 +75,7 @@
       destroyOnAbort(outgoing, aborter.signal)
       const response = await send(outgoing, body.bytes, tls !== undefined, () => { isConnected = true })
       const { socket } = response
-      const answer = toWireBody(await readAnswer(response, limits.messageBytes), response.headers)
+      const answer = wireBody(await readAnswer(response, limits.messageBytes), response.headers)
       traffic.observe(socket)
       const answerSignature = response.headers[SIGNATURE_HEADER]
       return success({ status: response.statusCode ?? 0, body: answer, signature: typeof answerSignature === 'string' ? answerSignature : undefined })
--- a/packages/wigeonlead/src/connection/peers/listener.ts
+++ b/packages/wigeonlead/src/connection/peers/listener.ts
@@ -4,7 +4,7 @@
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
 import { readBody } from '@wigeonlead/protocol'
-import { bodyHeaders, packBody, toWireBody, unpackBody } from './body.js'
+import { bodyHeaders, packBody, unpackBody, wireBody } from './body.js'
 import { SIGNATURE_HEADER, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
 import { SignatureCheck, type SignedRequest, type Signer } from './signature.js'
 
@@ -56,7 +56,7 @@
     const peer = incoming.socket.remoteAddress ?? 'unknown'
     const content = await readBody(incoming, limits.messageBytes)
     if (content === undefined) throw new Error('the message is too large')
-    const body = toWireBody(content, incoming.headers)
+    const body = wireBody(content, incoming.headers)
     const header = incoming.headers[SIGNATURE_HEADER]
     const { check, request } = signer.checkRequest(typeof header === 'string' ? header : undefined, body.bytes)
     if (check === SignatureCheck.OffTime) return { status: 409, body: JSON.stringify({ nowMilliseconds: Date.now() }), request }
--- a/packages/wigeonlead/src/process/path-times.ts
+++ b/packages/wigeonlead/src/process/path-times.ts
@@ -30,31 +30,41 @@
 
 /** The least wait for a next token, milliseconds. */
 export const STALL_TIMEOUT_FLOOR_MILLISECONDS = 200
-/** The least wait before anything was observed of the path, milliseconds: what is declared of a target may be far off. */
-export const UNOBSERVED_STALL_TIMEOUT_MILLISECONDS = 900
 /** The longest wait for a next token, milliseconds. */
 export const STALL_TIMEOUT_CEILING_MILLISECONDS = 5000
+/** The wait on a path of which a part was never observed. */
+const UNKNOWN_TIMEOUT_MILLISECONDS = 1000
 const STALL_MEANS = 4
 const STALL_DEVIATIONS = 8
 const PART_GAIN = 0.05
 const MOST_CORRECTION = 4
+/** Until then a part's estimate is mostly a prior and moves freely. */
+const FIRST_SAMPLES = 10
 const PATH_GAIN = 0.125
 const LEAST_PART_MILLISECONDS = 0.01
 const MOST_PARTS = 20_000
 
+interface Estimate {
+  milliseconds: number
+  samples: number
+}
+
 /** Makes estimates that know nothing yet. */
 export function createPathTimes (): PathTimes {
-  const estimates = new Map<string, number>()
+  const estimates = new Map<string, Estimate>()
 
   function timeOf (part: PathPart): number {
-    return (estimates.get(part.key) ?? part.priorMilliseconds) * (part.times ?? 1)
+    return (estimates.get(part.key)?.milliseconds ?? part.priorMilliseconds) * (part.times ?? 1)
   }
 
   function correct (parts: PathPart[], milliseconds: number): void {
     const predicted = parts.reduce((sum, part) => sum + timeOf(part), 0)
-    const factor = 1 + PART_GAIN * Math.max(-1, Math.min(MOST_CORRECTION, (milliseconds - predicted) / predicted))
+    const error = (milliseconds - predicted) / predicted
     for (const part of parts) {
-      estimates.set(part.key, Math.max(LEAST_PART_MILLISECONDS, (estimates.get(part.key) ?? part.priorMilliseconds) * factor))
+      const { milliseconds: before, samples } = estimates.get(part.key) ?? { milliseconds: part.priorMilliseconds, samples: 0 }
+      const gain = Math.max(PART_GAIN, 1 / (samples + 1))
+      const factor = 1 + gain * (samples < FIRST_SAMPLES ? error : Math.min(MOST_CORRECTION, error))
+      estimates.set(part.key, { milliseconds: Math.max(LEAST_PART_MILLISECONDS, before * factor), samples: samples + 1 })
     }
     while (estimates.size > MOST_PARTS) estimates.delete(estimates.keys().next().value ?? '')
   }
@@ -63,20 +73,21 @@
     follow (parts) {
       let mean = parts.reduce((sum, part) => sum + timeOf(part), 0)
       let deviation = mean / 2
-      let floor = UNOBSERVED_STALL_TIMEOUT_MILLISECONDS
+      let isKnown = parts.every(part => estimates.has(part.key))
       return {
         record (milliseconds) {
           correct(parts, milliseconds)
-          floor = STALL_TIMEOUT_FLOOR_MILLISECONDS
-          deviation += PATH_GAIN * (Math.abs(milliseconds - mean) - deviation)
-          mean += PATH_GAIN * (milliseconds - mean)
+          const gain = isKnown ? PATH_GAIN : 1
+          isKnown = true
+          deviation += gain * (Math.abs(milliseconds - mean) / (gain === 1 ? 2 : 1) - deviation)
+          mean += gain * (milliseconds - mean)
         },
         stallTimeout () {
-          const wanted = STALL_MEANS * mean + STALL_DEVIATIONS * deviation
-          return Math.min(STALL_TIMEOUT_CEILING_MILLISECONDS, Math.max(floor, wanted))
+          const wanted = isKnown ? STALL_MEANS * mean + STALL_DEVIATIONS * deviation : UNKNOWN_TIMEOUT_MILLISECONDS
+          return Math.min(STALL_TIMEOUT_CEILING_MILLISECONDS, Math.max(STALL_TIMEOUT_FLOOR_MILLISECONDS, wanted))
         }
       }
     },
-    estimate: key => estimates.get(key)
+    estimate: key => estimates.get(key)?.milliseconds
   }
 }
--- a/packages/wigeonlead/src/request/generation-epoch.ts
+++ b/packages/wigeonlead/src/request/generation-epoch.ts
@@ -44,7 +44,10 @@
     while (true) {
       const startedAt = performance.now()
       const next = await nextEvent(context, events, request, run, watch)
-      if ('kind' in next) return next
+      if ('kind' in next) {
+        if (next.kind === 'failed' && next.blamed?.length === 0) run.recordStall(performance.now() - startedAt)
+        return next
+      }
       const { event } = next
       if (event.attempt !== request.attempt) return fault({ detail: 'the event belongs to another attempt' })
       if (event.kind === EngineEventKind.Failure) return { kind: 'failed', failure: event.failure }
