--- a/packages/wigeonlead/src/process/path-times.ts
+++ b/packages/wigeonlead/src/process/path-times.ts
@@ -38,6 +38,9 @@
 const STALL_DEVIATIONS = 8
 const PART_GAIN = 0.05
 const MOST_CORRECTION = 4
+const MOST_FIRST_CORRECTION = 16
+/** A part never shrinks more at once: one token that had been waiting says little. */
+const LEAST_FACTOR = 0.8
 /** Until then a part's estimate is mostly a prior and moves freely. */
 const FIRST_SAMPLES = 10
 const PATH_GAIN = 0.125
@@ -63,7 +66,8 @@
     for (const part of parts) {
       const { milliseconds: before, samples } = estimates.get(part.key) ?? { milliseconds: part.priorMilliseconds, samples: 0 }
       const gain = Math.max(PART_GAIN, 1 / (samples + 1))
-      const factor = 1 + gain * (samples < FIRST_SAMPLES ? error : Math.min(MOST_CORRECTION, error))
+      const most = samples < FIRST_SAMPLES ? MOST_FIRST_CORRECTION : MOST_CORRECTION
+      const factor = Math.max(LEAST_FACTOR, 1 + gain * Math.min(most, error))
       estimates.set(part.key, { milliseconds: Math.max(LEAST_PART_MILLISECONDS, before * factor), samples: samples + 1 })
     }
     while (estimates.size > MOST_PARTS) estimates.delete(estimates.keys().next().value ?? '')
--- a/packages/wigeonlead/src/request/completion-start.ts
+++ b/packages/wigeonlead/src/request/completion-start.ts
@@ -22,7 +22,7 @@
 }
 
 /** Share of the room that is open to a workspace which runs more than its share, so that the others' tokens stay quick. */
-const OVER_SHARE_ROOM = 0.7
+const OVER_SHARE_ROOM = 0.6
 
 /** @param parseAgain reads the request under the context of the start. */
 export function createStart (
