--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -17,6 +17,7 @@
 import { capacityExperiment } from './slopes-capacity.js'
 import { failuresExperiment } from './slopes-failures.js'
 import { fleetExperiment, slopesExperiment } from './slopes.js'
+import { spreadExperiment } from './spread.js'
 
 const EXPERIMENTS: Record<string, Experiment> = {
   throughput: THROUGHPUT,
@@ -31,7 +32,8 @@
   slopes: slopesExperiment,
   fleet: fleetExperiment,
   failures: failuresExperiment,
-  capacity: capacityExperiment
+  capacity: capacityExperiment,
+  spread: spreadExperiment
 }
 const DEFAULT_FOLDER = 'docs/measurements'
 
--- a/packages/wigeonlead/src/request/services/responses.ts
+++ b/packages/wigeonlead/src/request/services/responses.ts
@@ -5,9 +5,10 @@
   FailureKind, OrderState, ProblemType, ServiceResult, Submission, createProblem, describeFailure,
   type Failure, type HeaderRecord, type Problem, type ServiceAnswer, type ServiceOutcome
 } from '@wigeonlead/protocol'
+import { refuseAdmission } from '../admission.js'
 import { problemResponse, type CallerResponse } from '../caller.js'
 import { forwardedHeaders } from './headers.js'
-import { refuseUnsent, type ServiceOrder } from './order.js'
+import { refuseUnsent, unsentOrderState, type ServiceOrder } from './order.js'
 
 const DEFAULT_RETRY_SECONDS = 1
 
@@ -33,8 +34,7 @@
 
 /** @returns the refusal of a request that was not admitted. */
 export function admissionRefusal (order: ServiceOrder, failure: Failure): Problem {
-  const type = failure.kind === FailureKind.TimedOut ? ProblemType.DeadlineUnreachable : ProblemType.Overloaded
-  return refuseUnsent(order, type, failure.detail, { retryAfterSeconds: retryAfter(failure) })
+  return { ...refuseAdmission(failure), order: unsentOrderState(order) }
 }
 
 /** @returns after how many seconds a try may do better. */
