--- a/packages/wigeonlead/test/routing-parts.ts
+++ b/packages/wigeonlead/test/routing-parts.ts
@@ -59,7 +59,6 @@
     retries: createRetryBudget(),
     burn: createBurn(),
     metrics: createMetrics(),
-    burn: createBurn(),
     logger: SILENT_LOGGER,
     failureDomain,
     defaultDeadlineMilliseconds: 60_000
