--- a/packages/wigeonlead/test/routing-parts.ts
+++ b/packages/wigeonlead/test/routing-parts.ts
@@ -58,6 +58,7 @@
     claims: { run: async () => { throw new Error('no claims here') } },
     retries: createRetryBudget(),
     metrics: createMetrics(),
+    burn: createBurn(),
     logger: SILENT_LOGGER,
     failureDomain,
     defaultDeadlineMilliseconds: 60_000
