--- a/packages/wigeonlead/src/request/admission.ts
+++ b/packages/wigeonlead/src/request/admission.ts
@@ -57,6 +57,8 @@
 const MOST_WAITING_A_WORKSPACE = 1024
 const RETRY_INTERVAL_MILLISECONDS = 50
 const RATE_GAIN = 0.05
+/** Longest usual run over the mean one: what can't end in time isn't begun. */
+const RUN_MARGIN = 1.25
 const FULL_STATUS = 503
 const LIMIT_STATUS = 429
 
@@ -124,8 +126,8 @@
   function dispatch (state: ResourceState): void {
     state.queue.drain(waiting => {
       const { request } = waiting
-      if (Date.now() >= request.deadlineAt) {
-        waiting.settle(failed(tooLate(state, 'the deadline passed in the queue')))
+      if (Date.now() + expectedRun(state, request) > request.deadlineAt) {
+        waiting.settle(failed(tooLate(state, 'the time left is too short for an answer')))
         return true
       }
       const started = request.start?.(shares.isOver(request.workspace)) ?? success(true)
@@ -228,7 +230,7 @@
 }
 
 function expectedRun (state: ResourceState, request: AdmissionRequest): number {
-  return (request.tokens ?? 1) * state.usedShare * (state.millisecondsPerToken ?? 0)
+  return RUN_MARGIN * (request.tokens ?? 1) * state.usedShare * (state.millisecondsPerToken ?? 0)
 }
 
 function tooLate (state: ResourceState, detail: string): Failure {
