--- a/packages/wigeonlead/test/routing-parts.ts
+++ b/packages/wigeonlead/test/routing-parts.ts
@@ -57,6 +57,7 @@
     admission: createAdmission(),
     claims: { run: async () => { throw new Error('no claims here') } },
     retries: createRetryBudget(),
+    burn: createBurn(),
     metrics: createMetrics(),
     logger: SILENT_LOGGER,
     failureDomain,
