--- a/packages/wigeonlead/test/routing-parts.ts
+++ b/packages/wigeonlead/test/routing-parts.ts
@@ -57,7 +57,6 @@
     admission: createAdmission(),
     claims: { run: async () => { throw new Error('no claims here') } },
     retries: createRetryBudget(),
-    burn: createBurn(),
     metrics: createMetrics(),
     burn: createBurn(),
     logger: SILENT_LOGGER,
