--- a/packages/wigeonlead/src/process/in-flight.ts
+++ b/packages/wigeonlead/src/process/in-flight.ts
@@ -49,7 +49,7 @@
           end(request)
           return response
         }
-        return { ...response, body: untilEnd(response.body, isCut, () => end(request)) }
+        return { ...response, body: untilEnd(response.body, cut.signal, () => end(request)) }
       } catch (error) {
         end(request)
         throw error
@@ -69,24 +69,49 @@
   }
 }
 
-async function * untilEnd (body: StreamedBody, isCut: Promise<unknown>, end: () => void): AsyncIterable<string> {
+/** Passes the pieces on until the body ends or is cut off; then says so once. */
+function untilEnd (body: StreamedBody, cut: AbortSignal, end: () => void): StreamedBody {
   const pieces = body[Symbol.asyncIterator]()
-  let isWhole = false
-  try {
-    while (true) {
-      const next = await Promise.race([pieces.next(), isCut.then(() => undefined)])
-      if (next === undefined) {
-        yield `event: error\ndata: ${JSON.stringify({ error: cutOffProblem() })}\n\n`
-        return
-      }
-      isWhole = next.done === true
-      if (next.done === true) return
-      yield next.value
-    }
-  } finally {
-    if (!isWhole) void pieces.return?.()
+  let isEnded = false
+  let onCut = (): void => {}
+  cut.addEventListener('abort', () => onCut(), { once: true })
+
+  function close (): void {
+    if (isEnded) return
+    isEnded = true
     end()
   }
+
+  function nextOrCut (): Promise<IteratorResult<string> | undefined> {
+    if (cut.aborted) return Promise.resolve(undefined)
+    return new Promise((resolve, reject) => {
+      onCut = () => resolve(undefined)
+      pieces.next().then(resolve, reject)
+    })
+  }
+
+  async function next (): Promise<IteratorResult<string>> {
+    if (isEnded) return { done: true, value: undefined }
+    try {
+      const piece = await nextOrCut()
+      if (piece?.done === true) close()
+      if (piece !== undefined) return piece
+    } catch (error) {
+      close()
+      throw error
+    }
+    close()
+    void pieces.return?.()
+    return { done: false, value: `event: error\ndata: ${JSON.stringify({ error: cutOffProblem() })}\n\n` }
+  }
+
+  async function leave (): Promise<IteratorResult<string>> {
+    if (!isEnded) void pieces.return?.()
+    close()
+    return { done: true, value: undefined }
+  }
+
+  return { [Symbol.asyncIterator]: () => ({ next, return: leave }) }
 }
 
 function cutOffProblem (): Problem {
