A path that would resolve to another operation is refused

Cause: operations are looked up by the path as it was sent, and the HTTP client then resolved dot segments and backslashes, so '/jobs/a\..\..\orders' was looked up as an idempotent operation and sent as '/orders', where it could be retried: a broken promise of at most once. Found in the read-through.

Measured: the five new rows fail without the check and pass with it; all tests pass.

--- a/packages/wigeonlead/src/request/services/order.ts
+++ b/packages/wigeonlead/src/request/services/order.ts
@@ -40,6 +40,7 @@
     return refuse(ProblemType.Forbidden, `workspace ${context.workspace.name} may not use service "${serviceName}"`)
   }
   const pathname = path.split('?')[0] ?? '/'
+  if (!isNormalPath(path, pathname)) return refuse(ProblemType.MalformedRequest, 'the path is not in the normal form of a URL')
   const operation = compiled.operations.find(each => each.operation.method === request.method && each.pattern.test(pathname))?.operation
   if (operation === undefined) return refuse(ProblemType.UnknownOperation, `service "${serviceName}" has no ${request.method} ${pathname}`)
   if (request.body.byteLength > service.maximumBodyBytes) return refuse(ProblemType.BodyTooLarge, `the body is over ${service.maximumBodyBytes} bytes`)
@@ -48,6 +49,16 @@
   return { request, service, operation, previousAttempts, call: createCall(request, service, operation, path) }
 }
 
+/** What the HTTP client would resolve to another path (dot segments, backslashes, fragments) could reach another operation. */
+function isNormalPath (path: string, pathname: string): boolean {
+  try {
+    const url = new URL(`http://service${path}`)
+    return url.pathname === pathname && url.hash === ''
+  } catch {
+    return false
+  }
+}
+
 /** The part of an order that decides what may be said of it. */
 export type UnsentOrder = Pick<ServiceOrder, 'request'> & Partial<ServiceOrder>
 
--- a/packages/wigeonlead/test/callers.spec.ts
+++ b/packages/wigeonlead/test/callers.spec.ts
@@ -147,6 +147,15 @@
   { name: 'a sender that is too slow with its body', text: 'POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n{', status: 408 },
   { name: 'what is not HTTP', text: 'hello\r\n\r\n', status: 400 }
 ]
+for (const path of ['/jobs/a\\..\\..\\orders', '/jobs/..', '/jobs/%2e%2e', '/jobs/1#2', '/jobs/{1}']) {
+  callers(`refuses the path ${path}, which a client would resolve to another`, async ({ fixture }) => {
+    const header = `host: a\r\nauthorization: Bearer ${WORKSPACE_KEY}\r\nconnection: close`
+    const answer = await sendRaw(fixture, `GET /services/repair-orders${path} HTTP/1.1\r\n${header}\r\n\r\n`)
+    assert.match(answer, /^HTTP\/1.1 400 /)
+    assert.match(answer, 'normal form')
+  })
+}
+
 for (const { name, text, status } of RAW_CASES) {
   callers(`ends the connection of ${name}`, async ({ fixture }) => {
     const answer = await sendRaw(fixture, text)
