A router that cannot open a listener exits

Cause: with the operators' port taken the process said EADDRINUSE and then stayed, since the peers' listener was open already: no balancer would have had it, and no platform replaced it. Found by trying the command line by hand (ended by a time limit after 6 s, code 124).

Measured: exits with code 1; the table of command lines has 6 rows that pass.

--- a/packages/wigeonlead/src/main.ts
+++ b/packages/wigeonlead/src/main.ts
@@ -47,6 +47,6 @@
     process.exit(0)
   } catch (error) {
     process.stderr.write(`wigeonlead: ${(error as Error).message}\n`)
-    process.exitCode = EXIT_FAILED
+    process.exit(EXIT_FAILED)
   }
 }
