Waiting requests are tried again when another version is in force

Cause: admission could be woken but nothing woke it; a withdrawn workspace's requests were looked at 50 ms later.

--- a/packages/wigeonlead/src/process/wire.ts
+++ b/packages/wigeonlead/src/process/wire.ts
@@ -127,6 +127,7 @@
   })
   const admission = createAdmission({ shareOf: workspace => membership.demandOf(workspace).share })
   membership.setDemandSource(admission.demand)
+  configuration.onChange(admission.wake)
   membership.onTargetEvent(event => {
     if (event.state === MemberState.Suspect) targets.setState(event.target, event.state)
   })
