--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -18,6 +18,7 @@
 export { createVmListClient } from './platform/vm-list-client.js'
 export { destroyOnAbort, postJson, postStream, type JsonCallOptions } from './platform/http-json.js'
 export { readAnswer, readBody } from './platform/read-body.js'
+export { sendRequest } from './platform/send-request.js'
 export { createLineReader, type LineReader } from './platform/line-reader.js'
 export {
   CacheEventKind, EngineEventKind, EngineOrderKind, EngineRole, FinishReason, cacheExportSchema, engineOrderSchema,
--- a/packages/protocol/src/platform/http-json.ts
+++ b/packages/protocol/src/platform/http-json.ts
@@ -6,6 +6,7 @@
 import { FailureKind, failed, success, type Failure, type Outcome, type Step } from '../failure.js'
 import { createLineReader } from './line-reader.js'
 import { readAnswer } from './read-body.js'
+import { sendRequest } from './send-request.js'
 
 const KEEP_ALIVE_AGENT = new Agent({ keepAlive: true, maxSockets: 256, maxFreeSockets: 64 })
 const MAXIMUM_ANSWER_BYTES = 16_777_216
@@ -75,21 +76,13 @@
   url: string, body: unknown, signal: AbortSignal, options: JsonCallOptions, onConnected: () => void
 ): Promise<IncomingMessage> {
   const content = body === undefined ? '' : JSON.stringify(body)
-  return new Promise((resolve, reject) => {
-    const outgoing = request(url, {
-      method: options.method ?? 'POST',
-      agent: KEEP_ALIVE_AGENT,
-      headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(content), ...options.headers }
-    })
-    outgoing.on('socket', socket => {
-      if (socket.connecting) socket.once('connect', onConnected)
-      else onConnected()
-    })
-    outgoing.on('response', resolve)
-    outgoing.on('error', reject)
-    destroyOnAbort(outgoing, signal)
-    outgoing.end(content)
+  const outgoing = request(url, {
+    method: options.method ?? 'POST',
+    agent: KEEP_ALIVE_AGENT,
+    headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(content), ...options.headers }
   })
+  destroyOnAbort(outgoing, signal)
+  return sendRequest(outgoing, content, onConnected)
 }
 
 function statusFailure (origin: { step: Step, peer: string }, status: number, text: string): Failure {
--- a/packages/wigeonlead/src/connection/engines.ts
+++ b/packages/wigeonlead/src/connection/engines.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod'
 import {
   EngineEventKind, FailureKind, Step, cacheExportSchema, destroyOnAbort, engineReportSchema, engineWireEventSchema, failed, postJson,
-  createLineReader, stepAnswerSchema, success,
+  createLineReader, sendRequest, stepAnswerSchema, success,
   type EngineEvent, type EnginePort, type EngineWireEvent, type Failure, type GenerationRequest, type Outcome, type TargetAddress
 } from '@wigeonlead/protocol'
 
@@ -107,20 +107,12 @@
 function open (
   agent: Agent, target: TargetAddress, generation: GenerationRequest, signal: AbortSignal, connection: { isConnected: boolean }
 ): Promise<IncomingMessage> {
-  return new Promise((resolve, reject) => {
-    const outgoing = request(`http://${target.address}/v1/generate`, {
-      method: 'POST', agent, headers: { 'content-type': 'application/json' }
-    })
-    destroyOnAbort(outgoing, signal)
-    outgoing.on('socket', socket => {
-      socket.setNoDelay(true)
-      if (!socket.connecting) connection.isConnected = true
-      else socket.once('connect', () => { connection.isConnected = true })
-    })
-    outgoing.on('response', resolve)
-    outgoing.on('error', reject)
-    outgoing.end(JSON.stringify(generation))
+  const outgoing = request(`http://${target.address}/v1/generate`, {
+    method: 'POST', agent, headers: { 'content-type': 'application/json' }
   })
+  destroyOnAbort(outgoing, signal)
+  outgoing.setNoDelay(true)
+  return sendRequest(outgoing, JSON.stringify(generation), () => { connection.isConnected = true })
 }
 
 function readEvent (line: string, target: TargetAddress, generation: GenerationRequest): EngineEvent {
--- a/packages/wigeonlead/src/connection/peers/client.ts
+++ b/packages/wigeonlead/src/connection/peers/client.ts
@@ -1,9 +1,9 @@
 /**
  * The calling side between entry VMs: one signed HTTP request for each call, over kept connections.
  */
-import { Agent, request as requestHttp, type ClientRequest, type IncomingMessage } from 'node:http'
+import { Agent, request as requestHttp, type ClientRequest } from 'node:http'
 import { Agent as TlsAgent, request as requestHttps } from 'node:https'
-import { FailureKind, Step, destroyOnAbort, failed, readAnswer, success, type Failure, type Outcome } from '@wigeonlead/protocol'
+import { FailureKind, Step, destroyOnAbort, failed, readAnswer, sendRequest, success, type Failure, type Outcome } from '@wigeonlead/protocol'
 import { z } from 'zod'
 import { bodyHeaders, packBody, unpackBody, wireBody, type WireBody } from './body.js'
 import { SIGNATURE_HEADER, type PeerLimits, type PeerTlsFiles, type TrafficCounter } from './shared.js'
@@ -30,6 +30,7 @@
     keepAlive: true, maxSockets: limits.socketsOfAPeer, maxFreeSockets: limits.idleSocketsOfAPeer, timeout: limits.idleMilliseconds
   }
   const agent = tls === undefined ? new Agent(pool) : new TlsAgent({ ...pool, cert: tls.certificate, key: tls.key, ca: tls.authority })
+  const connectEvent = tls === undefined ? 'connect' : 'secureConnect'
   const open = (address: string, options: object): ClientRequest => tls === undefined
     ? requestHttp(`http://${address}/rpc`, options)
     : requestHttps(`https://${address}/rpc`, options)
@@ -73,7 +74,7 @@
       const headers = { ...bodyHeaders(body), [SIGNATURE_HEADER]: signature }
       const outgoing = open(address, { method: 'POST', agent, headers })
       destroyOnAbort(outgoing, aborter.signal)
-      const response = await send(outgoing, body.bytes, tls !== undefined, () => { isConnected = true })
+      const response = await sendRequest(outgoing, body.bytes, () => { isConnected = true }, connectEvent)
       const { socket } = response
       const answer = wireBody(await readAnswer(response, limits.messageBytes), response.headers)
       traffic.observe(socket)
@@ -107,18 +108,6 @@
   }
 }
 
-function send (outgoing: ClientRequest, body: Buffer, isTls: boolean, onConnected: () => void): Promise<IncomingMessage> {
-  return new Promise((resolve, reject) => {
-    outgoing.on('socket', socket => {
-      if (socket.connecting) socket.once(isTls ? 'secureConnect' : 'connect', onConnected)
-      else onConnected()
-    })
-    outgoing.on('response', resolve)
-    outgoing.on('error', reject)
-    outgoing.end(body)
-  })
-}
-
 function statusFailure (address: string, status: number, isSigned: boolean): Failure {
   const origin = { step: Step.Peer, peer: address, detail: `status ${status}` }
   if (status === 503 && isSigned) return { ...origin, kind: FailureKind.Refused, status }
