--- a/packages/wigeonlead/src/process/configuration/sources.ts
+++ b/packages/wigeonlead/src/process/configuration/sources.ts
@@ -7,6 +7,7 @@
   type KeyValueEntry, type KeyValuePort, type PeerPort, type RandomSource, type VmListPort
 } from '@wigeonlead/protocol'
 import type { Membership } from '../membership/index.js'
+import { pauseInBackground } from '../pause.js'
 
 /** What the sources need. */
 export interface SourceParts {
@@ -71,7 +72,7 @@
     while (!stopped.signal.aborted) {
       await poll()
       const interval = Math.max(POLL_FLOOR_MILLISECONDS, membership.aliveNodes() * POLL_MILLISECONDS_OF_A_NODE)
-      await pause(interval * (1 + (random.nextFloat() * 2 - 1) * POLL_JITTER))
+      await pauseInBackground(interval * (1 + (random.nextFloat() * 2 - 1) * POLL_JITTER))
     }
   }
 
@@ -85,7 +86,7 @@
   async function watchAgain (): Promise<void> {
     while (!stopped.signal.aborted) {
       if (isWatcher()) await watchWhileChosen()
-      await pause(WATCH_CHECK_MILLISECONDS)
+      await pauseInBackground(WATCH_CHECK_MILLISECONDS)
     }
   }
 
@@ -144,7 +145,7 @@
     const fromKeyValue = readHead(keyValue).then(read => {
       if (read.ok && read.value.head !== undefined) found.push({ head: read.value.head })
     })
-    await Promise.race([Promise.all([fromKeyValue, askPeers(found)]), pause(START_MILLISECONDS)])
+    await Promise.race([Promise.all([fromKeyValue, askPeers(found)]), pauseInBackground(START_MILLISECONDS)])
     found.sort((left, right) => right.head.generation - left.head.generation)
     for (const { head, peer } of found) await observe(head, peer)
   }
@@ -177,7 +178,3 @@
 function weightOf (address: string): string {
   return createHash('sha256').update(`configuration ${address}`).digest('hex')
 }
-
-function pause (milliseconds: number): Promise<void> {
-  return new Promise(resolve => { setTimeout(resolve, milliseconds).unref() })
-}
--- a/packages/wigeonlead/src/process/membership/gossip.ts
+++ b/packages/wigeonlead/src/process/membership/gossip.ts
@@ -6,6 +6,7 @@
 } from '@wigeonlead/protocol'
 import type { ListedAddress, OtherDomains } from './domains.js'
 import type { MemberTable } from './table.js'
+import { pauseInBackground } from '../pause.js'
 
 /** The rounds of gossip of one node. */
 export interface Gossip {
@@ -61,7 +62,7 @@
       table.sweep()
       parts.sweep()
       runRound(round)
-      await pause(ROUND_MILLISECONDS + (random.nextFloat() * 2 - 1) * ROUND_JITTER_MILLISECONDS)
+      await pauseInBackground(ROUND_MILLISECONDS + (random.nextFloat() * 2 - 1) * ROUND_JITTER_MILLISECONDS)
     }
   }
 
@@ -148,7 +149,7 @@
           : [{ address: `${entry.address}:${entry.peerPort}`, failureDomain: entry.failureDomain }])
         others.setListed(listed)
       }
-      await pause(outcome.ok ? LIST_INTERVAL_MILLISECONDS : ROUND_MILLISECONDS * ROUNDS_BETWEEN_STRANGERS)
+      await pauseInBackground(outcome.ok ? LIST_INTERVAL_MILLISECONDS : ROUND_MILLISECONDS * ROUNDS_BETWEEN_STRANGERS)
     }
   }
 
@@ -170,10 +171,6 @@
   }
 }
 
-function pause (milliseconds: number): Promise<void> {
-  return new Promise(resolve => { setTimeout(resolve, milliseconds).unref() })
-}
-
 function pick<T> (items: T[], random: RandomSource): T | undefined {
   return items[Math.floor(random.nextFloat() * items.length)]
 }
--- a/packages/wigeonlead/src/request/claims/bucket-store.ts
+++ b/packages/wigeonlead/src/request/claims/bucket-store.ts
@@ -9,6 +9,7 @@
 } from '@wigeonlead/protocol'
 import { EMPTY_HEAD, applyChanges, type AppliedChanges, type BucketHead } from './bucket.js'
 import { PROBE_KEY, decodeHead, decodeSegment, encodeHead, encodeSegment, headKey, segmentKey, shortDigest } from './encoding.js'
+import { pause } from '../../process/pause.js'
 
 /** One bucket in the key-value service, with what this node remembers of it. */
 export interface BucketStore {
@@ -267,7 +268,3 @@
 function tooManyWriters (key: string): Failure {
   return { kind: FailureKind.Refused, step: Step.Claim, peer: key, detail: 'too many writers at once' }
 }
-
-function pause (milliseconds: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, milliseconds))
-}
--- a/packages/wigeonlead/src/request/claims/claims.ts
+++ b/packages/wigeonlead/src/request/claims/claims.ts
@@ -15,6 +15,7 @@
 import { KeyAge, judgeKey } from './key-age.js'
 import { ClaimResult, type ClaimOutcome, type ClaimedOrder, type SendOrder } from './outcome.js'
 import { fromRecordedAnswer, toRecordedAnswer } from './recorded-answer.js'
+import { pause } from '../../process/pause.js'
 
 /** Runs orders at most once. */
 export interface Claims {
@@ -263,7 +264,3 @@
 function claimFailure (peer: string, detail: string): Failure {
   return { kind: FailureKind.Refused, step: Step.Claim, peer, detail }
 }
-
-function pause (milliseconds: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, milliseconds))
-}
