--- a/packages/relay/src/process/directory.ts
+++ b/packages/relay/src/process/directory.ts
@@ -27,6 +27,10 @@
   /** @returns all listed targets of a service, also those that leave or are suspected. */
   listed: (service: string) => Target[]
   find: (id: string) => Target | undefined
+  /** @returns the listed target whose life that is; undefined once it is over. */
+  living: (life: string) => Target | undefined
+  /** @returns lives that are known to leave, to tell peers that the store turns away. */
+  leavingLives: () => string[]
   /** @returns the listed target at an address. */
   at: (address: string) => Target | undefined
   isUsable: (target: Target) => boolean
@@ -105,6 +109,11 @@
     usable: service => [...targets.values()].filter(target => target.service === service && isUsable(target)),
     listed: service => [...targets.values()].filter(target => target.service === service),
     find: id => targets.get(id),
+    living (life) {
+      const target = targets.get(life.slice(0, life.lastIndexOf('@')))
+      return target !== undefined && lifeOf(target) === life ? target : undefined
+    },
+    leavingLives: () => [...targets.values()].filter(({ isLeaving }) => isLeaving).map(lifeOf),
     at: address => [...targets.values()].find(target => target.address === address),
     isUsable,
     put (target) {
--- a/packages/relay/src/process/index.ts
+++ b/packages/relay/src/process/index.ts
@@ -3,6 +3,7 @@
  */
 export { createBeliefs, type Beliefs, type BeliefsParts, type VersionInForce } from './beliefs.js'
 export { createDirectory, type Directory } from './directory.js'
+export { createFreshness, type Freshness, type FreshnessParts } from './freshness.js'
 export { ageOf, presentInstant, type Instant } from './instant.js'
 export { createLoad, type Load, type Reservation } from './load.js'
 export { createPathFinder, type FoundPath, type PathFinder, type PathQuery } from './path-finder.js'
--- a/packages/relay/src/process/peers.ts
+++ b/packages/relay/src/process/peers.ts
@@ -4,7 +4,6 @@
 import { FailureKind, WriteResult, type PollableKeyValue } from '@wigeonlead/protocol'
 import { z } from 'zod'
 import type { PeerLink } from '../connection/peer-link.js'
-import { lifeOf } from '../version/target.js'
 import { repeatInBackground } from './background.js'
 import type { Directory } from './directory.js'
 import type { Load } from './load.js'
@@ -59,7 +58,8 @@
 const loadSchema = z.object({
   vm: z.string(),
   counts: z.array(z.tuple([z.string(), z.number(), z.number()])),
-  suspected: z.array(z.tuple([z.string(), z.number(), z.boolean()]))
+  suspected: z.array(z.tuple([z.string(), z.number(), z.boolean()])),
+  leaving: z.array(z.string())
 })
 
 /** Makes the peers of one process. */
@@ -76,9 +76,13 @@
     const peerFailureDomain = peers.get(told.vm)?.failureDomain
     if (peerFailureDomain === undefined) return
     load.setPeer(told.vm, told.counts.map(([life, requests, tokens]) => ({ life, requests, tokens })))
+    for (const life of told.leaving) {
+      const target = directory.living(life)
+      if (target !== undefined && !target.isLeaving) directory.put({ ...target, isLeaving: true })
+    }
     for (const [life, milliseconds, isLoss] of told.suspected) {
-      const target = directory.find(life.slice(0, life.lastIndexOf('@')))
-      if (target === undefined || lifeOf(target) !== life) continue
+      const target = directory.living(life)
+      if (target === undefined) continue
       // A cut between failure domains looks from outside as if all stages behind it were lost.
       if (target.failureDomain === self.failureDomain && peerFailureDomain !== self.failureDomain) continue
       directory.suspect(target, milliseconds, `told by ${told.vm}`, { peerFailureDomain, isLoss })
@@ -105,7 +109,8 @@
     const message = {
       vm: self.vm,
       counts: load.own().map(({ life, requests, tokens }) => [life, requests, Math.round(tokens)]),
-      suspected: directory.ownSuspicions().map(({ life, milliseconds, isLoss }) => [life, Math.round(milliseconds), isLoss])
+      suspected: directory.ownSuspicions().map(({ life, milliseconds, isLoss }) => [life, Math.round(milliseconds), isLoss]),
+      leaving: directory.leavingLives()
     }
     for (const peer of told) link.notify(peer.address, LOAD_METHOD, message)
   }
--- a/packages/relay/src/process/relay-log.ts
+++ b/packages/relay/src/process/relay-log.ts
@@ -14,6 +14,7 @@
   NotReady = 'not-ready',
   ConfigurationInForce = 'configuration-in-force',
   ConfigurationRefused = 'configuration-refused',
+  FreshnessLearnt = 'freshness-learnt',
   TargetListed = 'target-listed',
   TargetLayers = 'target-layers',
   TargetLeaving = 'target-leaving',
--- a/packages/relay/src/process/stream-watch.ts
+++ b/packages/relay/src/process/stream-watch.ts
@@ -95,8 +95,8 @@
     const limit = Math.max(GROUP_SILENCE_MILLISECONDS, USUAL_PAUSES_OF_SILENCE * usual)
     if (group.some(run => now - run.lastProgress() < limit)) return
     for (const life of group[0]!.lives()) {
-      const target = directory.find(life.slice(0, life.lastIndexOf('@')))
-      if (target !== undefined && lifeOf(target) === life) void verify(target, GROUP_REPORT_LIMIT_MILLISECONDS)
+      const target = directory.living(life)
+      if (target !== undefined) void verify(target, GROUP_REPORT_LIMIT_MILLISECONDS)
     }
   }
 
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -15,6 +15,7 @@
 import { repeatInBackground } from './background.js'
 import { createBeliefs, type Beliefs } from './beliefs.js'
 import { createDirectory, type Directory } from './directory.js'
+import { createFreshness } from './freshness.js'
 import { createLoad } from './load.js'
 import { createPathFinder } from './path-finder.js'
 import { createCoordinatorLease } from './placement/lease.js'
@@ -99,9 +100,31 @@
     timeToLiveMilliseconds: Math.max(COORDINATOR_LEASE_MILLISECONDS, settings.store.leastLeaseMilliseconds)
   })
   const planner = createPlanner({ beliefs, directory, engines, lease, log })
+  const peers = createPeers({
+    self: { vm: settings.node.vm, address: settings.listen.peers, failureDomain: settings.node.failureDomain },
+    keyPrefix: PEER_PREFIX,
+    store,
+    link: ports.link,
+    load,
+    directory,
+    log,
+    signal: stopped.signal,
+    nextFloat: ports.nextFloat
+  })
+  const freshness = createFreshness({
+    self: settings.node.vm,
+    store,
+    configurationKey: ports.keys.configuration,
+    beliefs,
+    peers,
+    link: ports.link,
+    log,
+    nextFloat: ports.nextFloat
+  })
   const parts: RequestParts = {
     dialect,
     beliefs,
+    freshness,
     directory,
     paths,
     load,
@@ -114,17 +137,6 @@
     failureDomain: settings.node.failureDomain,
     nextFloat: ports.nextFloat
   }
-  const peers = createPeers({
-    self: { vm: settings.node.vm, address: settings.listen.peers, failureDomain: settings.node.failureDomain },
-    keyPrefix: PEER_PREFIX,
-    store,
-    link: ports.link,
-    load,
-    directory,
-    log,
-    signal: stopped.signal,
-    nextFloat: ports.nextFloat
-  })
   let isLeaving = false
   let wasReady = false
   describeGauges()
@@ -167,6 +179,7 @@
 
   function isReady (): boolean {
     const ready = !isLeaving && beliefs.version() !== undefined && beliefs.areKeysFresh()
+    if (!isLeaving && !beliefs.areKeysFresh()) void freshness.learn()
     if (ready !== wasReady) {
       log.note(ready ? RelayEvent.Ready : RelayEvent.NotReady, { beliefAgeMilliseconds: Math.round(beliefs.age()), isLeaving })
     }
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -6,7 +6,6 @@
 import { pauseFor } from '../process/background.js'
 import type { FoundPath } from '../process/path-finder.js'
 import { RepeatRule } from '../version/configuration.js'
-import { lifeOf } from '../version/target.js'
 import { Refusal } from './answer.js'
 import { ANSWER_WAY_MILLISECONDS, timeLeft, type AdmittedRequest, type RequestParts } from './context.js'
 import { RunEnd, runEvents, type EventsProgress, type RunOutcome } from './event-run.js'
@@ -97,8 +96,7 @@
 
 /** Whether a life of a target is over: it does not count against the number of targets. */
 function isEnded (life: string, parts: RequestParts): boolean {
-  const target = parts.directory.find(life.slice(0, life.lastIndexOf('@')))
-  return target === undefined || lifeOf(target) !== life
+  return parts.directory.living(life) === undefined
 }
 
 function avoidAfter (outcome: RunOutcome, path: FoundPath, avoided: Set<string>, avoidedFirst: Set<string>): void {
--- a/packages/relay/src/request/handle.ts
+++ b/packages/relay/src/request/handle.ts
@@ -21,7 +21,11 @@
 
 /** Handles one request of a caller to its end. */
 export async function handleExchange (exchange: Exchange, parts: RequestParts): Promise<void> {
-  const admitted = admit(exchange, parts)
+  let admitted = admit(exchange, parts)
+  if ('refusal' in admitted && admitted.refusal === Refusal.ConfigurationTooOld) {
+    await parts.freshness.learn()
+    admitted = admit(exchange, parts)
+  }
   if ('refusal' in admitted) {
     const status = endWithRefusal(exchange.response, admitted.refusal, KNOWLEDGE_RETRY_MILLISECONDS)
     parts.metrics.count('requests_refused_total', { reason: admitted.refusal })
--- /dev/null
+++ b/packages/relay/test/process/freshness.spec.ts
@@ -0,0 +1,138 @@
+/**
+ * Pattern: the store turns some VMs away and serves the others. What a VM learns at once, of the store or of peers, when its word is old.
+ */
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { FailureKind, Step, failed, success, type KeyValueRead, type Outcome, type PollableKeyValue } from '@wigeonlead/protocol'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import {
+  SILENT_RELAY_LOG, createBeliefs, createDirectory, createFreshness, createLoad, createPeers, presentInstant, type Beliefs, type PeerLink
+} from '@wigeonlead/relay'
+import { testConfiguration } from '../test-configuration.js'
+
+const REVOKE_MILLISECONDS = 5000
+const KEY = 'configuration'
+
+type StoreAnswer = () => Promise<Outcome<KeyValueRead>>
+
+const silent: StoreAnswer = () => new Promise(resolve => {
+  setTimeout(() => resolve(failed({ kind: FailureKind.TimedOut, step: Step.KeyValue, peer: 'store', afterMilliseconds: 250, detail: '' })), 250)
+})
+const refusing: StoreAnswer = async () => failed({ kind: FailureKind.Refused, step: Step.KeyValue, peer: 'store', status: 429, detail: '' })
+const empty: StoreAnswer = async () => success({ revision: 0 })
+const holding = (version: number): StoreAnswer => async () =>
+  success({ revision: version, entry: { key: KEY, value: String(version), modRevision: version, createRevision: 1 } })
+
+/** Joins links by name, as datagrams would. */
+function joinLinks (names: readonly string[]): Map<string, PeerLink> {
+  const handlers = new Map(names.map(name => [name, new Map<string, (parameters: unknown) => void>()]))
+  return new Map(names.map(name => [name, {
+    notify: (address: string, method: string, parameters: unknown) => {
+      setTimeout(() => handlers.get(address)?.get(method)?.(JSON.parse(JSON.stringify(parameters))), 1)
+    },
+    on: (method: string, handler: (parameters: unknown) => void) => { handlers.get(name)!.set(method, handler) },
+    async open () {},
+    close () {}
+  }]))
+}
+
+function startVm (
+  vm: string, link: PeerLink, answer: StoreAnswer, others: readonly string[]
+): { beliefs: Beliefs, learn: () => Promise<void> } {
+  const store = { get: answer } as unknown as PollableKeyValue
+  const directory = createDirectory(SILENT_RELAY_LOG, 'east')
+  const beliefs = createBeliefs({
+    decode: text => testConfiguration(Number(text)), log: SILENT_RELAY_LOG, revokeMilliseconds: REVOKE_MILLISECONDS
+  })
+  const peers = createPeers({
+    self: { vm, address: vm, failureDomain: 'east' },
+    keyPrefix: '',
+    store,
+    link,
+    load: createLoad(),
+    directory,
+    log: SILENT_RELAY_LOG,
+    signal: new AbortController().signal,
+    nextFloat: () => 0
+  })
+  for (const other of others) peers.put(other, JSON.stringify({ address: other, failureDomain: 'east' }))
+  const freshness = createFreshness({
+    self: vm, store, configurationKey: KEY, beliefs, peers, link, log: SILENT_RELAY_LOG, nextFloat: () => 0
+  })
+  return { beliefs, learn: freshness.learn }
+}
+
+interface Case {
+  name: string
+  store: StoreAnswer
+  /** Version and age of what each peer goes by, milliseconds. */
+  peers: Array<{ version: number, age: number }>
+  /** What is in force afterwards; a fresh one unless stale. */
+  version: number
+  isStale?: boolean
+  /** Most time that it may take, milliseconds. */
+  within: number
+}
+
+const CASES: Case[] = [
+  { name: 'the store tells that nothing is new', store: holding(1), peers: [], version: 1, within: 10 },
+  { name: 'the store tells of a newer version', store: holding(2), peers: [], version: 2, within: 10 },
+  { name: 'a peer tells while the store is silent', store: silent, peers: [{ version: 1, age: 900 }], version: 1, within: 10 },
+  { name: 'a peer tells of a newer version', store: refusing, peers: [{ version: 3, age: 900 }], version: 3, within: 10 },
+  { name: 'one peer of two knows enough', store: refusing, peers: [{ version: 1, age: 4800 }, { version: 1, age: 100 }], version: 1, within: 10 },
+  { name: "peers' word is as old", store: refusing, peers: [{ version: 1, age: 4700 }], version: 1, isStale: true, within: 260 },
+  { name: 'a peer goes by an older version', store: silent, peers: [{ version: 0, age: 10 }], version: 1, isStale: true, within: 260 },
+  { name: 'a store without a configuration proves nothing', store: empty, peers: [], version: 1, isStale: true, within: 260 },
+  { name: 'nobody tells', store: silent, peers: [], version: 1, isStale: true, within: 260 }
+]
+
+const learning = suite('freshness')
+
+for (const { name, store, peers, version, isStale = false, within } of CASES) {
+  learning(name, async () => {
+    const clock: Clock = install({ toFake: ['Date', 'performance', 'setTimeout', 'clearTimeout'] })
+    try {
+      clock.tick(20_000)
+      const names = ['self', ...peers.map((_, index) => `peer-${index}`)]
+      const links = joinLinks(names)
+      const self = startVm('self', links.get('self')!, store, names.slice(1))
+      self.beliefs.take('1', 'store')
+      for (const [index, peer] of peers.entries()) {
+        const known = startVm(`peer-${index}`, links.get(`peer-${index}`)!, silent, ['self'])
+        known.beliefs.take(String(peer.version), 'store')
+        const now = presentInstant()
+        known.beliefs.prove({ steady: now.steady - peer.age, timeOfDay: now.timeOfDay - peer.age })
+      }
+      let hasEnded = false
+      const ended = self.learn().then(() => { hasEnded = true })
+      await clock.tickAsync(within)
+      assert.ok(hasEnded)
+      await ended
+      assert.is(self.beliefs.version()?.configuration.version, version)
+      assert.is(self.beliefs.areKeysFresh(), !isStale)
+    } finally {
+      clock.uninstall()
+    }
+  })
+}
+
+learning('while nobody tells, callers do not wait again at once', async () => {
+  const clock = install({ toFake: ['Date', 'performance', 'setTimeout', 'clearTimeout'] })
+  try {
+    let asked = 0
+    const self = startVm('self', joinLinks(['self']).get('self')!, () => { asked += 1; return silent() }, [])
+    self.beliefs.take('1', 'store')
+    const ended = Promise.all([self.learn(), self.learn()])
+    await clock.tickAsync(260)
+    await ended
+    await self.learn()
+    assert.is(asked, 1)
+    clock.tick(500)
+    void self.learn()
+    assert.is(asked, 2)
+  } finally {
+    clock.uninstall()
+  }
+})
+
+learning.run()
--- a/packages/relay/test/relay.spec.ts
+++ b/packages/relay/test/relay.spec.ts
@@ -31,6 +31,7 @@
 function fixedStore (entries: KeyValueEntry[]): PollableKeyValue {
   const pause = (milliseconds: number): Promise<void> => new Promise(resolve => { setTimeout(resolve, milliseconds).unref() })
   return {
+    get: async (key: string) => success({ entry: entries.find(entry => entry.key === key), revision: 1 }),
     list: async () => success({ entries, revision: 1 }),
     poll: async (_prefix: string, after: number) => {
       await pause(100)
