Two VMs of a large failure domain follow the store for all; repeats are counted in sliding windows and lent between peers

Ruled out: longer polls, whose end is what proves keys fresh. Change: where over four VMs share a failure domain, two follow the store with polls of 0.5 s, and the others ask one of them by datagram; its answer carries changes, revision and the age of its word. Without an answer, or with word over 1.25 s old, a VM asks the store itself. The end of an outage is told before what lapsed in it. Only those that follow the store try for the coordinator's lease at each step. On the paused clock: two callers at 5, 26 and 100 VMs, 25 calls in 10 s at most each, a change known to all within 350 ms, and within 2 s whoever is lost.

Change: sliding windows, divided by 4/3 of the most VMs known at once; a new process spends a fifth in its first window, for what an earlier life may have spent; a VM that is out of its share asks eight peers, which give up to half of theirs and count it themselves.

--- a/packages/relay/src/process/peers.ts
+++ b/packages/relay/src/process/peers.ts
@@ -19,6 +19,8 @@
 /** Knows and tells the peers. */
 export interface Peers {
   known: () => Peer[]
+  /** @returns the most VMs that were known at once, with this one: those that are cut off lapse from the store and go on. */
+  mostKnown: () => number
   put: (vm: string, text: string) => void
   remove: (vm: string) => void
   start: () => void
@@ -70,6 +72,7 @@
   let leaseId: string | undefined
   let isLeaving = false
   let turn = 0
+  let mostKnown = 1
 
   link.on(LOAD_METHOD, parameters => {
     const told = loadSchema.parse(parameters)
@@ -135,12 +138,14 @@
 
   return {
     known: () => [...peers.values()],
+    mostKnown: () => mostKnown,
     put (vm, text) {
       if (vm === self.vm) return
       try {
         const peer = { vm, ...entrySchema.parse(JSON.parse(text)) }
         if (!peers.has(vm)) log.note(RelayEvent.PeerListed, { peer: vm, address: peer.address })
         peers.set(vm, peer)
+        mostKnown = Math.max(mostKnown, peers.size + 1)
       } catch (error) {
         log.warn(RelayEvent.PeerRefused, { peer: vm, reason: (error as Error).message.slice(0, 200) })
       }
--- a/packages/relay/src/process/placement/lease.ts
+++ b/packages/relay/src/process/placement/lease.ts
@@ -24,6 +24,8 @@
   key: string
   vm: string
   timeToLiveMilliseconds: number
+  /** Whether this process may try to get the lease now: not all of a large fleet try at once. */
+  mayAcquire: () => boolean
   log: RelayLog
 }
 
@@ -73,7 +75,7 @@
     noteHolder: isThere => { isTaken = isThere },
     async step () {
       if (held !== undefined) await renew(held)
-      else if (!isTaken) await acquire()
+      else if (!isTaken && parts.mayAcquire()) await acquire()
     },
     async release () {
       if (held !== undefined) await store.revokeLease(held.leaseId)
--- a/packages/relay/src/process/relay-log.ts
+++ b/packages/relay/src/process/relay-log.ts
@@ -23,6 +23,7 @@
   TargetSkipped = 'target-entry-skipped',
   StoreLost = 'store-lost',
   StoreRegained = 'store-regained',
+  StoreFollowed = 'store-followed',
   StoreHistoryGone = 'store-history-gone',
   PeerListed = 'peer-listed',
   PeerGone = 'peer-gone',
--- a/packages/relay/src/process/repeat-budget.ts
+++ b/packages/relay/src/process/repeat-budget.ts
@@ -1,5 +1,5 @@
 /**
- * The share of the fleet's budget of repeats that this process may spend.
+ * The share of the fleet's budget of repeats that this process may spend, and what it lends to peers that have spent theirs.
  */
 
 /** Repeats left to this process, by service. */
@@ -8,6 +8,10 @@
   noteRequest: (service: string) => void
   /** @returns whether one more send may go out; it is counted. */
   take: (service: string) => boolean
+  /** Gives part of what is left away; it is counted here. */
+  lend: (service: string, wanted: number) => number
+  /** Repeats that a peer has given and counts; they are to be spent soon. */
+  addLoan: (service: string, count: number) => void
 }
 
 /** Bounds of the budget over the whole fleet. */
@@ -21,52 +25,104 @@
   vms: () => number
 }
 
-/** Part of the budget that is spent, for requests that are counted in one window and repeats that fall into the next. */
-const SPENT_SHARE = 0.6
+/**
+ * Part of the repeats for requests that is spent: the judged window may hold fewer of the requests than the one that ends with the repeat.
+ */
+const SHARE_SPENT = 0.6
+/** Part of the repeats beyond that which is spent: a send arrives a little after it was counted. */
+const EXTRA_SPENT = 0.9
+/** The same in the first window of a process: what an earlier life spent on this VM is not known any more. */
+const EXTRA_SPENT_AT_START = 0.2
+const SLOTS_OF_WINDOW = 100
+/** A loan is spent within so long, milliseconds; the lender counts it for as much longer. */
+export const LOAN_MILLISECONDS = 400
+/** Part of what is left that is lent at once: the lender's own requests may need the rest. */
+const LENT_SHARE = 0.5
+
+/** Events of the last window, in slots of time. */
+interface SlidingCount {
+  add: (count: number, delayMilliseconds?: number) => void
+  total: () => number
+}
 
-interface Window {
-  startedAt: number
-  requests: number
-  requestsBefore: number
-  repeats: number
-  repeatsBefore: number
+interface ServiceCounts {
+  requests: SlidingCount
+  repeats: SlidingCount
+  loans: Array<{ count: number, until: number }>
 }
 
-/** Makes a budget that counts in windows of its own: the present one and the one before bound each repeat. */
+/** Makes a budget. */
 export function createRepeatBudget (bounds: RepeatBudgetBounds): RepeatBudget {
-  const windows = new Map<string, Window>()
+  const services = new Map<string, ServiceCounts>()
+  const startedAt = performance.now()
 
-  function present (service: string): Window {
-    const now = performance.now()
-    let window = windows.get(service)
-    if (window === undefined) {
-      window = { startedAt: now, requests: 0, requestsBefore: 0, repeats: 0, repeatsBefore: 0 }
-      windows.set(service, window)
-    }
-    const passed = Math.floor((now - window.startedAt) / bounds.windowMilliseconds)
-    if (passed > 0) {
-      window.requestsBefore = passed === 1 ? window.requests : 0
-      window.repeatsBefore = passed === 1 ? window.repeats : 0
-      window.requests = 0
-      window.repeats = 0
-      window.startedAt += passed * bounds.windowMilliseconds
+  function countsOf (service: string): ServiceCounts {
+    let counts = services.get(service)
+    if (counts === undefined) {
+      const { windowMilliseconds } = bounds
+      counts = { requests: createSlidingCount(windowMilliseconds), repeats: createSlidingCount(windowMilliseconds), loans: [] }
+      services.set(service, counts)
     }
-    return window
+    return counts
+  }
+
+  function left (counts: ServiceCounts): number {
+    const isStarting = performance.now() - startedAt < bounds.windowMilliseconds
+    const extra = bounds.extra / Math.max(1, bounds.vms()) * (isStarting ? EXTRA_SPENT_AT_START : EXTRA_SPENT)
+    return Math.floor(SHARE_SPENT * bounds.share * counts.requests.total() + extra - counts.repeats.total())
+  }
+
+  function takeLoan (counts: ServiceCounts): boolean {
+    const now = performance.now()
+    counts.loans = counts.loans.filter(({ count, until }) => count > 0 && until > now)
+    const loan = counts.loans[0]
+    if (loan === undefined) return false
+    loan.count -= 1
+    return true
   }
 
   return {
-    noteRequest (service) {
-      present(service).requests += 1
-    },
+    noteRequest: service => { countsOf(service).requests.add(1) },
     take (service) {
-      const window = present(service)
-      const passedShare = (performance.now() - window.startedAt) / bounds.windowMilliseconds
-      const requests = window.requests + window.requestsBefore * (1 - passedShare)
-      const repeats = window.repeats + window.repeatsBefore * (1 - passedShare)
-      const allowed = SPENT_SHARE * (bounds.share * requests + bounds.extra / Math.max(1, bounds.vms()))
-      if (repeats + 1 > allowed) return false
-      window.repeats += 1
+      const counts = countsOf(service)
+      if (takeLoan(counts)) return true
+      if (left(counts) < 1) return false
+      counts.repeats.add(1)
       return true
+    },
+    lend (service, wanted) {
+      const counts = countsOf(service)
+      const lent = Math.max(0, Math.min(wanted, Math.floor(left(counts) * LENT_SHARE)))
+      if (lent > 0) counts.repeats.add(lent, 2 * LOAN_MILLISECONDS)
+      return lent
+    },
+    addLoan (service, count) {
+      countsOf(service).loans.push({ count, until: performance.now() + LOAN_MILLISECONDS })
+    }
+  }
+}
+
+function createSlidingCount (windowMilliseconds: number): SlidingCount {
+  const slotMilliseconds = windowMilliseconds / SLOTS_OF_WINDOW
+  const slots = new Map<number, number>()
+
+  function present (): number {
+    return Math.floor(performance.now() / slotMilliseconds)
+  }
+
+  return {
+    add (count, delayMilliseconds = 0) {
+      const slot = present() + Math.ceil(delayMilliseconds / slotMilliseconds)
+      slots.set(slot, (slots.get(slot) ?? 0) + count)
+    },
+    total () {
+      const oldest = present() - SLOTS_OF_WINDOW
+      let total = 0
+      for (const [slot, count] of slots) {
+        if (slot < oldest) slots.delete(slot)
+        else total += count
+      }
+      return total
     }
   }
 }
--- a/packages/relay/src/process/store-mirror.ts
+++ b/packages/relay/src/process/store-mirror.ts
@@ -4,6 +4,7 @@
 import { FailureKind, describeFailure, type Failure, type KeyValueEntry, type PollableKeyValue, type WatchEvent } from '@wigeonlead/protocol'
 import { pauseInBackground } from './background.js'
 import { presentInstant, type Instant } from './instant.js'
+import type { MirrorRelay, RelayedPage } from './mirror-relay.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
 
 /** Told of what changes; all calls come in the order of the store. */
@@ -25,6 +26,8 @@
   /** How long one poll waits for a change, milliseconds. */
   waitMilliseconds: number
   signal: AbortSignal
+  /** Peers through which changes may come, and to which they are passed on. */
+  relay?: MirrorRelay
 }
 
 /** Pause after a failed call, milliseconds: short against every bound, long against the store's rates. */
@@ -33,6 +36,8 @@
 /** Changes that come closer together are fetched in one poll, milliseconds: a small part of each bound on what they bring. */
 const LEAST_POLL_INTERVAL_MILLISECONDS = 250
 const HISTORY_GONE_STATUS = 410
+/** A poll for others waits so long, milliseconds: only its end proves the copy to all that follow it, and the next proof takes another. */
+const SERVING_WAIT_MILLISECONDS = 500
 
 /** Keeps a copy until the signal aborts. */
 export async function runStoreMirror (
@@ -44,11 +49,17 @@
   let failures = 0
 
   while (!options.signal.aborted) {
+    const relayed = revision === undefined ? undefined : await options.relay?.poll(revision)
+    if (options.signal.aborted) return
+    if (relayed !== undefined) {
+      takeRelayed(relayed)
+      continue
+    }
     const sentAt = presentInstant()
     const failure = revision === undefined ? await list() : await poll(revision)
     if (options.signal.aborted) return
     if (failure === undefined) {
-      reader.onProved(sentAt)
+      noteProved(sentAt)
       await pauseInBackground(Math.max(0, LEAST_POLL_INTERVAL_MILLISECONDS - (performance.now() - sentAt.steady)))
       continue
     }
@@ -60,6 +71,24 @@
     await noteFailed(failure)
   }
 
+  function takeRelayed (page: RelayedPage): void {
+    const hasLapsed = page.regainedMilliseconds !== undefined && lostAt === undefined
+    noteReached()
+    if (hasLapsed) reader.onRegained(presentInstant())
+    for (const change of page.changes) apply(change)
+    revision = Math.max(revision!, page.revision)
+    noteProved(page.provedAt)
+  }
+
+  function noteProved (provedAt: Instant): void {
+    options.relay?.noteProved(revision!, provedAt)
+    reader.onProved(provedAt)
+  }
+
+  function waitMilliseconds (): number {
+    return options.relay?.servesOthers() === true ? Math.min(SERVING_WAIT_MILLISECONDS, options.waitMilliseconds) : options.waitMilliseconds
+  }
+
   async function list (): Promise<Failure | undefined> {
     const listing = await store.list('')
     if (!listing.ok) return listing.failure
@@ -69,10 +98,11 @@
     for (const key of revisions.keys()) if (!keys.has(key)) revisions.delete(key)
     reader.onListed(keys)
     revision = listing.value.revision
+    options.relay?.noteListed(revision)
   }
 
   async function poll (after: number): Promise<Failure | undefined> {
-    const page = await store.poll('', after, options.waitMilliseconds)
+    const page = await store.poll('', after, waitMilliseconds())
     if (!page.ok) return page.failure
     noteReached()
     for (const change of page.value.changes) apply(change)
@@ -82,6 +112,7 @@
   function apply (change: WatchEvent): void {
     if ((revisions.get(change.key) ?? 0) >= change.revision) return
     revisions.set(change.key, change.revision)
+    options.relay?.noteChange(change)
     if (change.entry === undefined) reader.onRemoved(change.key)
     else reader.onEntry(change.entry)
   }
@@ -89,6 +120,7 @@
   function noteReached (): void {
     if (lostAt !== undefined) {
       reader.onRegained(lostAt)
+      options.relay?.noteRegained()
       log.note(RelayEvent.StoreRegained, { failures })
     }
     lostAt = undefined
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -17,12 +17,14 @@
 import { createDirectory, type Directory } from './directory.js'
 import { createFreshness } from './freshness.js'
 import { createLoad } from './load.js'
+import { createMirrorRelay } from './mirror-relay.js'
 import { createPathFinder } from './path-finder.js'
 import { createCoordinatorLease } from './placement/lease.js'
 import { createPlanner } from './placement/planner.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
 import { createPeers } from './peers.js'
 import { createRepeatBudget } from './repeat-budget.js'
+import { createRepeatLoans } from './repeat-loans.js'
 import type { RelaySettings } from './settings.js'
 import { runStoreMirror, type MirrorReader } from './store-mirror.js'
 import { createStreamWatch } from './stream-watch.js'
@@ -70,8 +72,10 @@
 /** The coordinator renews and looks at this interval, milliseconds. */
 const COORDINATOR_STEP_MILLISECONDS = 700
 const PLAN_STEP_MILLISECONDS = 200
-/** VMs that one failure domain may have beyond those that settings or the store name; bounds each process's share of the repeats. */
-const VMS_OF_FAILURE_DOMAIN = 6
+/** Share of the steps at which a VM that does not follow the store tries for the lease: in case those that do are gone. */
+const STANDING_IN_SHARE = 0.05
+/** VMs that may be alive for each that is known: some may have come, and not be known to one that the store turns away. */
+const VMS_TO_COME = 4 / 3
 
 /** Builds a relay process. */
 export function createRelay (settings: RelaySettings, ports: RelayPorts): Relay {
@@ -86,20 +90,6 @@
   const targets = createTargetClient(dialect)
   const engines = createEngineClient(dialect, targets)
   const watch = createStreamWatch(directory, engines, paths, log, stopped.signal)
-  const repeats = createRepeatBudget({
-    share: bounds.repeatShare,
-    extra: bounds.repeatExtra,
-    windowMilliseconds: bounds.repeatWindowSeconds * 1000,
-    vms: () => settings.failureDomains.length * VMS_OF_FAILURE_DOMAIN
-  })
-  const lease = createCoordinatorLease({
-    store,
-    key: COORDINATOR_KEY,
-    vm: settings.node.vm,
-    log,
-    timeToLiveMilliseconds: Math.max(COORDINATOR_LEASE_MILLISECONDS, settings.store.leastLeaseMilliseconds)
-  })
-  const planner = createPlanner({ beliefs, directory, engines, lease, log })
   const peers = createPeers({
     self: { vm: settings.node.vm, address: settings.listen.peers, failureDomain: settings.node.failureDomain },
     keyPrefix: PEER_PREFIX,
@@ -111,6 +101,16 @@
     signal: stopped.signal,
     nextFloat: ports.nextFloat
   })
+  const budget = createRepeatBudget({
+    share: bounds.repeatShare,
+    extra: bounds.repeatExtra,
+    windowMilliseconds: bounds.repeatWindowSeconds * 1000,
+    vms: () => Math.ceil(peers.mostKnown() * VMS_TO_COME)
+  })
+  const repeats = createRepeatLoans({ self: settings.node.vm, budget, peers, link: ports.link, nextFloat: ports.nextFloat })
+  const mirrorRelay = createMirrorRelay({
+    self: settings.node.vm, failureDomain: settings.node.failureDomain, knownPeers: peers.known, link: ports.link, log
+  })
   const freshness = createFreshness({
     self: settings.node.vm,
     store,
@@ -121,6 +121,15 @@
     log,
     nextFloat: ports.nextFloat
   })
+  const lease = createCoordinatorLease({
+    store,
+    key: COORDINATOR_KEY,
+    vm: settings.node.vm,
+    log,
+    mayAcquire: () => mirrorRelay.followsStore() || ports.nextFloat() < STANDING_IN_SHARE,
+    timeToLiveMilliseconds: Math.max(COORDINATOR_LEASE_MILLISECONDS, settings.store.leastLeaseMilliseconds)
+  })
+  const planner = createPlanner({ beliefs, directory, engines, lease, log })
   const parts: RequestParts = {
     dialect,
     beliefs,
@@ -174,7 +183,7 @@
 
   function startReading (): void {
     const waitMilliseconds = Math.min(LONGEST_POLL_MILLISECONDS, POLL_SHARE * bounds.revokeMilliseconds)
-    void runStoreMirror(store, reader, log, { waitMilliseconds, signal: stopped.signal })
+    void runStoreMirror(store, reader, log, { waitMilliseconds, signal: stopped.signal, relay: mirrorRelay })
   }
 
   function isReady (): boolean {
--- a/packages/relay/src/request/context.ts
+++ b/packages/relay/src/request/context.ts
@@ -11,7 +11,7 @@
 import type { Load } from '../process/load.js'
 import type { PathFinder } from '../process/path-finder.js'
 import type { RelayLog } from '../process/relay-log.js'
-import type { RepeatBudget } from '../process/repeat-budget.js'
+import type { Repeats } from '../process/repeat-loans.js'
 import type { StreamWatch } from '../process/stream-watch.js'
 import type { Metrics } from 'wigeonlead'
 import type { Route, Service, Workspace } from '../version/configuration.js'
@@ -26,7 +26,7 @@
   load: Load
   targets: TargetClient
   engines: EngineClient
-  repeats: RepeatBudget
+  repeats: Repeats
   watch: StreamWatch
   log: RelayLog
   metrics: Metrics
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -58,7 +58,7 @@
       await pauseFor(NO_PATH_PAUSE_MILLISECONDS)
       continue
     }
-    if (ledger.arrivals() > 0 && !parts.repeats.take(request.service.name)) {
+    if (ledger.arrivals() > 0 && !await parts.repeats.take(request.service.name)) {
       detail += '; no repeat left in the budget'
       break
     }
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -49,7 +49,7 @@
     if (timeLeft(request) <= LEAST_SEND_MILLISECONDS) return refuse(request, parts, ledger, Refusal.TimedOut, detail)
     const target = chooseTarget(request, parts, ledger.targetLives())
     if (target === undefined || !ledger.maySendAgain() || ledger.allowedTargets(() => false) !== undefined) break
-    if (ledger.arrivals() > 0 && !parts.repeats.take(request.service.name)) {
+    if (ledger.arrivals() > 0 && !await parts.repeats.take(request.service.name)) {
       detail += '; no repeat left in the budget'
       break
     }
--- /dev/null
+++ b/packages/relay/test/process/mirror-relay.spec.ts
@@ -0,0 +1,208 @@
+/**
+ * Pattern: a failure domain of many VMs, in which two follow the store for all. Every VM knows each change in time, whoever is lost.
+ */
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { FailureKind, Step, failed, success, type KeyValueEntry, type PollableKeyValue, type WatchEvent } from '@wigeonlead/protocol'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { SILENT_RELAY_LOG, ageOf, createMirrorRelay, runStoreMirror, type Instant, type Peer, type PeerLink } from '@wigeonlead/relay'
+
+/** The tightest bound on a change, milliseconds. */
+const BOUND_MILLISECONDS = 2000
+/** Keys are refused once the word is older: a VM in touch must stay under it. */
+const OLDEST_PROOF_MILLISECONDS = 4500
+
+interface FakeStore {
+  port: (vm: string) => PollableKeyValue
+  put: (key: string, value: string) => void
+  remove: (key: string) => void
+  /** VMs that get no answer. */
+  away: Set<string>
+  calls: Map<string, number>
+}
+
+function createFakeStore (): FakeStore {
+  const entries = new Map<string, KeyValueEntry>()
+  const history: WatchEvent[] = []
+  const waiting = new Set<() => void>()
+  const away = new Set<string>()
+  const calls = new Map<string, number>()
+  let revision = 1
+
+  function change (event: WatchEvent): void {
+    history.push(event)
+    for (const wake of [...waiting]) wake()
+  }
+
+  function pause (milliseconds: number): Promise<void> {
+    return new Promise(resolve => { setTimeout(resolve, milliseconds) })
+  }
+
+  function changed (milliseconds: number): Promise<void> {
+    return new Promise(resolve => {
+      const wake = (): void => { waiting.delete(wake); resolve() }
+      waiting.add(wake)
+      setTimeout(wake, milliseconds)
+    })
+  }
+
+  return {
+    away,
+    calls,
+    put (key, value) {
+      revision += 1
+      entries.set(key, { key, value, modRevision: revision, createRevision: revision })
+      change({ key, entry: entries.get(key), revision })
+    },
+    remove (key) {
+      revision += 1
+      entries.delete(key)
+      change({ key, revision })
+    },
+    port: vm => {
+      async function answer<T> (read: () => T, milliseconds: number): Promise<ReturnType<typeof success<T>> | ReturnType<typeof failed>> {
+        calls.set(vm, (calls.get(vm) ?? 0) + 1)
+        if (away.has(vm)) {
+          await pause(milliseconds + 700)
+          return failed({ kind: FailureKind.TimedOut, step: Step.KeyValue, peer: 'store', detail: '', afterMilliseconds: milliseconds + 700 })
+        }
+        await pause(2)
+        return success(read())
+      }
+      return {
+        list: () => answer(() => ({ entries: [...entries.values()], revision }), 300),
+        async poll (_prefix: string, after: number, wait: number) {
+          if (!away.has(vm) && revision <= after) await changed(wait)
+          return await answer(() => ({ changes: history.filter(event => event.revision > after), revision }), wait)
+        }
+      } as unknown as PollableKeyValue
+    }
+  }
+}
+
+interface Vm {
+  name: string
+  /** Values by key. */
+  seen: Map<string, string>
+  told: string[]
+  provedAt?: Instant
+}
+
+interface Fleet {
+  clock: Clock
+  store: FakeStore
+  vms: Vm[]
+  /** VMs that neither hear nor tell. */
+  dead: Set<string>
+  /** Lets time pass, and notes the oldest proof of any VM. */
+  pass: (milliseconds: number) => Promise<number>
+}
+
+async function withFleet (count: number, use: (fleet: Fleet) => Promise<void>): Promise<void> {
+  const clock = install({ toFake: ['Date', 'performance', 'setTimeout', 'clearTimeout'] })
+  const stopped = new AbortController()
+  const store = createFakeStore()
+  store.put('configuration', '1')
+  store.put('target', 'here')
+  const dead = new Set<string>()
+  const names = Array.from({ length: count }, (_, index) => `vm-${String(index).padStart(3, '0')}`)
+  const handlers = new Map(names.map(name => [name, new Map<string, (parameters: unknown) => void>()]))
+  const vms: Vm[] = names.map(name => ({ name, seen: new Map(), told: [] }))
+  try {
+    for (const vm of vms) {
+      const link: PeerLink = {
+        notify (address, method, parameters) {
+          if (dead.has(vm.name)) return
+          const text = JSON.stringify(parameters)
+          setTimeout(() => { if (!dead.has(address)) handlers.get(address)?.get(method)?.(JSON.parse(text)) }, 1)
+        },
+        on: (method, handler) => { handlers.get(vm.name)!.set(method, handler) },
+        async open () {},
+        close () {}
+      }
+      const others = names.filter(name => name !== vm.name)
+      const knownPeers = (): Peer[] => others.map(name => ({ vm: name, address: name, failureDomain: 'east' }))
+      const relay = createMirrorRelay({ self: vm.name, failureDomain: 'east', knownPeers, link, log: SILENT_RELAY_LOG })
+      void runStoreMirror(store.port(vm.name), {
+        onEntry ({ key, value }) { vm.seen.set(key, value) },
+        onRemoved (key) { vm.seen.delete(key); vm.told.push(`-${key}`) },
+        onListed () {},
+        onProved (provedAt) { vm.provedAt = provedAt },
+        onRegained () { vm.told.push('regained') }
+      }, SILENT_RELAY_LOG, { waitMilliseconds: 1500, signal: stopped.signal, relay })
+    }
+    async function pass (milliseconds: number): Promise<number> {
+      let oldest = 0
+      for (let passed = 0; passed < milliseconds; passed += 50) {
+        await clock.tickAsync(50)
+        for (const vm of vms) if (!dead.has(vm.name)) oldest = Math.max(oldest, vm.provedAt === undefined ? Infinity : ageOf(vm.provedAt))
+      }
+      return oldest
+    }
+    await pass(3000)
+    await use({ clock, store, vms, dead, pass })
+  } finally {
+    stopped.abort()
+    clock.uninstall()
+  }
+}
+
+const following = suite('mirror relay')
+
+const FLEETS = [{ count: 3, callers: 3 }, { count: 5, callers: 2 }, { count: 26, callers: 2 }, { count: 100, callers: 2 }]
+for (const { count, callers } of FLEETS) {
+  following(`${count} VMs: ${callers} ask the store, and all know a change at once`, () => withFleet(count, async ({ store, vms, pass }) => {
+    store.calls.clear()
+    assert.ok(await pass(10_000) < OLDEST_PROOF_MILLISECONDS)
+    assert.is(store.calls.size, callers)
+    for (const calls of store.calls.values()) assert.ok(calls <= 25, `${calls} calls in 10 s`)
+    store.put('configuration', '2')
+    await pass(350)
+    for (const vm of vms) assert.is(vm.seen.get('configuration'), '2', vm.name)
+  }))
+}
+
+const LOSSES: Array<{ name: string, act: (fleet: Fleet) => void }> = [
+  { name: 'one that follows the store is dead', act: ({ dead, store }) => { dead.add('vm-000'); store.away.add('vm-000') } },
+  { name: 'both that follow the store are dead', act: ({ dead }) => { dead.add('vm-000'); dead.add('vm-001') } },
+  { name: 'both that follow the store have lost it', act: ({ store }) => { store.away.add('vm-000'); store.away.add('vm-001') } },
+  { name: 'one is dead and one has lost the store', act: ({ dead, store }) => { dead.add('vm-000'); store.away.add('vm-001') } },
+  { name: 'a change does not fit a datagram', act: ({ store }) => { store.put('large', 'x'.repeat(100_000)) } }
+]
+for (const { name, act } of LOSSES) {
+  for (const delay of [0, 300, 900, 1500]) {
+    following(`${name}, a change ${delay} ms later: all know it within the bound`, () => withFleet(12, async fleet => {
+      act(fleet)
+      await fleet.pass(delay)
+      fleet.store.put('configuration', '2')
+      const oldest = await fleet.pass(BOUND_MILLISECONDS - 50)
+      for (const vm of fleet.vms) {
+        const isInTouch = !fleet.dead.has(vm.name) && !fleet.store.away.has(vm.name)
+        if (isInTouch) assert.is(vm.seen.get('configuration'), '2', vm.name)
+      }
+      if (fleet.store.away.size === 0) assert.ok(oldest < OLDEST_PROOF_MILLISECONDS, `a proof ${oldest} ms old`)
+    }))
+  }
+}
+
+following('entries that lapsed while the store was away: every VM hears first that it is back', () => withFleet(8, async ({ store, vms, pass }) => {
+  for (const vm of vms) store.away.add(vm.name)
+  await pass(6000)
+  store.remove('target')
+  store.away.clear()
+  await pass(4000)
+  for (const vm of vms) {
+    assert.ok(vm.told.includes('regained'), vm.name)
+    assert.ok(vm.told.indexOf('regained') < vm.told.indexOf('-target'), `${vm.name}: ${vm.told.join()}`)
+  }
+}))
+
+following('a VM that only the store turns away follows the others', () => withFleet(8, async ({ store, vms, pass }) => {
+  store.away.add('vm-005')
+  await pass(3000)
+  store.put('configuration', '2')
+  assert.ok(await pass(3000) < OLDEST_PROOF_MILLISECONDS)
+  assert.is(vms[5]!.seen.get('configuration'), '2')
+}))
+
+following.run()
--- a/packages/relay/test/process/repeat-budget.spec.ts
+++ b/packages/relay/test/process/repeat-budget.spec.ts
@@ -1,47 +1,125 @@
 /**
- * Load pattern: targets fail all at once and every caller's request wants a repeat. Summed over the fleet, the budget holds in any window.
+ * Load pattern: targets fail all at once and every caller's request wants a repeat; peers lend what they do not need. Summed over the
+ * fleet, the budget holds in any window.
  */
 import { install } from '@sinonjs/fake-timers'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createRepeatBudget } from '@wigeonlead/relay'
+import { LOAN_MILLISECONDS, createRepeatBudget, type RepeatBudget } from '@wigeonlead/relay'
 
 const WINDOW_MILLISECONDS = 10_000
 const SHARE = 0.2
 const EXTRA = 202
-const VMS = 18
+/** VMs that are known, and by which each one divides. */
+const VMS = 9
+const DIVISOR = 12
 
-const budget = suite('repeat budget')
+interface Judge {
+  noteRequest: () => void
+  noteRepeat: () => void
+  /** Judges the window that ends now. */
+  check: () => void
+  repeats: () => number
+}
 
-for (const alive of [1, 9, VMS]) {
-  budget(`${alive} VMs that all repeat all they can stay within the fleet's budget`, () => {
-    const clock = install({ toFake: ['Date', 'performance'] })
-    const budgets = Array.from({ length: alive }, () =>
-      createRepeatBudget({ share: SHARE, extra: EXTRA, windowMilliseconds: WINDOW_MILLISECONDS, vms: () => VMS }))
-    const repeats: number[] = []
-    const requests: number[] = []
-    for (let step = 0; step < 400; step++) {
-      clock.tick(100)
-      const now = step * 100
-      for (const one of budgets) {
-        // Requests come in bursts with pauses, the worst case for counts in windows.
-        if (Math.floor(now / 7000) % 2 === 0) {
-          one.noteRequest('model')
-          requests.push(now)
-        }
-        while (one.take('model')) repeats.push(now)
-      }
-      const within = (times: number[], from: number, to: number): number => times.filter(at => at > from && at <= to).length
+function createJudge (): Judge {
+  const requests: number[] = []
+  const repeats: number[] = []
+  const within = (times: number[], from: number, to: number): number => times.filter(at => at > from && at <= to).length
+  return {
+    noteRequest: () => { requests.push(performance.now()) },
+    noteRepeat: () => { repeats.push(performance.now()) },
+    check () {
+      const now = performance.now()
       const sent = within(repeats, now - WINDOW_MILLISECONDS, now)
       const counted = Math.max(
         within(requests, now - WINDOW_MILLISECONDS, now),
         within(requests, now - 1.5 * WINDOW_MILLISECONDS, now - 0.5 * WINDOW_MILLISECONDS),
         within(requests, now - 2 * WINDOW_MILLISECONDS, now - WINDOW_MILLISECONDS))
       assert.ok(sent <= SHARE * counted + EXTRA, `${sent} repeats for ${counted} requests at ${now}`)
+    },
+    repeats: () => repeats.length
+  }
+}
+
+function createBudgets (count: number): RepeatBudget[] {
+  return Array.from({ length: count }, () =>
+    createRepeatBudget({ share: SHARE, extra: EXTRA, windowMilliseconds: WINDOW_MILLISECONDS, vms: () => DIVISOR }))
+}
+
+const budget = suite('repeat budget')
+
+/** Requests come in bursts with pauses of these lengths, milliseconds: the worst case for the requests that a window holds. */
+const BURSTS = [1000, 3000, 5000, 7000, 9000]
+for (const alive of [1, VMS, DIVISOR]) {
+  for (const burst of BURSTS) {
+    budget(`${alive} VMs that all repeat and borrow all they can, bursts of ${burst} ms: the fleet's budget holds`, () => {
+      const clock = install({ toFake: ['Date', 'performance'] })
+      const budgets = createBudgets(alive)
+      const judge = createJudge()
+      for (let step = 0; step < 400; step++) {
+        clock.tick(100)
+        for (const [index, one] of budgets.entries()) {
+          if (Math.floor(performance.now() / burst) % 2 === 0) {
+            one.noteRequest('model')
+            judge.noteRequest()
+          }
+          const lender = budgets[(index + step) % alive]!
+          if (lender !== one && step % 3 === 0) one.addLoan('model', lender.lend('model', 4))
+          while (one.take('model')) judge.noteRepeat()
+        }
+        judge.check()
+      }
+      assert.ok(judge.repeats() > 0)
+      clock.uninstall()
+    })
+  }
+}
+
+budget('all VMs that spent all are killed and start again: the budget holds over both lives', () => {
+  const clock = install({ toFake: ['Date', 'performance'] })
+  const judge = createJudge()
+  let budgets = createBudgets(VMS)
+  for (let step = 0; step < 300; step++) {
+    clock.tick(100)
+    if (step === 150) budgets = createBudgets(VMS)
+    for (const one of budgets) {
+      one.noteRequest('model')
+      judge.noteRequest()
+      // All is spent at once, just before the kill and after it.
+      if (step >= 149) while (one.take('model')) judge.noteRepeat()
     }
-    assert.ok(repeats.length > 0)
-    clock.uninstall()
-  })
+    judge.check()
+  }
+  clock.uninstall()
+})
+
+budget('the loss of a stage: the VMs of one failure domain repeat with what the others lend', () => {
+  const clock = install({ toFake: ['Date', 'performance'] })
+  const budgets = createBudgets(VMS)
+  clock.tick(WINDOW_MILLISECONDS + 1)
+  const alone = countTaken(budgets[0]!)
+  for (const lender of budgets.slice(3)) budgets[1]!.addLoan('model', lender.lend('model', 100))
+  const together = countTaken(budgets[1]!)
+  assert.is(alone, Math.floor(0.9 * EXTRA / DIVISOR))
+  assert.ok(together >= 3 * alone, `${together} with loans, ${alone} without`)
+  clock.uninstall()
+})
+
+budget('a loan that is not spent soon is lost', () => {
+  const clock = install({ toFake: ['Date', 'performance'] })
+  const [one] = createBudgets(1)
+  countTaken(one!)
+  one!.addLoan('model', 5)
+  clock.tick(LOAN_MILLISECONDS + 1)
+  assert.not(one!.take('model'))
+  clock.uninstall()
+})
+
+function countTaken (one: RepeatBudget): number {
+  let taken = 0
+  while (one.take('model')) taken += 1
+  return taken
 }
 
 budget.run()
