Stages that are well are asked less often while their path is busy

Change: each answer that explains nothing doubles the time to the next question, twice at most, and three seconds without one begin anew; a stage that a report names is asked at once. Tests: a path that is silent for five seconds (18 questions to its first stage, five to each other, at most), and a stage that then dies (found within a second).

--- a/packages/relay/src/process/stream-watch.ts
+++ b/packages/relay/src/process/stream-watch.ts
@@ -42,6 +42,10 @@
 const TICK_MILLISECONDS = 20
 /** One first stage is asked at most so often, milliseconds: its report lags by some hundred. */
 const ASK_INTERVAL_MILLISECONDS = 120
+/** Each answer that explains no silence doubles the time to the next question, so many times: a busy path is silent often. */
+const MOST_DOUBLINGS = 2
+/** A question so long after the last one begins anew, milliseconds: what was busy then tells nothing of now. */
+const ASK_RESET_MILLISECONDS = 3000
 /** Streams of one path that are all silent for so long at once tell of a lost stage, milliseconds: some times the usual pause. */
 const GROUP_SILENCE_MILLISECONDS = 80
 /** Silence of a group that is no longer usual, in its usual pauses. */
@@ -54,20 +58,28 @@
 const REPORT_LIMIT_MILLISECONDS = 150
 /** A stage in doubt takes no new work for so long, milliseconds: until it has been asked. */
 const DOUBT_SUSPICION_MILLISECONDS = 400
-/** One stage is verified at most so often, milliseconds: as long as a refusal keeps work away from it. */
+/** One stage is verified at most so often, milliseconds: as long as a refusal keeps work away from it; less often while it is well. */
 const VERIFY_INTERVAL_MILLISECONDS = 400
 /** So many missed reports in a row make a first stage lost. */
 const MISSED_REPORTS_OF_LOST = 2
 /** A stage that holds up work takes no new work for so long, milliseconds: until its entry lapses or it has moved on. */
 const STALL_SUSPICION_MILLISECONDS = 4500
 
+/** Questions to one stage. */
+interface Asked {
+  /** Steady time of the last one, milliseconds. */
+  at: number
+  /** Answers in a row that explained nothing. */
+  vain: number
+}
+
 /** Starts a watch that ends with the signal. */
 export function createStreamWatch (
   directory: Directory, engines: EngineClient, paths: PathFinder, log: RelayLog, signal: AbortSignal
 ): StreamWatch {
   const runs = new Set<WatchedRun>()
-  const verified = new Map<string, number>()
-  const asked = new Map<string, { at: number, missed: number }>()
+  const verified = new Map<string, Asked>()
+  const asked = new Map<string, Asked & { missed: number }>()
 
   repeatInBackground(TICK_MILLISECONDS, signal, () => {
     const now = performance.now()
@@ -102,9 +114,8 @@
 
   async function ask (first: Target, now: number): Promise<void> {
     const life = lifeOf(first)
-    const known = asked.get(life) ?? { at: -Infinity, missed: 0 }
-    if (now - known.at < ASK_INTERVAL_MILLISECONDS) return
-    known.at = now
+    const known = asked.get(life) ?? { at: -Infinity, vain: 0, missed: 0 }
+    if (!isDue(known, ASK_INTERVAL_MILLISECONDS, now)) return
     asked.set(life, known)
     const report = await engines.report(first, REPORT_LIMIT_MILLISECONDS)
     if (report === undefined) {
@@ -118,6 +129,7 @@
     }
     known.missed = 0
     paths.noteSlowness(life, report.slowness)
+    known.vain = report.stalled.length === 0 ? known.vain + 1 : 0
     const addresses = new Set(report.stalled.map(stalled => stalled.address))
     for (const address of addresses) {
       const culprit = directory.at(address)
@@ -127,16 +139,20 @@
       if (culprit === undefined || lifeOf(culprit) === life) continue
       // The stage may be well and only the way to it cut: it is asked itself before it is held to be lost.
       directory.suspect(culprit, DOUBT_SUSPICION_MILLISECONDS, 'streams wait for it')
+      // What a report tells of it counts more than that it was well before.
+      const known = verified.get(lifeOf(culprit))
+      if (known !== undefined) known.vain = 0
       void verify(culprit)
     }
   }
 
   async function verify (target: Target, limitMilliseconds = REPORT_LIMIT_MILLISECONDS): Promise<void> {
     const life = lifeOf(target)
-    const now = performance.now()
-    if (now - (verified.get(life) ?? -Infinity) < VERIFY_INTERVAL_MILLISECONDS) return
-    verified.set(life, now)
+    const known = verified.get(life) ?? { at: -Infinity, vain: 0 }
+    if (!isDue(known, VERIFY_INTERVAL_MILLISECONDS, performance.now())) return
+    verified.set(life, known)
     const report = await engines.report(target, limitMilliseconds)
+    known.vain = report === undefined ? 0 : known.vain + 1
     if (report !== undefined) paths.noteSlowness(life, report.slowness)
     // A target that is only slow answers late, and what it has made is still to come: its streams are not ended for that.
     if (report !== undefined || isGoing(target) || await engines.isReachable(target)) return
@@ -176,3 +192,11 @@
     size: () => runs.size
   }
 }
+
+/** Whether a stage may be asked again; notes that it is. */
+function isDue (known: Asked, intervalMilliseconds: number, now: number): boolean {
+  if (now - known.at > ASK_RESET_MILLISECONDS) known.vain = 0
+  if (now - known.at < intervalMilliseconds * 2 ** Math.min(known.vain, MOST_DOUBLINGS)) return false
+  known.at = now
+  return true
+}
--- a/packages/relay/test/process/stream-watch.spec.ts
+++ b/packages/relay/test/process/stream-watch.spec.ts
@@ -143,6 +143,29 @@
   })
 })
 
+watch('overload: a busy path is silent for seconds; its stages are well and are asked ever less often', async () => {
+  await inWorld(async world => {
+    world.add(6, () => 0)
+    await world.clock.tickAsync(5000)
+    const asked = (id: string): number => world.asked.filter(one => one === id).length
+    assert.ok(asked('t1') <= 18, `the first stage was asked ${asked('t1')} times`)
+    assert.ok(asked('t2') <= 5, `a stage was asked ${asked('t2')} times`)
+    assert.equal(world.told, [])
+  })
+})
+
+watch('overload: a stage that dies after seconds of silence is found within a second', async () => {
+  await inWorld(async world => {
+    world.add(6, () => 0)
+    await world.clock.tickAsync(5000)
+    world.stalled = [{ requestId: 'r1', address: TARGETS[1]!.address }]
+    world.mute.add('t2')
+    await world.clock.tickAsync(1000)
+    assert.ok(world.told.includes('r1 off t2'))
+    assert.ok(world.directory.isHeldLost(TARGETS[1]!))
+  })
+})
+
 watch('calm: streams that move cost no question', async () => {
   await inWorld(async world => {
     world.add(20, () => performance.now() - 30)
