A cut between failure domains does not take sound stages out of use

Streams that crossed the cut had their first stages report the stages that they waited for; each VM then kept new work off those stages for 0.4 s, again with each report, and told its peers. Ruled out: losses held wrongly (each VM verified the stages of its own failure domain as well), a placement with gaps. Change: a stage that a first stage of another failure domain waits for is verified, and stays in use meanwhile. Before: the first case of the table in stream-watch.spec.ts fails. After: three cases hold; a stage that is gone is still found.

--- a/packages/relay/src/process/stream-watch.ts
+++ b/packages/relay/src/process/stream-watch.ts
@@ -137,8 +137,9 @@
       log.warn(RelayEvent.StreamStalled, { first: first.id, address, target: culprit?.id, streams: ids.size })
       for (const run of [...runs]) if (ids.has(run.requestId) && isSilent(run)) run.onStageLost(culprit ?? run.first, false)
       if (culprit === undefined || lifeOf(culprit) === life) continue
-      // The stage may be well and only the way to it cut: it is asked itself before it is held to be lost.
-      directory.suspect(culprit, DOUBT_SUSPICION_MILLISECONDS, 'streams wait for it')
+      // The stage may be well and only the way to it cut: it is asked itself before it is held to be lost, and between failure domains
+      // it stays in use meanwhile, since paths within its own do not need that way.
+      if (culprit.failureDomain === first.failureDomain) directory.suspect(culprit, DOUBT_SUSPICION_MILLISECONDS, 'streams wait for it')
       // What a report tells of it counts more than that it was well before.
       const known = verified.get(lifeOf(culprit))
       if (known !== undefined) known.vain = 0
--- a/packages/relay/test/process/stream-watch.spec.ts
+++ b/packages/relay/test/process/stream-watch.spec.ts
@@ -25,7 +25,7 @@
   usualPause: number
   asked: string[]
   told: string[]
-  add: (count: number, lastProgress: (index: number) => number) => void
+  add: (count: number, lastProgress: (index: number) => number, first?: Target) => void
 }
 
 function report (stalled: TargetReport['stalled']): TargetReport {
@@ -57,11 +57,11 @@
     isReachable: async (target: Target) => world.slow.has(target.id)
   } as unknown as EngineClient
   const watch = createStreamWatch(directory, engines, createPathFinder(directory, createLoad()), SILENT_RELAY_LOG, stop.signal)
-  world.add = (count, lastProgress) => {
+  world.add = (count, lastProgress, first = TARGETS[0]!) => {
     for (let index = 0; index < count; index++) {
       const run: WatchedRun = {
         requestId: `r${index}`,
-        first: TARGETS[0]!,
+        first,
         lives: () => TARGETS.map(lifeOf),
         lastProgress: () => lastProgress(index),
         expectedSilence: () => 120,
@@ -166,6 +166,24 @@
   })
 })
 
+const CUTS: Array<{ name: string, firstDomain: string, isMute: boolean, isUsable: boolean }> = [
+  { name: 'a stage of the own failure domain that a first stage of another cannot reach', firstDomain: 'west', isMute: false, isUsable: true },
+  { name: 'a stage that its own failure domain cannot reach', firstDomain: 'east', isMute: false, isUsable: false },
+  { name: 'a stage that is gone, named from another failure domain', firstDomain: 'west', isMute: true, isUsable: false }
+]
+for (const { name, firstDomain, isMute, isUsable } of CUTS) {
+  watch(`a cut between failure domains: ${name} ${isUsable ? 'takes' : 'takes no'} new work`, async () => {
+    await inWorld(async world => {
+      if (isMute) world.mute.add('t2')
+      world.stalled = [{ requestId: 'r0', address: TARGETS[1]!.address }]
+      world.add(1, () => 0, { ...TARGETS[0]!, failureDomain: firstDomain })
+      await world.clock.tickAsync(400)
+      assert.ok(world.told.includes('r0 off t2'))
+      assert.is(world.directory.isUsable(TARGETS[1]!), isUsable)
+    })
+  })
+}
+
 watch('calm: streams that move cost no question', async () => {
   await inWorld(async world => {
     world.add(20, () => performance.now() - 30)
