--- a/packages/relay/test/known-red/suspended-and-stepped-back.ts
+++ b/packages/relay/test/known-red/suspended-and-stepped-back.ts
@@ -1,5 +1,5 @@
 /**
- * Known to fail: a suspension together with a step back of the time of day is shown by neither clock, so a key is accepted past its bound.
+ * Known to fail: a suspension that a step back of the time of day hides is shown by neither clock, so a key is accepted past its bound.
  */
 import { install } from '@sinonjs/fake-timers'
 import * as assert from 'uvu/assert'
