--- a/packages/relay/src/process/directory.ts
+++ b/packages/relay/src/process/directory.ts
@@ -18,8 +18,6 @@
   /** Time that is left. */
   milliseconds: number
   isLoss: boolean
-  /** Failure domain of the process that found it. */
-  finderDomain: string
 }
 
 /** The targets of the deployment. */
@@ -45,8 +43,8 @@
   noteStoreRegained: () => void
   /** Takes no new work for so long; the longer of two suspicions holds. */
   suspect: (target: Target, milliseconds: number, reason: string, finding?: Finding) => void
-  /** Suspicions that this process found itself, and losses that it just heard of, to tell peers. */
-  suspicionsToTell: () => Suspicion[]
+  /** Suspicions that this process found itself, with the time that is left, to tell peers. */
+  ownSuspicions: () => Suspicion[]
   /** Whether work hangs on the target, as found within its own failure domain: no cut between domains explains that. */
   isHeldLost: (target: Target) => boolean
   /** Counts up at each change, for caches. */
@@ -58,16 +56,13 @@
 /** Entries that lapsed during an outage of the store come back within this time, milliseconds; from the users' pages. */
 const LAPSE_GRACE_MILLISECONDS = 2000
 
-/** A loss that a peer told is passed on for so long, milliseconds: it reaches the fleet in two or three steps, and does not go round. */
-const PASSED_ON_MILLISECONDS = 500
-
 /** Makes an empty directory. */
 export function createDirectory (log: RelayLog, ownFailureDomain: string): Directory {
   const targets = new Map<string, Target>()
   const suspectedUntil = new Map<string, number>()
   const listeners: Array<(target: Target, isLeaving: boolean) => void> = []
-  /** Lives whose suspicion peers are told of, until a moment. */
-  const toTell = new Map<string, { isLoss: boolean, finderDomain: string, until: number }>()
+  /** Lives that this process suspects by its own findings, and whether as lost. */
+  const own = new Map<string, boolean>()
   const lostUntil = new Map<string, number>()
   /** Lives whose suspicion is one of loss. */
   const lossFound = new Set<string>()
@@ -153,11 +148,9 @@
       const life = lifeOf(target)
       const wasSuspected = isSuspected(target)
       suspectedUntil.set(life, Math.max(until, suspectedUntil.get(life) ?? 0))
+      if (finding.peerFailureDomain === undefined) own.set(life, finding.isLoss)
+      if (finding.isLoss && (finding.peerFailureDomain ?? ownFailureDomain) === target.failureDomain) lostUntil.set(life, until)
       const isNewLoss = finding.isLoss && !lossFound.has(life)
-      const finderDomain = finding.peerFailureDomain ?? ownFailureDomain
-      if (finding.peerFailureDomain === undefined) toTell.set(life, { isLoss: finding.isLoss, finderDomain, until })
-      else if (isNewLoss) toTell.set(life, { isLoss: true, finderDomain, until: performance.now() + PASSED_ON_MILLISECONDS })
-      if (finding.isLoss && finderDomain === target.failureDomain) lostUntil.set(life, until)
       if (finding.isLoss) lossFound.add(life)
       if (!wasSuspected) revision += 1
       if (!wasSuspected || isNewLoss) {
@@ -166,11 +159,10 @@
       // A refusal only keeps new work away; what is under way at the target goes on.
       if (isNewLoss) for (const listener of listeners) listener(target, false)
     },
-    suspicionsToTell () {
+    ownSuspicions () {
       const now = performance.now()
-      for (const [life, { until }] of toTell) if (Math.min(until, suspectedUntil.get(life) ?? 0) <= now) toTell.delete(life)
-      return [...toTell].map(([life, { isLoss, finderDomain }]) =>
-        ({ life, milliseconds: suspectedUntil.get(life)! - now, isLoss, finderDomain }))
+      for (const life of own.keys()) if ((suspectedUntil.get(life) ?? 0) <= now) own.delete(life)
+      return [...own].map(([life, isLoss]) => ({ life, milliseconds: suspectedUntil.get(life)! - now, isLoss }))
     },
     isHeldLost: target => (lostUntil.get(lifeOf(target)) ?? 0) > performance.now(),
     revision: () => revision,
--- a/packages/relay/src/process/peers.ts
+++ b/packages/relay/src/process/peers.ts
@@ -50,10 +50,8 @@
 /** Peers of other failure domains that are told at every so many of these: bytes between failure domains are dear. */
 const FAR_TOLD = 4
 const FAR_EVERY = 2
-/** Most peers that hear of a loss at once from each that hears of it first: two or three steps reach some hundreds. */
-const MOST_TOLD_OF_LOSS = 12
-/** An older word tells of what has passed, milliseconds: with the clocks of two VMs some tenths apart. */
-const OLDEST_WORD_MILLISECONDS = 1000
+/** Most peers that hear of a loss at once; the others are told in turn. */
+const MOST_TOLD_OF_LOSS = 24
 /** Time to live of the own key, milliseconds: peers that are gone cost a datagram each interval until then. */
 const KEY_TIME_TO_LIVE_MILLISECONDS = 12_000
 const KEY_RENEWAL_MILLISECONDS = 3500
@@ -61,11 +59,8 @@
 const entrySchema = z.object({ address: z.string(), failureDomain: z.string() })
 const loadSchema = z.object({
   vm: z.string(),
-  /** Time of day when it was told, milliseconds: a VM that was suspended reads old words when it wakes. */
-  toldAt: z.number(),
   counts: z.array(z.tuple([z.string(), z.number(), z.number()])),
-  /** Life, time left in milliseconds, whether it is lost, failure domain of the finder. */
-  suspected: z.array(z.tuple([z.string(), z.number(), z.boolean(), z.string()])),
+  suspected: z.array(z.tuple([z.string(), z.number(), z.boolean()])),
   leaving: z.array(z.string())
 })
 
@@ -82,18 +77,18 @@
   link.on(LOAD_METHOD, parameters => {
     const told = loadSchema.parse(parameters)
     const peerFailureDomain = peers.get(told.vm)?.failureDomain
-    if (peerFailureDomain === undefined || Math.abs(Date.now() - told.toldAt) > OLDEST_WORD_MILLISECONDS) return
+    if (peerFailureDomain === undefined) return
     load.setPeer(told.vm, told.counts.map(([life, requests, tokens]) => ({ life, requests, tokens })))
     for (const life of told.leaving) {
       const target = directory.living(life)
       if (target !== undefined && !target.isLeaving) directory.put({ ...target, isLeaving: true })
     }
-    for (const [life, milliseconds, isLoss, finderDomain] of told.suspected) {
+    for (const [life, milliseconds, isLoss] of told.suspected) {
       const target = directory.living(life)
       if (target === undefined) continue
       // A cut between failure domains looks from outside as if all stages behind it were lost.
-      if (target.failureDomain === self.failureDomain && finderDomain !== self.failureDomain) continue
-      directory.suspect(target, milliseconds, `told by ${told.vm}`, { peerFailureDomain: finderDomain, isLoss })
+      if (target.failureDomain === self.failureDomain && peerFailureDomain !== self.failureDomain) continue
+      directory.suspect(target, milliseconds, `told by ${told.vm}`, { peerFailureDomain, isLoss })
     }
   })
 
@@ -116,10 +111,8 @@
     if (told.length === 0) return
     const message = {
       vm: self.vm,
-      toldAt: Date.now(),
       counts: load.own().map(({ life, requests, tokens }) => [life, requests, Math.round(tokens)]),
-      suspected: directory.suspicionsToTell()
-        .map(({ life, milliseconds, isLoss, finderDomain }) => [life, Math.round(milliseconds), isLoss, finderDomain]),
+      suspected: directory.ownSuspicions().map(({ life, milliseconds, isLoss }) => [life, Math.round(milliseconds), isLoss]),
       leaving: directory.leavingLives()
     }
     for (const peer of told) link.notify(peer.address, LOAD_METHOD, message)
