--- a/packages/relay/src/connection/peer-link.ts
+++ b/packages/relay/src/connection/peer-link.ts
@@ -3,6 +3,7 @@
  */
 import { createSocket, type Socket } from 'node:dgram'
 import { JSONRPCServer, createJSONRPCNotification } from 'json-rpc-2.0'
+import { splitAddress } from './address.js'
 
 /** Sends and takes notifications. */
 export interface PeerLink {
@@ -36,17 +37,17 @@
     notify (address, method, parameters) {
       const bytes = Buffer.from(JSON.stringify(createJSONRPCNotification(method, parameters)))
       if (bytes.length > DATAGRAM_BYTES_LIMIT) return onRefused(address, `a notification of ${bytes.length} bytes is too long`)
-      const colonAt = address.lastIndexOf(':')
-      socket.send(bytes, Number(address.slice(colonAt + 1)), address.slice(0, colonAt), error => {
+      const [host, port] = splitAddress(address)
+      socket.send(bytes, port, host, error => {
         if (error !== null) onRefused(address, error.message)
       })
     },
     on: (method, handler) => { server.addMethod(method, handler) },
     open (address) {
-      const colonAt = address.lastIndexOf(':')
+      const [host, port] = splitAddress(address)
       return new Promise((resolve, reject) => {
         socket.once('error', reject)
-        socket.bind(Number(address.slice(colonAt + 1)), address.slice(0, colonAt), () => {
+        socket.bind(port, host, () => {
           socket.removeListener('error', reject)
           socket.unref()
           resolve()
--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -4,6 +4,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { splitAddress } from './address.js'
 import type { AnswerTerms, Dialect } from './dialect.js'
 
 /** How a send ended, as far as the head of the answer. */
@@ -191,8 +192,3 @@
   }
   return agent
 }
-
-function splitAddress (address: string): [string, number] {
-  const colonAt = address.lastIndexOf(':')
-  return [address.slice(0, colonAt), Number(address.slice(colonAt + 1))]
-}
--- a/packages/relay/src/process/freshness.ts
+++ b/packages/relay/src/process/freshness.ts
@@ -3,10 +3,10 @@
  */
 import { describeFailure, type PollableKeyValue } from '@wigeonlead/protocol'
 import { z } from 'zod'
+import { pause } from 'wigeonlead'
 import type { PeerLink } from '../connection/peer-link.js'
-import { pauseFor } from './background.js'
 import type { Beliefs } from './beliefs.js'
-import { presentInstant, type Instant } from './instant.js'
+import { instantBefore, presentInstant, type Instant } from './instant.js'
 import type { Peers } from './peers.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
 
@@ -25,7 +25,6 @@
   peers: Peers
   link: PeerLink
   log: RelayLog
-  nextFloat: () => number
 }
 
 const ASK_METHOD = 'freshness-asked'
@@ -58,7 +57,7 @@
 
   link.on(ASK_METHOD, parameters => {
     const asked = askSchema.parse(parameters)
-    const peer = peers.known().find(({ vm }) => vm === asked.vm)
+    const peer = peers.find(asked.vm)
     const version = beliefs.version()
     const ageMilliseconds = beliefs.age()
     if (peer === undefined || version === undefined || !Number.isFinite(ageMilliseconds)) return
@@ -75,10 +74,7 @@
     if (question === undefined) return
     if (told.text !== undefined) beliefs.take(told.text, told.vm)
     // The peer's proof was at least as new when this process asked as it was when the peer answered.
-    const { askedAt } = question
-    beliefs.prove(
-      { steady: askedAt.steady - told.ageMilliseconds, timeOfDay: askedAt.timeOfDay - told.ageMilliseconds }, told.version
-    )
+    beliefs.prove(instantBefore(question.askedAt, told.ageMilliseconds), told.version)
     if (beliefs.areKeysFresh()) question.heard()
   })
 
@@ -87,9 +83,8 @@
     return new Promise(resolve => {
       questions.set(question, { askedAt: presentInstant(), heard: () => resolve('peer') })
       const version = beliefs.version()?.configuration.version ?? -1
-      const asked = peers.known().map(peer => ({ peer, rank: parts.nextFloat() })).sort((one, other) => one.rank - other.rank)
-      for (const { peer } of asked.slice(0, PEERS_ASKED)) link.notify(peer.address, ASK_METHOD, { vm: self, question, version })
-      void pauseFor(LEARN_LIMIT_MILLISECONDS).then(() => {
+      for (const peer of peers.anyOf(PEERS_ASKED)) link.notify(peer.address, ASK_METHOD, { vm: self, question, version })
+      void pause(LEARN_LIMIT_MILLISECONDS).then(() => {
         questions.delete(question)
         resolve('nobody')
       })
--- a/packages/relay/src/process/instant.ts
+++ b/packages/relay/src/process/instant.ts
@@ -19,6 +19,11 @@
   return { steady: performance.now(), timeOfDay: Date.now() }
 }
 
+/** @returns the moment so many milliseconds before another, by both clocks. */
+export function instantBefore (instant: Instant, milliseconds: number): Instant {
+  return { steady: instant.steady - milliseconds, timeOfDay: instant.timeOfDay - milliseconds }
+}
+
 /**
  * @returns the age, milliseconds; infinite where one clock has jumped since: a suspension may hide behind a step of the time of day, so
  * the true age is not known.
--- a/packages/relay/src/process/mirror-relay.ts
+++ b/packages/relay/src/process/mirror-relay.ts
@@ -4,10 +4,10 @@
  */
 import type { WatchEvent } from '@wigeonlead/protocol'
 import { z } from 'zod'
+import { pauseInBackground } from 'wigeonlead'
 import type { PeerLink } from '../connection/peer-link.js'
-import { pauseInBackground } from './background.js'
-import { ageOf, presentInstant, type Instant } from './instant.js'
-import type { Peer } from './peers.js'
+import { ageOf, instantBefore, presentInstant, type Instant } from './instant.js'
+import type { Peer, Peers } from './peers.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
 
 /** What a peer that follows the store passed on. */
@@ -40,7 +40,7 @@
 export interface MirrorRelayParts {
   self: string
   failureDomain: string
-  knownPeers: () => Peer[]
+  peers: Pick<Peers, 'known' | 'find'>
   link: PeerLink
   log: RelayLog
 }
@@ -85,7 +85,7 @@
 
 /** Starts to answer questions of peers. */
 export function createMirrorRelay (parts: MirrorRelayParts): MirrorRelay {
-  const { self, link, log } = parts
+  const { self, peers, link, log } = parts
   const kept: WatchEvent[] = []
   const held = new Set<{ after: number, answer: () => void }>()
   const questions = new Map<number, { askedAt: Instant, resolve: (page: RelayedPage | undefined) => void }>()
@@ -100,7 +100,7 @@
 
   link.on(ASK_METHOD, parameters => {
     const asked = askSchema.parse(parameters)
-    const peer = parts.knownPeers().find(({ vm }) => vm === asked.vm)
+    const peer = peers.find(asked.vm)
     if (peer === undefined) return
     const askedAt = performance.now()
     const waiting = { after: asked.after, answer }
@@ -139,18 +139,17 @@
   }
 
   function toRelayedPage (page: NonNullable<Told>, askedAt: Instant): RelayedPage {
-    // The question arrived after it was asked, so the peer's word was at least as new as this.
-    const back = page.ageMilliseconds - page.heldMilliseconds
     return {
       changes: page.changes,
       revision: page.revision,
-      provedAt: { steady: askedAt.steady - back, timeOfDay: askedAt.timeOfDay - back },
+      // The question arrived after it was asked, so the peer's word was at least as new as this.
+      provedAt: instantBefore(askedAt, page.ageMilliseconds - page.heldMilliseconds),
       regainedMilliseconds: page.regainedMilliseconds
     }
   }
 
   function nearPeers (): Peer[] {
-    return parts.knownPeers().filter(({ failureDomain }) => failureDomain === parts.failureDomain)
+    return peers.known().filter(({ failureDomain }) => failureDomain === parts.failureDomain)
   }
 
   /** All processes order the VMs of a failure domain alike, so they agree on who follows the store without a word. */
@@ -188,8 +187,7 @@
         noteFollowed(undefined, 'it is its turn')
         return undefined
       }
-      const name = followers[preferred % followers.length]!
-      const peer = nearPeers().find(({ vm }) => vm === name)!
+      const peer = peers.find(followers[preferred % followers.length]!)!
       const page = await ask(peer, after)
       if (page === undefined || ageOf(page.provedAt) > OLDEST_WORD_MILLISECONDS + ANSWER_LIMIT_MILLISECONDS) {
         preferred += 1
--- a/packages/relay/src/process/peers.ts
+++ b/packages/relay/src/process/peers.ts
@@ -19,6 +19,9 @@
 /** Knows and tells the peers. */
 export interface Peers {
   known: () => Peer[]
+  find: (vm: string) => Peer | undefined
+  /** @returns so many peers at most, drawn at random. */
+  anyOf: (count: number) => Peer[]
   /** @returns the most VMs that were known at once, with this one: those that are cut off lapse from the store and go on. */
   mostKnown: () => number
   put: (vm: string, text: string) => void
@@ -92,7 +95,7 @@
     }
   })
 
-  directory.onLost((_target, isLeaving) => { if (!isLeaving) tell(anyOf([...peers.values()], MOST_TOLD_OF_LOSS)) })
+  directory.onLost((_target, isLeaving) => { if (!isLeaving) tell(anyOf(MOST_TOLD_OF_LOSS)) })
 
   function tellInTurn (): void {
     turn += 1
@@ -102,7 +105,8 @@
     tell(nextOf(near, NEAR_TOLD, turn).concat(Number.isInteger(farTurn) ? nextOf(far, FAR_TOLD, farTurn) : []))
   }
 
-  function anyOf (all: Peer[], count: number): Peer[] {
+  function anyOf (count: number): Peer[] {
+    const all = [...peers.values()]
     while (all.length > count) all.splice(Math.floor(parts.nextFloat() * all.length), 1)
     return all
   }
@@ -138,6 +142,8 @@
 
   return {
     known: () => [...peers.values()],
+    find: vm => peers.get(vm),
+    anyOf,
     mostKnown: () => mostKnown,
     put (vm, text) {
       if (vm === self.vm) return
--- a/packages/relay/src/process/repeat-loans.ts
+++ b/packages/relay/src/process/repeat-loans.ts
@@ -2,8 +2,8 @@
  * Repeats that peers lend: the loss of one stage falls on the VMs of one failure domain, while the others have their shares unspent.
  */
 import { z } from 'zod'
+import { pause } from 'wigeonlead'
 import type { PeerLink } from '../connection/peer-link.js'
-import { pauseFor } from './background.js'
 import type { Peers } from './peers.js'
 import type { RepeatBudget } from './repeat-budget.js'
 
@@ -20,7 +20,6 @@
   budget: RepeatBudget
   peers: Peers
   link: PeerLink
-  nextFloat: () => number
 }
 
 const ASK_METHOD = 'repeats-asked'
@@ -45,7 +44,7 @@
 
   link.on(ASK_METHOD, parameters => {
     const asked = messageSchema.parse(parameters)
-    const peer = peers.known().find(({ vm }) => vm === asked.vm)
+    const peer = peers.find(asked.vm)
     if (peer === undefined) return
     const count = budget.lend(asked.service, asked.count)
     if (count > 0) link.notify(peer.address, TELL_METHOD, { vm: self, service: asked.service, count })
@@ -68,11 +67,10 @@
   }
 
   async function ask (service: string, queue: Array<(isLent: boolean) => void>): Promise<void> {
-    await pauseFor(GATHER_MILLISECONDS)
+    await pause(GATHER_MILLISECONDS)
     const count = Math.max(1, Math.ceil(queue.length * ASKED_SHARE))
-    const asked = peers.known().map(peer => ({ peer, rank: parts.nextFloat() })).sort((one, other) => one.rank - other.rank)
-    for (const { peer } of asked.slice(0, PEERS_ASKED)) link.notify(peer.address, ASK_METHOD, { vm: self, service, count })
-    await pauseFor(ANSWER_LIMIT_MILLISECONDS)
+    for (const peer of peers.anyOf(PEERS_ASKED)) link.notify(peer.address, ASK_METHOD, { vm: self, service, count })
+    await pause(ANSWER_LIMIT_MILLISECONDS)
     if (queue.length > 0) failedAt.set(service, performance.now())
     for (const resolve of queue.splice(0)) resolve(false)
   }
--- a/packages/relay/src/process/serve.ts
+++ b/packages/relay/src/process/serve.ts
@@ -2,9 +2,10 @@
  * Runs a relay process on sockets: its listeners, its signals and its end.
  */
 import { createServer, type Server } from 'node:http'
+import { pauseInBackground } from 'wigeonlead'
+import { splitAddress } from '../connection/address.js'
 import { createCallerListener } from '../connection/callers.js'
 import { createPeerLink } from '../connection/peer-link.js'
-import { pauseInBackground } from './background.js'
 import { RelayEvent } from './relay-log.js'
 import type { RelaySettings } from './settings.js'
 import { createRelay, type Relay, type RelayPorts } from './wire.js'
@@ -83,10 +84,10 @@
 }
 
 function listen (server: Server, address: string): Promise<void> {
-  const colonAt = address.lastIndexOf(':')
+  const [host, port] = splitAddress(address)
   return new Promise((resolve, reject) => {
     server.once('error', reject)
-    server.listen({ host: address.slice(0, colonAt), port: Number(address.slice(colonAt + 1)), backlog: BACKLOG }, () => {
+    server.listen({ host, port, backlog: BACKLOG }, () => {
       server.removeListener('error', reject)
       resolve()
     })
--- a/packages/relay/src/process/store-mirror.ts
+++ b/packages/relay/src/process/store-mirror.ts
@@ -2,7 +2,7 @@
  * A copy of the store's keys, kept by long polls. Each answered poll proves how fresh the copy is.
  */
 import { FailureKind, describeFailure, type Failure, type KeyValueEntry, type PollableKeyValue, type WatchEvent } from '@wigeonlead/protocol'
-import { pauseInBackground } from './background.js'
+import { pauseInBackground } from 'wigeonlead'
 import { presentInstant, type Instant } from './instant.js'
 import type { MirrorRelay, RelayedPage } from './mirror-relay.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -107,9 +107,9 @@
     windowMilliseconds: bounds.repeatWindowSeconds * 1000,
     vms: () => Math.ceil(peers.mostKnown() * VMS_TO_COME)
   })
-  const repeats = createRepeatLoans({ self: settings.node.vm, budget, peers, link: ports.link, nextFloat: ports.nextFloat })
+  const repeats = createRepeatLoans({ self: settings.node.vm, budget, peers, link: ports.link })
   const mirrorRelay = createMirrorRelay({
-    self: settings.node.vm, failureDomain: settings.node.failureDomain, knownPeers: peers.known, link: ports.link, log
+    self: settings.node.vm, failureDomain: settings.node.failureDomain, peers, link: ports.link, log
   })
   const freshness = createFreshness({
     self: settings.node.vm,
@@ -118,8 +118,7 @@
     beliefs,
     peers,
     link: ports.link,
-    log,
-    nextFloat: ports.nextFloat
+    log
   })
   const lease = createCoordinatorLease({
     store,
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -1,9 +1,9 @@
 /**
  * Relays requests whose answer is a series of events: over a path of stages, continued on another path when one breaks.
  */
+import { pause } from 'wigeonlead'
 import { SendResult } from '../connection/target-client.js'
 import { RelayEvent } from '../process/relay-log.js'
-import { pauseFor } from '../process/background.js'
 import type { FoundPath } from '../process/path-finder.js'
 import { RepeatRule } from '../version/configuration.js'
 import { Refusal } from './answer.js'
@@ -46,7 +46,7 @@
         return refuse(request, parts, ledger, Refusal.NoRoom, explain(request, parts), ROOM_RETRY_MILLISECONDS)
       }
       if (path !== undefined) {
-        await pauseFor(ROOM_PAUSE_MILLISECONDS * (0.5 + parts.nextFloat()))
+        await pause(ROOM_PAUSE_MILLISECONDS * (0.5 + parts.nextFloat()))
         continue
       }
       avoided.clear()
@@ -55,7 +55,7 @@
         detail = `${detail}; ${explain(request, parts)}`
         break
       }
-      await pauseFor(NO_PATH_PAUSE_MILLISECONDS)
+      await pause(NO_PATH_PAUSE_MILLISECONDS)
       continue
     }
     if (ledger.arrivals() > 0 && !await parts.repeats.take(request.service.name)) {
--- a/packages/relay/src/request/stream-move.ts
+++ b/packages/relay/src/request/stream-move.ts
@@ -1,8 +1,8 @@
 /**
  * Moves a stream that is under way off a stage that is lost, leaves or holds it up, behind the same first stage.
  */
+import { pause } from 'wigeonlead'
 import type { StageOfPath } from '../connection/dialect.js'
-import { pauseFor } from '../process/background.js'
 import type { FoundPath } from '../process/path-finder.js'
 import { RelayEvent } from '../process/relay-log.js'
 import { lifeOf, type Target } from '../version/target.js'
@@ -40,7 +40,7 @@
 
   async function move (lost: Target): Promise<void> {
     const avoided = new Set([lifeOf(lost)])
-    if (performance.now() < patientUntil) await pauseFor(LEAVING_PAUSE_MILLISECONDS)
+    if (performance.now() < patientUntil) await pause(LEAVING_PAUSE_MILLISECONDS)
     for (let tries = 0; tries < MAXIMUM_TRIES; tries++) {
       if (hasEnded) return
       const next = parts.paths.find({
@@ -48,12 +48,12 @@
       })
       if (next === undefined) {
         avoided.clear()
-        await pauseFor(TRY_PAUSE_MILLISECONDS)
+        await pause(TRY_PAUSE_MILLISECONDS)
         continue
       }
       if (performance.now() < patientUntil && crossingsOf(next.stages) > crossingsOf(stages)) {
         tries -= 1
-        await pauseFor(TRY_PAUSE_MILLISECONDS)
+        await pause(TRY_PAUSE_MILLISECONDS)
         continue
       }
       const answer = await parts.engines.repath(first, request.requestId, next.stages)
@@ -77,7 +77,7 @@
       const faulty = answer.faultyAddress === undefined ? undefined : parts.directory.at(answer.faultyAddress)
       if (faulty?.id === first.targetId) return onFirstLost()
       if (faulty !== undefined) avoided.add(lifeOf(faulty))
-      await pauseFor(TRY_PAUSE_MILLISECONDS)
+      await pause(TRY_PAUSE_MILLISECONDS)
     }
   }
 
--- a/packages/relay/test/process/freshness.spec.ts
+++ b/packages/relay/test/process/freshness.spec.ts
@@ -8,6 +8,7 @@
 import {
   SILENT_RELAY_LOG, createBeliefs, createDirectory, createFreshness, createLoad, createPeers, presentInstant, type Beliefs, type PeerLink
 } from '@wigeonlead/relay'
+import { joinLinks } from '../joined-links.js'
 import { testConfiguration } from '../test-configuration.js'
 
 const REVOKE_MILLISECONDS = 5000
@@ -23,19 +24,6 @@
 const holding = (version: number): StoreAnswer => async () =>
   success({ revision: version, entry: { key: KEY, value: String(version), modRevision: version, createRevision: 1 } })
 
-/** Joins links by name, as datagrams would. */
-function joinLinks (names: readonly string[]): Map<string, PeerLink> {
-  const handlers = new Map(names.map(name => [name, new Map<string, (parameters: unknown) => void>()]))
-  return new Map(names.map(name => [name, {
-    notify: (address: string, method: string, parameters: unknown) => {
-      setTimeout(() => handlers.get(address)?.get(method)?.(JSON.parse(JSON.stringify(parameters))), 1)
-    },
-    on: (method: string, handler: (parameters: unknown) => void) => { handlers.get(name)!.set(method, handler) },
-    async open () {},
-    close () {}
-  }]))
-}
-
 function startVm (
   vm: string, link: PeerLink, answer: StoreAnswer, others: readonly string[]
 ): { beliefs: Beliefs, learn: () => Promise<void> } {
@@ -57,7 +45,7 @@
   })
   for (const other of others) peers.put(other, JSON.stringify({ address: other, failureDomain: 'east' }))
   const freshness = createFreshness({
-    self: vm, store, configurationKey: KEY, beliefs, peers, link, log: SILENT_RELAY_LOG, nextFloat: () => 0
+    self: vm, store, configurationKey: KEY, beliefs, peers, link, log: SILENT_RELAY_LOG
   })
   return { beliefs, learn: freshness.learn }
 }
--- a/packages/relay/test/process/mirror-relay.spec.ts
+++ b/packages/relay/test/process/mirror-relay.spec.ts
@@ -5,11 +5,12 @@
 import { FailureKind, Step, failed, success, type KeyValueEntry, type PollableKeyValue, type WatchEvent } from '@wigeonlead/protocol'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { SILENT_RELAY_LOG, ageOf, createMirrorRelay, runStoreMirror, type Instant, type Peer, type PeerLink } from '@wigeonlead/relay'
+import { SILENT_RELAY_LOG, ageOf, createMirrorRelay, runStoreMirror, type Instant } from '@wigeonlead/relay'
+import { joinLinks } from '../joined-links.js'
 
 /** The tightest bound on a change, milliseconds. */
 const BOUND_MILLISECONDS = 2000
-/** Keys are refused once the word is older: a VM in touch must stay under it. */
+/** Keys are refused once the word is older: a VM that the store or a peer answers must stay under it. */
 const OLDEST_PROOF_MILLISECONDS = 4500
 
 interface FakeStore {
@@ -106,23 +107,13 @@
   store.put('target', 'here')
   const dead = new Set<string>()
   const names = Array.from({ length: count }, (_, index) => `vm-${String(index).padStart(3, '0')}`)
-  const handlers = new Map(names.map(name => [name, new Map<string, (parameters: unknown) => void>()]))
+  const links = joinLinks(names, (from, to) => dead.has(from) || dead.has(to))
   const vms: Vm[] = names.map(name => ({ name, seen: new Map(), told: [] }))
   try {
     for (const vm of vms) {
-      const link: PeerLink = {
-        notify (address, method, parameters) {
-          if (dead.has(vm.name)) return
-          const text = JSON.stringify(parameters)
-          setTimeout(() => { if (!dead.has(address)) handlers.get(address)?.get(method)?.(JSON.parse(text)) }, 1)
-        },
-        on: (method, handler) => { handlers.get(vm.name)!.set(method, handler) },
-        async open () {},
-        close () {}
-      }
-      const others = names.filter(name => name !== vm.name)
-      const knownPeers = (): Peer[] => others.map(name => ({ vm: name, address: name, failureDomain: 'east' }))
-      const relay = createMirrorRelay({ self: vm.name, failureDomain: 'east', knownPeers, link, log: SILENT_RELAY_LOG })
+      const others = names.filter(name => name !== vm.name).map(name => ({ vm: name, address: name, failureDomain: 'east' }))
+      const peers = { known: () => others, find: (name: string) => others.find(other => other.vm === name) }
+      const relay = createMirrorRelay({ self: vm.name, failureDomain: 'east', peers, link: links.get(vm.name)!, log: SILENT_RELAY_LOG })
       void runStoreMirror(store.port(vm.name), {
         onEntry ({ key, value }) { vm.seen.set(key, value) },
         onRemoved (key) { vm.seen.delete(key); vm.told.push(`-${key}`) },
@@ -177,8 +168,8 @@
       fleet.store.put('configuration', '2')
       const oldest = await fleet.pass(BOUND_MILLISECONDS - 50)
       for (const vm of fleet.vms) {
-        const isInTouch = !fleet.dead.has(vm.name) && !fleet.store.away.has(vm.name)
-        if (isInTouch) assert.is(vm.seen.get('configuration'), '2', vm.name)
+        const isServed = !fleet.dead.has(vm.name) && !fleet.store.away.has(vm.name)
+        if (isServed) assert.is(vm.seen.get('configuration'), '2', vm.name)
       }
       if (fleet.store.away.size === 0) assert.ok(oldest < OLDEST_PROOF_MILLISECONDS, `a proof ${oldest} ms old`)
     }))
--- a/packages/relay/test/process/repeat-loans.spec.ts
+++ b/packages/relay/test/process/repeat-loans.spec.ts
@@ -5,27 +5,19 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import {
-  SILENT_RELAY_LOG, createDirectory, createLoad, createPeers, createRepeatBudget, createRepeatLoans, type PeerLink, type Repeats
+  SILENT_RELAY_LOG, createDirectory, createLoad, createPeers, createRepeatBudget, createRepeatLoans, type Repeats
 } from '@wigeonlead/relay'
+import { joinLinks } from '../joined-links.js'
 
 const VMS = 9
 const EXTRA = 202
 
 function startFleet (lost: number): Repeats[] {
   const names = Array.from({ length: VMS }, (_, index) => `vm-${index}`)
-  const handlers = new Map(names.map(name => [name, new Map<string, (parameters: unknown) => void>()]))
   let sent = 0
+  const links = joinLinks(names, () => lost > 0 && ++sent % lost === 0)
   return names.map(name => {
-    const link: PeerLink = {
-      notify (address, method, parameters) {
-        sent += 1
-        if (lost > 0 && sent % lost === 0) return
-        setTimeout(() => handlers.get(address)?.get(method)?.(parameters), 1)
-      },
-      on: (method, handler) => { handlers.get(name)!.set(method, handler) },
-      async open () {},
-      close () {}
-    }
+    const link = links.get(name)!
     const peers = createPeers({
       self: { vm: name, address: name, failureDomain: 'east' },
       keyPrefix: '',
@@ -39,7 +31,7 @@
     })
     for (const other of names) peers.put(other, JSON.stringify({ address: other, failureDomain: 'east' }))
     const budget = createRepeatBudget({ share: 0.2, extra: EXTRA, windowMilliseconds: 10_000, vms: () => VMS })
-    return createRepeatLoans({ self: name, budget, peers, link, nextFloat: () => 0.5 })
+    return createRepeatLoans({ self: name, budget, peers, link })
   })
 }
 
--- a/packages/stand-ins/src/bench/claims.ts
+++ b/packages/stand-ins/src/bench/claims.ts
@@ -1,11 +1,11 @@
 /**
  * Experiment: what claims add to an order, and what they write, in a fleet of nine entry VMs over a slow key-value service.
  */
-import { createServer, type AddressInfo } from 'node:net'
 import {
   FailureKind, MemberState, ServiceResult, Step, failed, type KeyValuePort, type MemberEntry, type RandomSource, type ServiceOutcome
 } from '@wigeonlead/protocol'
 import { ClaimResult, createClaims, createHttpPeers, createSeededRandom, type Claims, type HttpPeers } from 'wigeonlead'
+import { freeAddress } from '../http.js'
 import { createMemoryKeyValue } from '../platform/memory.js'
 import { createKeyValueStore, type KeyValueStore } from '../platform/store.js'
 import type { Cell, Experiment, ExperimentOptions, ExperimentResult } from './experiment.js'
@@ -170,16 +170,6 @@
   return createMemoryKeyValue(store, { delayMilliseconds: () => KEY_VALUE_DELAY_MILLISECONDS })
 }
 
-function freeAddress (): Promise<string> {
-  return new Promise(resolve => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo
-      server.close(() => resolve(`127.0.0.1:${port}`))
-    })
-  })
-}
-
 function percentile (sorted: number[], share: number): number {
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0
 }
--- a/packages/stand-ins/src/http.ts
+++ b/packages/stand-ins/src/http.ts
@@ -2,7 +2,7 @@
  * What the stand-ins' HTTP servers share: listening on loopback, reading a JSON body, answering JSON.
  */
 import { createServer, type IncomingMessage, type RequestListener, type ServerResponse } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import { createServer as createTcpServer, type AddressInfo, type Socket } from 'node:net'
 
 /** A server that listens. */
 export interface RunningServer {
@@ -30,6 +30,17 @@
   })
 }
 
+/** @returns an address on loopback, `127.0.0.1:port`, at which nothing listens yet. */
+export function freeAddress (): Promise<string> {
+  return new Promise(resolve => {
+    const server = createTcpServer()
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo
+      server.close(() => resolve(`127.0.0.1:${port}`))
+    })
+  })
+}
+
 /** Reads a whole body as JSON; an empty one is an empty object. */
 export async function readJson (request: IncomingMessage): Promise<unknown> {
   const chunks: Buffer[] = []
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,7 +1,7 @@
 /**
  * Small stand-ins for what the router meets: the platform, engines and a plain service.
  */
-export { listen, readJson, answerJson, type RunningServer } from './http.js'
+export { answerJson, freeAddress, listen, readJson, type RunningServer } from './http.js'
 export { createKeyValueStore, type KeyValueStore, type StoreCounts, type StoreWrite } from './platform/store.js'
 export { createMemoryKeyValue, KeyValueFault, type MemoryKeyValueOptions } from './platform/memory.js'
 export {
--- a/packages/stand-ins/src/quickstart.ts
+++ b/packages/stand-ins/src/quickstart.ts
@@ -1,7 +1,6 @@
 /**
  * The quickstart: the whole path on loopback inside one process, with every step's result printed and checked.
  */
-import { createServer, type AddressInfo } from 'node:net'
 import {
   EngineRole, createEtcdKeyValue, digestText, type HeldPart
 } from '@wigeonlead/protocol'
@@ -10,7 +9,7 @@
 import { createEngine, type Engine } from './engine/core.js'
 import { referenceAnswer } from './engine/model.js'
 import { startEngineServer } from './engine/server.js'
-import type { RunningServer } from './http.js'
+import { freeAddress, type RunningServer } from './http.js'
 import { loopbackVm, startKeyValueServer, startVmListServer } from './platform/server.js'
 import { createKeyValueStore } from './platform/store.js'
 import { createOrderService, startOrderServer, type OrderService } from './service/orders.js'
@@ -224,16 +223,6 @@
 `
 }
 
-function freeAddress (): Promise<string> {
-  return new Promise(resolve => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo
-      server.close(() => resolve(`127.0.0.1:${port}`))
-    })
-  })
-}
-
 function check (what: string, isRight: boolean, seen: string): void {
   say(`${isRight ? 'ok  ' : 'FAIL'} ${what}: ${seen}`)
   if (!isRight) failures.push(what)
--- a/packages/wigeonlead/src/index.ts
+++ b/packages/wigeonlead/src/index.ts
@@ -8,6 +8,7 @@
   type SettingsCheck, type SettingsInput
 } from './process/index.js'
 export { ClaimResult, createClaims, type ClaimOutcome, type ClaimedOrder, type Claims, type ClaimsParts } from './request/claims/index.js'
+export { pause, pauseInBackground } from './process/pause.js'
 export { createMetrics, type MetricLabels, type Metrics } from './process/metrics.js'
 export { createPathChooser } from './request/index.js'
 export type { CallerHandler, CallerRequest, CallerResponse, PathChooser, PathQuery, PathRun } from './request/index.js'
--- a/packages/wigeonlead/test/process/shutdown-process.spec.ts
+++ b/packages/wigeonlead/test/process/shutdown-process.spec.ts
@@ -5,7 +5,7 @@
 import { once } from 'node:events'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import type { ServerResponse } from 'node:http'
-import { connect, createServer as createTcpServer, type AddressInfo } from 'node:net'
+import { connect } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -14,7 +14,8 @@
 import { ask } from '../ask.js'
 import { StopSubject, changeHead, createEtcdKeyValue, digestText, manifestSchema, publishManifest, type KeyValuePort } from '@wigeonlead/protocol'
 import {
-  createEngine, createKeyValueStore, listen, loopbackVm, referenceAnswer, startEngineServer, startKeyValueServer, startVmListServer,
+  createEngine, createKeyValueStore, freeAddress, listen, loopbackVm, referenceAnswer, startEngineServer, startKeyValueServer,
+  startVmListServer,
   type RunningServer
 } from '@wigeonlead/stand-ins'
 import { createSeededRandom } from 'wigeonlead'
@@ -215,13 +216,3 @@
 function expectedText (): string {
   return referenceAnswer({ model: 'assistant', version: 'v1' }, LAYERS, PROMPT, 256).map(token => token.text).join('')
 }
-
-function freeAddress (): Promise<string> {
-  return new Promise(resolve => {
-    const server = createTcpServer()
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo
-      server.close(() => resolve(`127.0.0.1:${port}`))
-    })
-  })
-}
