Ports of processes that start later are not given away in the meantime

Its ports came from listeners on port 0 that were closed again; any later listener on port 0 may be given the same one, and the process then can't listen. Forty draws of such ports in a row gave one of them twice (39 different); outgoing connections took none of them in 3,000 (ruled out).

--- a/packages/stand-ins/src/http.ts
+++ b/packages/stand-ins/src/http.ts
@@ -4,6 +4,8 @@
 import { createServer, type IncomingMessage, type RequestListener, type ServerResponse } from 'node:http'
 import { createServer as createTcpServer, type AddressInfo, type Socket } from 'node:net'
 
+const LOOPBACK = '127.0.0.1'
+
 /** A server that listens. */
 export interface RunningServer {
   /** `127.0.0.1:port`. */
@@ -23,21 +25,35 @@
   })
   return new Promise((resolve, reject) => {
     server.once('error', reject)
-    server.listen(port, '127.0.0.1', () => {
-      const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    server.listen(port, LOOPBACK, () => {
+      const address = `${LOOPBACK}:${(server.address() as AddressInfo).port}`
       resolve({ address, close: () => closeServer(server, sockets) })
     })
   })
 }
 
-/** @returns an address on loopback, `127.0.0.1:port`, at which nothing listens yet. */
-export function freeAddress (): Promise<string> {
+/** Ports below those that Linux gives to sockets that ask for any: a listener on port 0 or a connection can't take one in the meantime. */
+const FIRST_PORT = 10_000
+const PORT_COUNT = 20_000
+/** Processes begin so many ports apart: more than any one of them asks for, so that two that run at once rarely try the same. */
+const PORTS_OF_PROCESS = 397
+
+let portsTried = 0
+
+/** @returns an address on loopback, `127.0.0.1:port`, at which nothing listens yet; another one at each call. */
+export async function freeAddress (): Promise<string> {
+  for (;;) {
+    const port = FIRST_PORT + (process.pid * PORTS_OF_PROCESS + portsTried++) % PORT_COUNT
+    if (await isFree(port)) return `${LOOPBACK}:${port}`
+    if (portsTried > PORT_COUNT) throw new Error('no free port on loopback')
+  }
+}
+
+function isFree (port: number): Promise<boolean> {
   return new Promise(resolve => {
     const server = createTcpServer()
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo
-      server.close(() => resolve(`127.0.0.1:${port}`))
-    })
+    server.once('error', () => resolve(false))
+    server.listen(port, LOOPBACK, () => server.close(() => resolve(true)))
   })
 }
 
