Where work goes: first stages by what they take at once, chains by that room, covered gaps wait for the card to come back

A large failure domain had one or two chains where its memory has room for two to four; a lost stage lowered the number of chains, so that all cards were laid out anew; and a card was grouped with the wrong chain beside a gap. Ruled out: links between failure domains as the first cause (few crossings in the paths of requests that were left), memory (none lacking). Change: requests are counted by the stage where they enter, and peers are told; a first stage costs more as it fills, has no room past what it takes, and none for 150 ms after it refused. Crossings are weighed by the rate of the link. A chain has room for as many usual requests as its first stage takes at once. The number of chains follows what is held. A gap whose layers other chains hold waits 6 s for its card; cards that came back split a gap that is too wide for one. The log tells the path of a request whose caller left. The path test for memory gets first stages that take 200 each, since its 300 requests are more than two of 134 take.

--- a/packages/relay/src/process/load.ts
+++ b/packages/relay/src/process/load.ts
@@ -11,15 +11,17 @@
 export interface Load {
   /** Requests of this process and its peers that were sent to the target, or that cross it. */
   requests: (life: string) => number
+  /** Requests of this process and its peers whose path begins at the target. */
+  entering: (life: string) => number
   /** Tokens for which requests of this process and its peers need memory. */
   tokens: (life: string) => number
   reserveRequest: (life: string) => Reservation
-  /** Counts a request and its memory on each stage of a path. */
+  /** Counts a request and its memory on each stage of a path, which it enters at the first. */
   reservePath: (lives: readonly string[], tokens: number) => Reservation
   /** Own counts, to tell peers. */
-  own: () => Array<{ life: string, requests: number, tokens: number }>
+  own: () => TargetCounts[]
   /** Takes a peer's counts in place of its earlier ones; they are forgotten once they are too old. */
-  setPeer: (vm: string, counts: ReadonlyArray<{ life: string, requests: number, tokens: number }>) => void
+  setPeer: (vm: string, counts: readonly TargetCounts[]) => void
   dropPeer: (vm: string) => void
   /** @returns sends in a row to which the target gave no answer in time. */
   noteMute: (life: string) => number
@@ -29,11 +31,17 @@
 interface Count {
   requests: number
   tokens: number
+  entering: number
+}
+
+/** Counts of one target, as peers are told. */
+export interface TargetCounts extends Count {
+  life: string
 }
 
 /** Counts of a peer that has not told for so long are of requests that have mostly ended, milliseconds: about one long answer. */
 const PEER_COUNTS_MILLISECONDS = 6000
-const NOTHING: Count = { requests: 0, tokens: 0 }
+const NOTHING: Count = { requests: 0, tokens: 0, entering: 0 }
 
 /** Makes empty counts. */
 export function createLoad (): Load {
@@ -43,12 +51,20 @@
   /** Sums over all peers, kept as they tell, so that one word costs the same in a large fleet. */
   const peerTotals = new Map<string, Count>()
 
-  function add (life: string, requests: number, tokens: number): void {
-    const count = own.get(life) ?? { requests: 0, tokens: 0 }
-    count.requests += requests
-    count.tokens += tokens
-    if (count.requests === 0 && count.tokens === 0) own.delete(life)
-    else own.set(life, count)
+  function add (counts: Map<string, Count>, life: string, added: Count, sign: 1 | -1): void {
+    const before = counts.get(life) ?? NOTHING
+    const count = {
+      requests: before.requests + sign * added.requests,
+      tokens: before.tokens + sign * added.tokens,
+      entering: before.entering + sign * added.entering
+    }
+    if (Object.values(count).every(value => value === 0)) counts.delete(life)
+    else counts.set(life, count)
+  }
+
+  function reserve (counts: ReadonlyArray<[life: string, count: Count]>): Reservation {
+    for (const [life, count] of counts) add(own, life, count, 1)
+    return once(() => { for (const [life, count] of counts) add(own, life, count, -1) })
   }
 
   function sum (life: string, read: (count: Count) => number): number {
@@ -56,13 +72,7 @@
   }
 
   function addToTotals (counts: ReadonlyMap<string, Count>, sign: 1 | -1): void {
-    for (const [life, { requests, tokens }] of counts) {
-      const total = peerTotals.get(life) ?? { requests: 0, tokens: 0 }
-      total.requests += sign * requests
-      total.tokens += sign * tokens
-      if (total.requests === 0 && total.tokens === 0) peerTotals.delete(life)
-      else peerTotals.set(life, total)
-    }
+    for (const [life, count] of counts) add(peerTotals, life, count, sign)
   }
 
   function dropPeer (vm: string): void {
@@ -88,15 +98,10 @@
 
   return {
     requests: life => sum(life, count => count.requests),
+    entering: life => sum(life, count => count.entering),
     tokens: life => sum(life, count => count.tokens),
-    reserveRequest (life) {
-      add(life, 1, 0)
-      return once(() => add(life, -1, 0))
-    },
-    reservePath (lives, tokens) {
-      for (const life of lives) add(life, 1, tokens)
-      return once(() => { for (const life of lives) add(life, -1, -tokens) })
-    },
+    reserveRequest: life => reserve([[life, { requests: 1, tokens: 0, entering: 0 }]]),
+    reservePath: (lives, tokens) => reserve(lives.map((life, index) => [life, { requests: 1, tokens, entering: index === 0 ? 1 : 0 }])),
     noteMute (life) {
       const count = (mutes.get(life) ?? 0) + 1
       mutes.set(life, count)
@@ -107,7 +112,7 @@
     setPeer (vm, counts) {
       dropPeer(vm)
       dropSilentPeers()
-      const byLife = new Map(counts.map(({ life, requests, tokens }) => [life, { requests, tokens }]))
+      const byLife = new Map(counts.map(({ life, ...count }) => [life, count]))
       peers.set(vm, { toldAt: performance.now(), counts: byLife })
       addToTotals(byLife, 1)
     },
--- a/packages/relay/src/process/path-finder.ts
+++ b/packages/relay/src/process/path-finder.ts
@@ -44,25 +44,33 @@
   explain: (query: PathQuery) => string
   /** Notes that a target works so many times as slowly as its kind. */
   noteSlowness: (life: string, factor: number) => void
+  /** Notes that a first stage refused since it has as much as it takes. */
+  noteFull: (life: string) => void
 }
 
 /** Fixed cost of one more stage, milliseconds for each token: the hand-over on one link. */
 const STAGE_MILLISECONDS_PER_TOKEN = 0.1
 /** Delay of a crossing between failure domains, milliseconds for each token. */
 const CROSSING_MILLISECONDS_PER_TOKEN = 0.6
-/** What the bytes of one token cost a crossing, milliseconds a megabyte: the pipe is shared and queues. */
-const CROSSING_MILLISECONDS_PER_MEGABYTE = 8
+/** Weight of the time for which a crossing holds the link: all paths that cross there share it, and they queue. */
+const CROSSING_LINK_WEIGHT = 30
 /**
  * Cost of a first stage in another failure domain, milliseconds: callers' bytes cross for the whole answer, and the counts of other
- * failure domains are older than those of the own one.
+ * failure domains are older than those of the own one. About what chains of unlike cards differ by, so that the fastest does not draw all.
  */
-const LEAVING_HOME_MILLISECONDS = 300
+const LEAVING_HOME_MILLISECONDS = 700
+/** Cost of a first stage that has as much as it takes at once, milliseconds; grows with the square of its share: about one usual answer. */
+const ENTERING_MILLISECONDS = 2000
+/** A first stage that refused for want of a place takes nothing new for so long, milliseconds: some requests end meanwhile. */
+const FULL_MILLISECONDS = 150
 /** Cost of a stage without room, milliseconds: any path with room is taken before it. */
 const NO_ROOM_MILLISECONDS = 100_000
 /** Growth of a stage's cost as its memory fills. */
 const FILL_WEIGHT = 4
 const FILL_POWER = 3
-const BYTES_PER_MEGABYTE = 1e6
+const BITS_PER_BYTE = 8
+/** Bits a millisecond of one megabit a second. */
+const BITS_PER_MEGABIT_RATE = 1000
 /** A found path serves queries of the same kind for so long, milliseconds: loads change little meanwhile. */
 const CACHE_MILLISECONDS = 25
 
@@ -72,11 +80,15 @@
   to: number
   millisecondsPerLayer: number
   hasRoom: boolean
+  /** Share of what it takes at once as a first stage that is taken; over 1 it takes no more. */
+  entryFill: number
 }
 
 interface Step {
   cost: number
   stage?: Stage
+  /** Of the stage, in its place on the path. */
+  hasRoom?: boolean
   to: number
   before?: Step
 }
@@ -84,6 +96,7 @@
 /** Makes a path finder. */
 export function createPathFinder (directory: Directory, load: Load): PathFinder {
   const slowness = new Map<string, number>()
+  const fullUntil = new Map<string, number>()
   const cache = new Map<string, { foundAt: number, revision: number, path: FoundPath | undefined }>()
 
   function find (query: PathQuery): FoundPath | undefined {
@@ -115,7 +128,7 @@
   function single (usable: Target[], query: PathQuery, engine: EngineProfile): FoundPath | undefined {
     const candidates = usable.filter(target => mayBeFirst(target, query)).map(target => {
       const life = lifeOf(target)
-      const fill = (load.tokens(life) + query.tokens) / engine.tokensOfWholeTarget
+      const fill = Math.max((load.tokens(life) + query.tokens) / engine.tokensOfWholeTarget, entryFill(life, engine))
       return { target, life, fill, rank: fill + (target.failureDomain === query.failureDomain ? 0 : 0.2) }
     }).sort((one, other) => one.rank - other.rank)
     const best = candidates[0]
@@ -140,19 +153,29 @@
       from,
       to,
       hasRoom: fill <= 1,
+      entryFill: entryFill(life, engine),
       millisecondsPerLayer: layerMilliseconds(kind, engine, load.requests(life)) * pressure * (slowness.get(life) ?? 1)
     }
   }
 
+  function entryFill (life: string, engine: EngineProfile): number {
+    const isFull = (fullUntil.get(life) ?? 0) > performance.now()
+    return isFull ? Infinity : (load.entering(life) + 1) / engine.requestsAtOnce
+  }
+
   function explain (query: PathQuery): string {
     const { engine } = query.service
     if (engine === undefined) return 'the service has no engines'
     const usable = directory.usable(query.service.name)
     const gaps = gapsBetween(usable.flatMap(target => target.layers ?? []), engine.layers)
     if (gaps.length > 0) return `no usable target holds layers ${gaps.map(({ from, to }) => `${from}-${to}`).join(' ')}`
-    const narrow = (search(query)?.stages ?? []).map(({ targetId }) => directory.find(targetId)!)
-      .filter(target => target.layers !== undefined && !toStage(target, query, engine).hasRoom)
-    return `no memory at ${narrow.map(target => `${target.id} with ${Math.round(load.tokens(lifeOf(target)))} tokens`).join(', ')}`
+    const narrow = (search(query)?.stages ?? []).map(({ targetId }) => directory.find(targetId)!).flatMap((target, index) => {
+      if (target.layers === undefined) return []
+      const stage = toStage(target, query, engine)
+      if (index === 0 && stage.entryFill > 1) return `${target.id} with ${load.entering(lifeOf(target))} requests`
+      return stage.hasRoom ? [] : `${target.id} with ${Math.round(load.tokens(lifeOf(target)))} tokens`
+    })
+    return `no room at ${narrow.join(', ')}`
   }
 
   return {
@@ -161,6 +184,11 @@
     noteSlowness (life, factor) {
       if (factor > 1) slowness.set(life, factor)
       else slowness.delete(life)
+    },
+    noteFull (life) {
+      for (const [known, until] of fullUntil) if (until <= performance.now()) fullUntil.delete(known)
+      fullUntil.set(life, performance.now() + FULL_MILLISECONDS)
+      cache.clear()
     }
   }
 }
@@ -168,8 +196,8 @@
 function cheapest (stages: Stage[], query: PathQuery, engine: EngineProfile): FoundPath | undefined {
   const first = query.firstStage
   const tokens = engine.usualPromptTokens + engine.usualAnswerTokens
-  const crossing = CROSSING_MILLISECONDS_PER_TOKEN * engine.usualAnswerTokens +
-    engine.activationBytes * tokens / BYTES_PER_MEGABYTE * CROSSING_MILLISECONDS_PER_MEGABYTE
+  const linkMilliseconds = engine.activationBytes * tokens * BITS_PER_BYTE / (engine.crossingMegabitsPerSecond * BITS_PER_MEGABIT_RATE)
+  const crossing = CROSSING_MILLISECONDS_PER_TOKEN * engine.usualAnswerTokens + linkMilliseconds * CROSSING_LINK_WEIGHT
   const perStage = STAGE_MILLISECONDS_PER_TOKEN * engine.usualAnswerTokens
   const cuts = [...new Set(stages.flatMap(({ from, to }) => [from, to]).concat(0, engine.layers, first?.to ?? 0))]
     .filter(cut => cut <= engine.layers).sort((one, other) => one - other)
@@ -183,14 +211,17 @@
       if (stage.from > cut || stage.to <= cut || stage.target.id === first?.targetId) continue
       if (cut === 0 && !mayBeFirst(stage.target, query)) continue
       const before = cheapestBefore(here, stage.target.failureDomain, cut === start.to ? entering : crossing)
+      const isEntry = cut === 0 && first === undefined
+      const hasRoom = stage.hasRoom && !(isEntry && stage.entryFill > 1)
+      const fixed = perStage + (isEntry ? entryMilliseconds(stage) : 0) + (hasRoom ? 0 : NO_ROOM_MILLISECONDS)
       for (const end of cuts) {
         if (end <= cut || end > stage.to) continue
-        const cost = before.cost + perStage + stage.millisecondsPerLayer * (end - cut) + (stage.hasRoom ? 0 : NO_ROOM_MILLISECONDS)
+        const cost = before.cost + fixed + stage.millisecondsPerLayer * (end - cut)
         const there = best.get(end) ?? new Map<string, Step>()
         best.set(end, there)
         const known = there.get(stage.target.failureDomain)
         if (known === undefined || cost < known.cost) {
-          there.set(stage.target.failureDomain, { cost, stage, to: end, before: before.step })
+          there.set(stage.target.failureDomain, { cost, stage, hasRoom, to: end, before: before.step })
         }
       }
     }
@@ -199,6 +230,10 @@
   return ends[0] === undefined ? undefined : toPath(ends[0], first)
 }
 
+function entryMilliseconds ({ entryFill }: Stage): number {
+  return ENTERING_MILLISECONDS * Math.min(1, entryFill) ** 2
+}
+
 function mayBeFirst (target: Target, query: PathQuery): boolean {
   const life = lifeOf(target)
   return query.avoidedFirst?.has(life) !== true && query.allowedFirst?.has(life) !== false
@@ -219,7 +254,7 @@
   let hasRoom = true
   for (let step: Step | undefined = end; step?.stage !== undefined; step = step.before) {
     const { target } = step.stage
-    hasRoom &&= step.stage.hasRoom
+    hasRoom &&= step.hasRoom === true
     const from = step.before?.to ?? 0
     const repeated = stages.findIndex(stage => stage.targetId === target.id)
     if (repeated !== -1) {
--- a/packages/relay/src/process/peers.ts
+++ b/packages/relay/src/process/peers.ts
@@ -62,7 +62,7 @@
 const entrySchema = z.object({ address: z.string(), failureDomain: z.string() })
 const loadSchema = z.object({
   vm: z.string(),
-  counts: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  counts: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
   suspected: z.array(z.tuple([z.string(), z.number(), z.boolean()])),
   leaving: z.array(z.string())
 })
@@ -81,7 +81,7 @@
     const told = loadSchema.parse(parameters)
     const peerFailureDomain = peers.get(told.vm)?.failureDomain
     if (peerFailureDomain === undefined) return
-    load.setPeer(told.vm, told.counts.map(([life, requests, tokens]) => ({ life, requests, tokens })))
+    load.setPeer(told.vm, told.counts.map(([life, requests, tokens, entering]) => ({ life, requests, tokens, entering })))
     for (const life of told.leaving) {
       const target = directory.living(life)
       if (target !== undefined && !target.isLeaving) directory.put({ ...target, isLeaving: true })
@@ -115,7 +115,7 @@
     if (told.length === 0) return
     const message = {
       vm: self.vm,
-      counts: load.own().map(({ life, requests, tokens }) => [life, requests, Math.round(tokens)]),
+      counts: load.own().map(({ life, requests, tokens, entering }) => [life, requests, Math.round(tokens), entering]),
       suspected: directory.ownSuspicions().map(({ life, milliseconds, isLoss }) => [life, Math.round(milliseconds), isLoss]),
       leaving: directory.leavingLives()
     }
--- a/packages/relay/src/process/placement/plan.ts
+++ b/packages/relay/src/process/placement/plan.ts
@@ -28,11 +28,10 @@
   id: string
 }
 
-/**
- * Memory of a chain in copies of the model: below it, requests run out of memory before the cards run out of time.
- * Measured: two chains over 2.4 to 3.1 copies refused 7 to 9 % of the requests of a quiet day, one chain none.
- */
-const COPIES_OF_CHAIN = 2.4
+/** A standing chain is given up once its domain has less than this share of the room for requests that a chain is laid out for. */
+const LEAST_ROOM_SHARE = 0.3
+/** A failure domain that has lost its layers on more than this share of its memory is laid out like a new one. */
+const MOSTLY_EMPTY_SHARE = 0.5
 /** Most stages of one path that engines accept, less a few for stand-ins of other failure domains. */
 const MOST_STAGES = 28
 const BYTES_PER_MEGABYTE = 1e6
@@ -49,25 +48,28 @@
   return placements.concat(planChain(interleave(leftOver), engine))
 }
 
-/** Spreads all layers over cards by their memory, in their order; empty where they cannot hold the model. */
-export function planChain (cards: readonly Card[], engine: EngineProfile): Placement[] {
+/** Spreads layers, all by default, over cards by their memory, in their order; empty where they cannot hold them. */
+export function planChain (
+  cards: readonly Card[], engine: EngineProfile, span: LayerSpan = { from: 0, to: engine.layers }
+): Placement[] {
+  const layers = span.to - span.from
   const usable = cards.filter(card => mostLayers(card.kind, engine) > 0).slice(0, MOST_STAGES)
   const memory = sumOf(usable, card => card.kind.memoryMegabytes)
-  if (sumOf(usable, card => mostLayers(card.kind, engine)) < engine.layers) return []
+  if (sumOf(usable, card => mostLayers(card.kind, engine)) < layers) return []
   const shares = usable.map(card => {
-    const exact = engine.layers * card.kind.memoryMegabytes / memory
+    const exact = layers * card.kind.memoryMegabytes / memory
     const most = mostLayers(card.kind, engine)
     return { card, most, exact, layers: Math.min(most, Math.floor(exact)) }
   })
-  for (let left = engine.layers - sumOf(shares, share => share.layers); left > 0; left--) {
+  for (let left = layers - sumOf(shares, share => share.layers); left > 0; left--) {
     const next = shares.filter(share => share.layers < share.most)
       .sort((one, other) => (other.exact - other.layers) - (one.exact - one.layers))[0]!
     next.layers += 1
   }
-  let from = 0
-  return shares.filter(share => share.layers > 0).map(({ card, layers }) => {
-    const placement = { id: card.id, from, to: from + layers }
-    from += layers
+  let { from } = span
+  return shares.filter(share => share.layers > 0).map(share => {
+    const placement = { id: share.card.id, from, to: from + share.layers }
+    from += share.layers
     return placement
   })
 }
@@ -86,6 +88,8 @@
   isSettled: (failureDomain: string) => boolean
   /** No card with layers came, and the gap has been there, for long enough: what is missing will not come back by itself. */
   mayExtend: (failureDomain: string) => boolean
+  /** Some chain has lacked a layer that others of the domain hold for so long that no card will come for it. */
+  mayReinforce: (failureDomain: string) => boolean
 }
 
 /** Decides what to change where cards were lost or have come. */
@@ -97,9 +101,19 @@
       return steadiness.isSettled(domain) ? splitIntoChains(here, engine).flatMap(chain => planChain(interleave(chain), engine)) : []
     }
     const empty = here.filter(card => card.held === undefined && !card.isBusy && mostLayers(card.kind, engine) > 0)
-    return chainsOf(here, chainCount(here, engine)).flatMap(chain => {
+    const count = chainsHeld(here, engine)
+    const share = memoryOf(here) / count
+    const chains = chainsOf(here, count).map(chain => {
       const gaps = gapsOf(chain, engine.layers)
-      return fillGaps(chain, gaps, empty, engine) ?? approachTarget(chain, gaps, empty, engine, steadiness.mayExtend(domain))
+      return { chain, gaps, filled: fillGaps(chain, gaps, empty, engine, share) }
+    })
+    // What a chain with a gap may need is not spent on others.
+    return chains.sort((one, other) => other.gaps.length - one.gaps.length).flatMap(({ chain, gaps, filled }) => {
+      if (filled !== undefined) return filled
+      const isCovered = gapsOf(here, engine.layers).length === 0
+      const mayExtend = isCovered ? steadiness.mayReinforce(domain) : steadiness.mayExtend(domain)
+      const added = takeShare(chain, empty, share, gaps.length > 0)
+      return approachTarget(chain, gaps, added, engine, mayExtend)
     })
   })
 }
@@ -107,8 +121,10 @@
 /** Room of a card that fills a gap, as a share of what the chain would have if it were laid anew. */
 const FILLING_ROOM_SHARE = 0.6
 
-/** @returns one empty card for each gap, or nothing where they do not suffice: the cheapest way, since no other card changes. */
-function fillGaps (chain: readonly Card[], gaps: readonly LayerSpan[], empty: Card[], engine: EngineProfile): Placement[] | undefined {
+/** @returns empty cards for each gap, or nothing where they do not suffice: the cheapest way, since no other card changes. */
+function fillGaps (
+  chain: readonly Card[], gaps: readonly LayerSpan[], empty: Card[], engine: EngineProfile, shareMegabytes: number
+): Placement[] | undefined {
   if (gaps.length === 0) return undefined
   const left = [...empty].sort((one, other) => one.kind.memoryMegabytes - other.kind.memoryMegabytes)
   const wanted = FILLING_ROOM_SHARE * evenRoom(chain, engine)
@@ -116,13 +132,33 @@
   for (const gap of gaps) {
     const layers = gap.to - gap.from
     const index = left.findIndex(({ kind }) => layers <= mostLayers(kind, engine) && roomOf(kind, layers, engine) >= wanted)
-    if (index === -1) return undefined
-    fillings.push({ id: left.splice(index, 1)[0]!.id, ...gap })
+    if (index !== -1) {
+      fillings.push({ id: left.splice(index, 1)[0]!.id, ...gap })
+      continue
+    }
+    const parts = splitGap(gap, left, engine, wanted, shareMegabytes - memoryOf(chain))
+    if (parts === undefined) return undefined
+    fillings.push(...parts)
+    for (const { id } of parts) left.splice(left.findIndex(card => card.id === id), 1)
   }
   empty.splice(0, empty.length, ...left)
   return fillings
 }
 
+/** @returns cards, largest first, that hold a gap together with the wanted room for tokens each, and bring the memory that is lacking. */
+function splitGap (
+  gap: LayerSpan, empty: readonly Card[], engine: EngineProfile, wanted: number, lackingMegabytes: number
+): Placement[] | undefined {
+  const largestFirst = [...empty].reverse()
+  for (let count = 2; count <= largestFirst.length; count++) {
+    if (count < largestFirst.length && memoryOf(largestFirst.slice(0, count)) < lackingMegabytes) continue
+    const parts = planChain(largestFirst.slice(0, count), engine, gap)
+    const isRoomy = parts.every(({ id, from, to }) => roomOf(empty.find(card => card.id === id)!.kind, to - from, engine) >= wanted)
+    if (parts.length > 0 && isRoomy) return parts
+  }
+  return undefined
+}
+
 /** A chain whose narrowest card has less than this share of the room that it could have is laid out better. */
 const NARROW_SHARE = 0.8
 /** Most of a card's layers that it holds while it takes some over, so that its running requests keep their memory. */
@@ -133,10 +169,9 @@
  * up only once another holds them. So no layer loses its last holder, and loads do not wait for running work.
  */
 function approachTarget (
-  chain: readonly Card[], gaps: readonly LayerSpan[], empty: Card[], engine: EngineProfile, mayExtend: boolean
+  chain: readonly Card[], gaps: readonly LayerSpan[], added: readonly Card[], engine: EngineProfile, mayExtend: boolean
 ): Placement[] {
   const ordered = [...chain].sort(byMiddle)
-  const added = empty.filter(card => card.isSettled || gaps.length > 0)
   const targets = new Map(bestLayout(ordered, added, engine).map(({ id, from, to }) => [id, { from, to }]))
   if (targets.size === 0 || (gaps.length > 0 && !mayExtend)) return []
   const holders = holdersOf(ordered, engine)
@@ -144,7 +179,6 @@
   const laidOut = ordered.concat(added).map(card => ({ ...card, held: targets.get(card.id) }))
   const isNarrow = leastRoom(ordered, engine) < NARROW_SHARE * leastRoom(laidOut, engine)
   if (gaps.length === 0 && !isOverlapping && !isNarrow && added.length === 0) return []
-  for (const card of added) empty.splice(empty.indexOf(card), 1)
   const placements: Placement[] = []
   for (const card of ordered.concat(added)) {
     if (card.isBusy) continue
@@ -154,6 +188,17 @@
   return placements
 }
 
+/** Takes the empty cards for a chain that bring its memory to that of the others of its domain, out of those that are left. */
+function takeShare (chain: readonly Card[], empty: Card[], megabytes: number, hasGap: boolean): Card[] {
+  const taken: Card[] = []
+  for (const card of [...empty]) {
+    if (memoryOf(chain) + memoryOf(taken) >= megabytes) break
+    if (!hasGap && !card.isSettled) continue
+    taken.push(...empty.splice(empty.indexOf(card), 1))
+  }
+  return taken
+}
+
 /** @returns the layout with empty cards where they move the fewest layers of the others. */
 function bestLayout (ordered: readonly Card[], added: readonly Card[], engine: EngineProfile): Placement[] {
   let cards = [...ordered]
@@ -174,8 +219,7 @@
 
 /** @returns for each layer how many cards hold it that are not about to change. */
 function holdersOf (cards: readonly Card[], engine: EngineProfile): number[] {
-  return Array.from({ length: engine.layers }, (_, layer) =>
-    cards.filter(({ held, isBusy }) => !isBusy && held !== undefined && held.from <= layer && layer < held.to).length)
+  return coverageOf(cards.filter(card => !card.isBusy), engine.layers)
 }
 
 /** @returns what a card is to hold next on its way to its target; layers that it gives up are taken off the holders. */
@@ -212,15 +256,15 @@
   return one.held!.from - other.held!.from || one.held!.to - other.held!.to || compare(one.id, other.id)
 }
 
-/** Groups the cards of a failure domain into chains: each card goes on where a chain ends, or as near to that as can be. */
+/** Groups the cards of a failure domain into chains: each card goes on where a chain ends, else in the chain that is furthest behind. */
 export function chainsOf (cards: readonly Card[], count: number): Card[][] {
   const chains: Array<{ cards: Card[], end: number }> = Array.from({ length: count }, () => ({ cards: [], end: 0 }))
   const holders = cards.filter(card => card.held !== undefined).sort(bySpan)
   for (const card of holders) {
     const { from, to } = card.held!
-    const nearest = chains.reduce((best, chain) => Math.abs(chain.end - from) < Math.abs(best.end - from) ? chain : best)
-    nearest.cards.push(card)
-    nearest.end = Math.max(nearest.end, to)
+    const next = chains.find(chain => chain.end === from) ?? chains.reduce((least, chain) => chain.end < least.end ? chain : least)
+    next.cards.push(card)
+    next.end = Math.max(next.end, to)
   }
   return chains.map(chain => chain.cards)
 }
@@ -261,9 +305,40 @@
   return chains
 }
 
+/** @returns chains that a new layout of a failure domain has. */
 function chainCount (cards: readonly Card[], engine: EngineProfile): number {
-  const copies = memoryOf(cards) / (engine.layers * engine.layerMegabytes)
-  return Math.max(1, Math.floor(copies / COPIES_OF_CHAIN), Math.ceil(cards.length / MOST_STAGES))
+  return Math.max(1, Math.floor(memoryOf(cards) / chainMegabytes(engine)), Math.ceil(cards.length / MOST_STAGES))
+}
+
+/** @returns chains that a failure domain has: how often most of its layers are held, so that lost stages do not change it. */
+function chainsHeld (cards: readonly Card[], engine: EngineProfile): number {
+  const held = cards.filter(card => card.held !== undefined)
+  if (memoryOf(held) < (1 - MOSTLY_EMPTY_SHARE) * memoryOf(cards)) return chainCount(cards, engine)
+  const holders = coverageOf(held, engine.layers).sort((one, other) => one - other)
+  const most = Math.floor(memoryOf(cards) / chainMegabytes(engine, LEAST_ROOM_SHARE))
+  return Math.max(1, Math.min(holders[Math.floor(holders.length / 2)]!, most))
+}
+
+/**
+ * Memory of a chain: the model, and room for as many usual requests as its first stage takes at once, so that neither runs out long
+ * before the other.
+ * @param roomShare share of that room.
+ */
+function chainMegabytes (engine: EngineProfile, roomShare = 1): number {
+  const tokens = engine.requestsAtOnce * (engine.usualPromptTokens + engine.usualAnswerTokens)
+  return engine.layers * engine.layerMegabytes + roomShare * tokens * engine.tokenBytes / BYTES_PER_MEGABYTE
+}
+
+/** @returns for each layer how many cards hold it. */
+function coverageOf (cards: readonly Card[], layers: number): number[] {
+  return Array.from({ length: layers }, (_, layer) =>
+    cards.filter(({ held }) => held !== undefined && held.from <= layer && layer < held.to).length)
+}
+
+/** @returns whether some layer of a failure domain is held less often than most are. */
+export function isThin (cards: readonly Card[], engine: EngineProfile): boolean {
+  const coverage = coverageOf(cards, engine.layers)
+  return Math.min(...coverage) < chainsHeld(cards, engine)
 }
 
 function memoryOf (cards: readonly Card[]): number {
--- a/packages/relay/src/process/placement/planner.ts
+++ b/packages/relay/src/process/placement/planner.ts
@@ -3,14 +3,14 @@
  */
 import { OrderResult } from '../../connection/dialect.js'
 import type { EngineClient } from '../../connection/engine-client.js'
-import type { Service } from '../../version/configuration.js'
+import type { EngineProfile, Service } from '../../version/configuration.js'
 import { lifeOf, type Target } from '../../version/target.js'
 import type { Beliefs } from '../beliefs.js'
 import type { Directory } from '../directory.js'
 import { RelayEvent, type RelayLog } from '../relay-log.js'
 import { kindOf, mostLayers } from '../stage-cost.js'
 import type { CoordinatorLease } from './lease.js'
-import { gapsOf, planFirst, planRepair, type Card, type LayerSpan, type Placement } from './plan.js'
+import { gapsOf, isThin, planFirst, planRepair, type Card, type LayerSpan, type Placement } from './plan.js'
 
 /** Parts of the planner. */
 export interface PlannerParts {
@@ -33,6 +33,11 @@
 const RETURN_MILLISECONDS = 2500
 /** A gap is closed by neighbours once it has been there for so long, milliseconds: an empty card that takes it may just start. */
 const GAP_MILLISECONDS = 200
+/**
+ * A layer that other chains of the failure domain hold is given to further cards once a chain has lacked it for so long, milliseconds: a
+ * crashed card is back within some seconds, empty, and takes the gap without any other card changing.
+ */
+const THIN_MILLISECONDS = 6000
 /** An empty card waits so long for a neighbour to leave before it reinforces a stage, milliseconds. */
 const SETTLED_MILLISECONDS = 2500
 /** A card whose report is late is asked again after so long, milliseconds. */
@@ -54,6 +59,7 @@
   const cameAt = new Map<string, number>()
   const cameWithLayersAt = new Map<string, number>()
   const gapSince = new Map<string, number>()
+  const thinSince = new Map<string, number>()
 
   async function step (): Promise<void> {
     const version = parts.beliefs.version()
@@ -69,13 +75,14 @@
     noteChanges(targets)
     if (!parts.lease.isHeld() || targets.length === 0) return
     const cards = targets.map(target => toCard(target, service))
-    noteGaps(cards, engine.layers)
+    noteGaps(cards, engine)
     const isFirst = cards.every(card => card.held === undefined)
     const placements = isFirst
       ? [...cameAt.values()].every(at => isPast(at, STABLE_MILLISECONDS)) ? planFirst(cards, engine) : []
       : planRepair(cards, engine, {
         isSettled: domain => isPast(cameAt.get(domain), STABLE_MILLISECONDS),
-        mayExtend: domain => isPast(cameWithLayersAt.get(domain), RETURN_MILLISECONDS) && isPast(gapSince.get(domain), GAP_MILLISECONDS)
+        mayExtend: domain => isPast(cameWithLayersAt.get(domain), RETURN_MILLISECONDS) && isPast(gapSince.get(domain), GAP_MILLISECONDS),
+        mayReinforce: domain => isPast(thinSince.get(domain), THIN_MILLISECONDS)
       })
     await Promise.all(placements.map(placement => order(placement, service)))
   }
@@ -97,11 +104,11 @@
     }
   }
 
-  function noteGaps (cards: readonly Card[], layers: number): void {
+  function noteGaps (cards: readonly Card[], engine: EngineProfile): void {
     for (const domain of new Set(cards.map(card => card.failureDomain))) {
-      const hasGap = gapsOf(cards.filter(card => card.failureDomain === domain), layers).length > 0
-      if (!hasGap) gapSince.delete(domain)
-      else if (!gapSince.has(domain)) gapSince.set(domain, performance.now())
+      const here = cards.filter(card => card.failureDomain === domain)
+      noteSince(gapSince, domain, gapsOf(here, engine.layers).length > 0)
+      noteSince(thinSince, domain, isThin(here, engine))
     }
   }
 
@@ -156,6 +163,11 @@
   return { step }
 }
 
+function noteSince (since: Map<string, number>, domain: string, holds: boolean): void {
+  if (!holds) since.delete(domain)
+  else if (!since.has(domain)) since.set(domain, performance.now())
+}
+
 function isPast (at: number | undefined, milliseconds: number): boolean {
   return at === undefined || performance.now() - at > milliseconds
 }
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -160,6 +160,7 @@
   if (!isNotRun) return { end: status < 400 || status >= 500 ? RunEnd.Broken : RunEnd.Failed, status, reason }
   const faulty = parts.directory.at(terms.faultyAddress ?? path.stages[0]!.address)
   const isFirst = faulty?.id === path.stages[0]!.targetId
+  if (isFirst) parts.paths.noteFull(path.lives[0]!)
   if (faulty !== undefined && !isFirst) {
     parts.directory.suspect(faulty, REFUSAL_SUSPICION_MILLISECONDS, reason)
     parts.watch.verify(faulty)
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -37,7 +37,7 @@
   const avoidedFirst = new Set<string>()
   let detail = 'no path'
   for (let sends = 0; sends < MAXIMUM_SENDS;) {
-    if (exchange.left.aborted) return noteLeft(request, parts)
+    if (exchange.left.aborted) return noteLeft(request, parts, { arrivals: ledger.arrivals(), detail })
     if (timeLeft(request) <= ANSWER_WAY_MILLISECONDS) return refuse(request, parts, ledger, Refusal.TimedOut, detail)
     if (!ledger.maySendAgain()) break
     const path = findPath(request, parts, avoided, avoidedFirst, ledger.allowedTargets(life => isEnded(life, parts)))
@@ -67,7 +67,9 @@
     if (outcome.end === RunEnd.Whole) {
       return noteAnswered(request, parts, { status: outcome.status, target: path.stages[0]!.targetId, arrivals: ledger.arrivals() })
     }
-    if (outcome.end === RunEnd.CallerLeft) return noteLeft(request, parts)
+    if (outcome.end === RunEnd.CallerLeft) {
+      return noteLeft(request, parts, { path: describePath(path), lastEvent: progress.lastEvent, arrivals: ledger.arrivals(), detail })
+    }
     detail = `${outcome.end} at ${path.stages[0]!.targetId}: ${outcome.reason}`
     noteBroken(request, parts, path, outcome, progress)
     avoidAfter(outcome, path, avoided, avoidedFirst)
@@ -76,6 +78,11 @@
   refuse(request, parts, ledger, ledger.arrivals() === 0 ? Refusal.NoTarget : Refusal.TargetsRefused, detail, ROOM_RETRY_MILLISECONDS)
 }
 
+/** @returns the stages of a path for the log. */
+function describePath (path: FoundPath): string {
+  return path.stages.map(({ targetId, from, to }) => `${targetId}=${from}-${to}`).join(' ')
+}
+
 function explain (request: AdmittedRequest, parts: RequestParts): string {
   return parts.paths.explain({ service: request.service, failureDomain: parts.failureDomain, tokens: tokensOf(request) })
 }
--- a/packages/relay/src/request/outcome.ts
+++ b/packages/relay/src/request/outcome.ts
@@ -29,10 +29,14 @@
   parts.log.note(RelayEvent.RequestAnswered, { ...requestFields(request, parts), ...fields, milliseconds: Math.round(milliseconds) })
 }
 
-/** Notes that a caller left before its answer ended. */
-export function noteLeft (request: AdmittedRequest, parts: RequestParts): void {
+/**
+ * Notes that a caller left before its answer ended.
+ * @param fields where its request was, and what came of it by then.
+ */
+export function noteLeft (request: AdmittedRequest, parts: RequestParts, fields: Record<string, string | number | undefined> = {}): void {
+  const milliseconds = Math.round(performance.now() - request.exchange.arrivedAt.steady)
   parts.metrics.count('requests_left_total', { route: request.route.name })
-  parts.log.note(RelayEvent.RequestLeft, requestFields(request, parts))
+  parts.log.note(RelayEvent.RequestLeft, { ...requestFields(request, parts), ...fields, milliseconds })
 }
 
 /** @returns the fields that name a request and the belief that it is handled under. */
--- a/packages/relay/src/version/configuration.ts
+++ b/packages/relay/src/version/configuration.ts
@@ -72,8 +72,12 @@
   /** Added to a step for each request that is writing. */
   stepPerRequestMilliseconds: number
   readTokensPerSecond: number
+  /** Requests that the first stage of a path takes at once; further ones wait there, and are refused beyond a few. */
+  requestsAtOnce: number
   /** Bytes handed from stage to stage for each token. */
   activationBytes: number
+  /** Rate of the link between two failure domains, which all paths that cross there share, megabits a second. */
+  crossingMegabitsPerSecond: number
   /** Load time of the whole model, milliseconds. */
   loadMilliseconds: number
   reportLagMilliseconds: number
--- a/packages/relay/test/process/load.spec.ts
+++ b/packages/relay/test/process/load.spec.ts
@@ -29,21 +29,33 @@
 for (const { name, told, requests, tokens } of TOLD) {
   counts(`sums over ${name}`, () => {
     const load = createLoad()
-    for (const [vm, itsRequests, itsTokens] of told) load.setPeer(vm, [{ life: LIFE, requests: itsRequests, tokens: itsTokens }])
+    for (const [vm, itsRequests, itsTokens] of told) {
+      load.setPeer(vm, [{ life: LIFE, requests: itsRequests, tokens: itsTokens, entering: itsRequests }])
+    }
     assert.is(load.requests(LIFE), requests)
     assert.is(load.tokens(LIFE), tokens)
+    assert.is(load.entering(LIFE), requests)
   })
 }
 
+counts('a request enters its path at the first stage only', () => {
+  const load = createLoad()
+  const reservation = load.reservePath([LIFE, 'other@1'], 900)
+  load.reserveRequest('other@1')
+  assert.equal([load.entering(LIFE), load.entering('other@1')], [1, 0])
+  reservation.release()
+  assert.is(load.entering(LIFE), 0)
+})
+
 counts('a peer that is gone, and one that is silent for long, are forgotten', () => {
   const clock = install({ toFake: ['performance'] })
   const load = createLoad()
-  load.setPeer('gone', [{ life: LIFE, requests: 1, tokens: 100 }])
+  load.setPeer('gone', [{ life: LIFE, requests: 1, tokens: 100, entering: 0 }])
   load.dropPeer('gone')
   assert.is(load.tokens(LIFE), 0)
-  load.setPeer('silent', [{ life: LIFE, requests: 1, tokens: 100 }])
+  load.setPeer('silent', [{ life: LIFE, requests: 1, tokens: 100, entering: 0 }])
   clock.tick(7000)
-  load.setPeer('heard', [{ life: LIFE, requests: 1, tokens: 30 }])
+  load.setPeer('heard', [{ life: LIFE, requests: 1, tokens: 30, entering: 0 }])
   assert.is(load.tokens(LIFE), 30)
   clock.uninstall()
 })
--- a/packages/relay/test/process/path-finder.spec.ts
+++ b/packages/relay/test/process/path-finder.spec.ts
@@ -10,7 +10,7 @@
 } from '@wigeonlead/relay'
 import { testEngine, testTarget } from '../test-engine.js'
 
-const SERVICE = { name: 'model', healthPath: '/health', maximumConnections: 10, engine: testEngine() }
+const SERVICE = { name: 'model', healthPath: '/health', maximumConnections: 10, engine: { ...testEngine(), requestsAtOnce: 200 } }
 const CUTS = [[0, 30], [30, 55], [55, 80]] as const
 
 interface Parts { directory: Directory, load: Load, paths: PathFinder }
@@ -107,9 +107,56 @@
   clock.uninstall()
 })
 
+const FIFTHS = [[0, 16], [16, 32], [32, 48], [48, 64], [64, 80]] as const
+
+/** Pattern: a burst on chains of unlike speed, as a grown day showed: all went to the two fastest first stages, which refused. */
+paths('a burst is spread over the first stages before any of them has more than it takes at once', () => {
+  const given = parts(['east', 'west', 'north'].flatMap(domain => chain(domain, FIFTHS).map(target =>
+    ({ ...target, acceleratorKind: target.id === 'west0' ? 'large' : 'middle' }))))
+  const clock = install({ toFake: ['performance'] })
+  const counts: Record<string, number> = {}
+  for (let request = 0; request < 300; request++) {
+    const path = find(given)!
+    assert.ok(path.hasRoom, `request ${request}`)
+    given.load.reservePath(path.lives, 0)
+    const { failureDomain } = path.stages[0]!
+    counts[failureDomain] = (counts[failureDomain] ?? 0) + 1
+    if (request === 39) assert.equal(counts, { east: 40 }, 'a calm failure domain keeps its own')
+    clock.tick(30)
+  }
+  assert.ok(Object.values(counts).every(count => count > 60 && count <= SERVICE.engine.requestsAtOnce), JSON.stringify(counts))
+  clock.uninstall()
+})
+
+paths('first stages that all have what they take at once have no room', () => {
+  const given = parts(chain('east'))
+  const clock = install({ toFake: ['performance'] })
+  for (let request = 0; request < SERVICE.engine.requestsAtOnce; request++) given.load.reservePath([lifeOf(given.directory.find('east0')!)], 0)
+  assert.not(find(given)!.hasRoom)
+  assert.match(given.paths.explain({ service: SERVICE, failureDomain: 'east', tokens: 1 }), 'east0 with 200 requests')
+  clock.uninstall()
+})
+
+paths('a first stage that said that it is full takes nothing new for a moment', () => {
+  const given = parts([...chain('east'), ...chain('west')])
+  const clock = install({ toFake: ['performance'] })
+  given.paths.noteFull(lifeOf(given.directory.find('east0')!))
+  assert.is(ids(find(given))[0], 'west0')
+  clock.tick(500)
+  assert.is(ids(find(given))[0], 'east0')
+  clock.uninstall()
+})
+
+paths('a narrow link between failure domains: a whole chain elsewhere goes before two crossings', () => {
+  const given = parts([...chain('east'), ...chain('west')])
+  given.directory.remove('east1')
+  const service = { ...SERVICE, engine: { ...SERVICE.engine, activationBytes: 42_268, crossingMegabitsPerSecond: 8800 } }
+  assert.equal(ids(given.paths.find({ service, failureDomain: 'east', tokens: 900 })), ['west0', 'west1', 'west2'])
+})
+
 paths('what peers tell counts like the own requests', () => {
   const given = parts([...chain('east'), ...chain('west')])
-  given.load.setPeer('vm-2', [{ life: lifeOf(given.directory.find('east2')!), requests: 0, tokens: 1_000_000 }])
+  given.load.setPeer('vm-2', [{ life: lifeOf(given.directory.find('east2')!), requests: 0, tokens: 1_000_000, entering: 0 }])
   assert.equal(ids(find(given)), ['west0', 'west1', 'west2'])
 })
 
--- a/packages/relay/test/process/plan.spec.ts
+++ b/packages/relay/test/process/plan.spec.ts
@@ -3,12 +3,14 @@
  */
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { gapsOf, planChain, planFirst, planRepair, type Card, type LayerSpan, type Placement } from '@wigeonlead/relay'
+import { chainsOf, gapsOf, isThin, planChain, planFirst, planRepair, type Card, type LayerSpan, type Placement } from '@wigeonlead/relay'
 import { LARGE, MIDDLE, SMALL, testEngine } from '../test-engine.js'
 
 const ENGINE = testEngine()
-const STEADY = { isSettled: () => true, mayExtend: () => true }
-const UNSTEADY = { isSettled: () => false, mayExtend: () => false }
+const STEADY = { isSettled: () => true, mayExtend: () => true, mayReinforce: () => true }
+const UNSTEADY = { isSettled: () => false, mayExtend: () => false, mayReinforce: () => false }
+/** A gap may be closed at once, but not where another chain holds its layers. */
+const FRESH_LOSS = { ...STEADY, mayReinforce: () => false }
 
 function card (id: string, kind = SMALL, options: Partial<Card> = {}): Card {
   return { id, failureDomain: 'east', kind, isBusy: false, isSettled: false, ...options }
@@ -168,4 +170,67 @@
   })
 }
 
+/** Pattern: failure domains of 16 to 29 cards, as the grown deployments have. */
+function largeZone (): Card[] {
+  return [LARGE, ...Array.from({ length: 8 }, () => MIDDLE), ...Array.from({ length: 17 }, () => SMALL)]
+    .map((kind, index) => card(`large-${String(index).padStart(2, '0')}`, kind))
+}
+const LARGE_ENGINE = { ...ENGINE, tokenBytes: 845_373, usualAnswerTokens: 223 }
+
+function wholeLarge (): Card[] {
+  const cards = largeZone()
+  return placed(cards, planFirst(cards, LARGE_ENGINE))
+}
+
+repair('a failure domain has as many chains as have room for what their first stages take at once', () => {
+  assert.is(wholeLarge().filter(one => one.held!.from === 0).length, 3)
+  assert.is(whole().filter(one => one.held!.from === 0).length, 1)
+})
+
+const LOSSES_OF_LARGE: Array<{ name: string, isLost: (one: Card, index: number) => boolean }> = [
+  { name: 'one middle card', isLost: (_, index) => index === 3 },
+  { name: 'a first stage', isLost: one => one.id === wholeLarge().find(({ held }) => held!.from === 0)!.id },
+  { name: 'three cards in a row of one chain', isLost: one => chainsOf(wholeLarge(), 3)[1]!.slice(2, 5).some(({ id }) => id === one.id) }
+]
+for (const { name, isLost } of LOSSES_OF_LARGE) {
+  repair(`${name} is lost where other chains hold the layers: nothing moves until it is sure that no card comes back`, () => {
+    const cards = wholeLarge().filter((one, index) => !isLost(one, index))
+    assert.equal(gapsOf(cards, LARGE_ENGINE.layers), [])
+    assert.ok(isThin(cards, LARGE_ENGINE))
+    assert.equal(planRepair(cards, LARGE_ENGINE, FRESH_LOSS), [])
+  })
+
+  repair(`${name} comes back empty: it takes the gap, and no other card changes`, () => {
+    const cards = wholeLarge().map((one, index) => isLost(one, index) ? { ...one, held: undefined, isSettled: true } : one)
+    const placements = planRepair(cards, LARGE_ENGINE, FRESH_LOSS)
+    assert.ok(placements.length > 0)
+    for (const { id } of placements) assert.is(cards.find(one => one.id === id)!.held, undefined, `${id} had layers`)
+  })
+
+  repair(`${name} is lost for good: only its own chain moves`, () => {
+    const chains = chainsOf(wholeLarge(), 3)
+    const cards = wholeLarge().filter((one, index) => !isLost(one, index))
+    const placements = planRepair(cards, LARGE_ENGINE, STEADY)
+    assert.ok(placements.length > 0)
+    const touched = chains.filter(chain => chain.some(one => placements.some(({ id }) => id === one.id)))
+    assert.is(touched.length, 1)
+  })
+}
+
+repair('chains are told apart by where they go on, also beside a gap', () => {
+  const spans = [[0, 15], [20, 29], [29, 80], [0, 9], [9, 12], [12, 21], [21, 24], [24, 80]] as const
+  const cards = spans.map(([from, to], index) => card(`c${index}`, LARGE, { held: { from, to } }))
+  const chains = chainsOf(cards, 2).map(chain => chain.map(({ id }) => id).join())
+  assert.equal(chains.sort(), ['c0,c1,c2', 'c3,c4,c5,c6,c7'])
+})
+
+repair('a large failure domain that comes back empty is laid out like a new one', () => {
+  const cards = wholeLarge().map((one, index) => index < 4 ? one : { ...one, held: undefined, isSettled: true })
+  let now = cards
+  for (let step = 0; step < 12; step++) now = placed(now, planRepair(now, LARGE_ENGINE, STEADY))
+  assert.equal(gapsOf(now, LARGE_ENGINE.layers), [])
+  assert.ok(now.every(one => one.held !== undefined), now.filter(one => one.held === undefined).map(one => one.id).join())
+  assert.ok(now.filter(one => one.held!.from === 0).length >= 3)
+})
+
 repair.run()
