--- a/packages/relay/src/process/store-mirror.ts
+++ b/packages/relay/src/process/store-mirror.ts
@@ -33,7 +33,7 @@
 /** Pause after a failed call, milliseconds: short against every bound, long against the store's rates. */
 const RETRY_PAUSE_MILLISECONDS = 150
 const LONGEST_RETRY_PAUSE_MILLISECONDS = 600
-/** A VM that follows peers asks a store that failed it again after so long, milliseconds: its peers tell it sooner that the store is back. */
+/** A VM that follows peers asks a store that failed it again after so long, milliseconds: peers tell it sooner that the store is back. */
 const FOLLOWER_RETRY_MILLISECONDS = 2000
 /** Changes that come closer together are fetched in one poll, milliseconds: a small part of each bound on what they bring. */
 const LEAST_POLL_INTERVAL_MILLISECONDS = 250
