A VM that the store does not answer hears of changes from its peers

Change: while the store does not answer, such a VM asks peers for the changes, of its own domain and three drawn ones, beside its own calls, which then come every 2 s. A peer answers only with word that is newer than the asker's, so that word does not go in circles. Ruled out: taking peers' word in place of the own calls: followers of an outage then tell each other what is old, and learn 2 s late that the store is back (a test showed it). Before: the new tests fail, the VM does not hear of the change.

--- a/packages/relay/src/process/mirror-relay.ts
+++ b/packages/relay/src/process/mirror-relay.ts
@@ -29,6 +29,8 @@
   servesOthers: () => boolean
   /** Waits for changes from a peer; undefined where the store itself must be asked. */
   poll: (afterRevision: number) => Promise<RelayedPage | undefined>
+  /** For a VM that the store does not answer: newer word from any peer; undefined where none has any. */
+  pollInOutage: (afterRevision: number) => Promise<RelayedPage | undefined>
   /** Notes what the own copy took over, for others. */
   noteListed: (revision: number) => void
   noteChange: (change: WatchEvent) => void
@@ -40,7 +42,7 @@
 export interface MirrorRelayParts {
   self: string
   failureDomain: string
-  peers: Pick<Peers, 'known' | 'find'>
+  peers: Pick<Peers, 'known' | 'find' | 'anyOf'>
   link: PeerLink
   log: RelayLog
 }
@@ -59,6 +61,10 @@
 const MUTE_MILLISECONDS = 3000
 /** A peer whose own word is older cannot be followed, milliseconds: over two polls of the store for others, with their ways. */
 const OLDEST_WORD_MILLISECONDS = 1250
+/** The same for a VM that the store does not answer, milliseconds: older word is better than none, and its age is told. */
+const OLDEST_WORD_IN_OUTAGE_MILLISECONDS = 2500
+/** Peers that are drawn beside those of the own failure domain while the store does not answer: the cause may lie in the domain. */
+const DRAWN_PEERS = 3
 /** Changes that are kept for followers: those of a burst of all VMs' and targets' keys. */
 const KEPT_CHANGES = 500
 /** A longer answer does not fit a datagram; the follower asks the store. */
@@ -70,7 +76,13 @@
   key: z.string(), value: z.string(), modRevision: z.number(), createRevision: z.number(), leaseId: z.string().optional()
 })
 const changeSchema = z.object({ key: z.string(), revision: z.number(), entry: entrySchema.optional() })
-const askSchema = z.object({ vm: z.string(), question: z.number(), after: z.number() })
+const askSchema = z.object({
+  vm: z.string(),
+  question: z.number(),
+  after: z.number(),
+  /** Age of the asker's own word, milliseconds, where only newer word is of use to it. */
+  ownWordMilliseconds: z.number().optional()
+})
 const tellSchema = z.object({
   question: z.number(),
   /** Absent where the peer cannot tell: its history is too short, its word too old or the answer too long. */
@@ -89,7 +101,7 @@
 export function createMirrorRelay (parts: MirrorRelayParts): MirrorRelay {
   const { self, peers, link, log } = parts
   const kept: WatchEvent[] = []
-  const held = new Set<{ after: number, answer: () => void }>()
+  const held = new Set<{ after: number, newerThan?: Instant, answer: () => void }>()
   const questions = new Map<number, { askedAt: Instant, resolve: (page: RelayedPage | undefined) => void }>()
   /** The kept changes are whole after this revision. */
   let wholeAfter = Infinity
@@ -106,13 +118,16 @@
     const peer = peers.find(asked.vm)
     if (peer === undefined) return
     const askedAt = performance.now()
-    const waiting = { after: asked.after, answer }
+    const newerThan = asked.ownWordMilliseconds === undefined ? undefined : instantBefore(presentInstant(), asked.ownWordMilliseconds)
+    const waiting = { after: asked.after, newerThan, answer }
     function answer (): void {
       if (!held.delete(waiting)) return
-      link.notify(peer!.address, TELL_METHOD, { question: asked.question, page: pageAfter(asked.after, performance.now() - askedAt) })
+      const isOfUse = isTelling(newerThan) && isNews(waiting)
+      const page = isOfUse ? pageAfter(asked.after, performance.now() - askedAt) : undefined
+      link.notify(peer!.address, TELL_METHOD, { question: asked.question, page })
     }
     held.add(waiting)
-    if (revision > asked.after || !isTelling()) answer()
+    if (revision > asked.after || !isTelling(newerThan) || (newerThan !== undefined && isNews(waiting))) answer()
     else void pauseInBackground(HOLD_MILLISECONDS).then(answer)
   })
 
@@ -123,12 +138,18 @@
     known.resolve(page === undefined ? undefined : toRelayedPage(page, known.askedAt))
   })
 
-  function isTelling (): boolean {
-    return provedAt !== undefined && ageOf(provedAt) <= OLDEST_WORD_MILLISECONDS
+  function isTelling (newerThan?: Instant): boolean {
+    const oldest = newerThan === undefined ? OLDEST_WORD_MILLISECONDS : OLDEST_WORD_IN_OUTAGE_MILLISECONDS
+    return provedAt !== undefined && ageOf(provedAt) <= oldest
+  }
+
+  /** Word that came from the asker itself, by way of others, is none. */
+  function isNews ({ after, newerThan }: { after: number, newerThan?: Instant }): boolean {
+    return newerThan === undefined || revision > after || ageOf(provedAt!) < ageOf(newerThan)
   }
 
   function pageAfter (after: number, heldMilliseconds: number): Told {
-    if (!isTelling() || after < wholeAfter) return undefined
+    if (after < wholeAfter) return undefined
     const changes = kept.filter(change => change.revision > after)
     if (Buffer.byteLength(JSON.stringify(changes)) > ANSWER_BYTES_LIMIT) return undefined
     const regainedMilliseconds = performance.now() - regainedAt
@@ -162,23 +183,27 @@
   }
 
   /** Asks the preferred peer, then the others, as far as they answer. */
-  async function askFollowers (followers: readonly string[], after: number): Promise<{ peer: Peer, page: RelayedPage } | undefined> {
-    for (let tries = 0; tries < followers.length; tries++) {
-      const peer = peers.find(followers[preferred % followers.length]!)
+  async function askInTurn (
+    names: readonly string[], after: number, isInOutage: boolean
+  ): Promise<{ peer: Peer, page: RelayedPage } | undefined> {
+    const oldest = isInOutage ? OLDEST_WORD_IN_OUTAGE_MILLISECONDS : OLDEST_WORD_MILLISECONDS
+    for (let tries = 0; tries < names.length; tries++) {
+      const peer = peers.find(names[preferred % names.length]!)
       if (peer !== undefined && (muteUntil.get(peer.vm) ?? 0) < performance.now()) {
-        const page = await ask(peer, after)
-        if (page !== undefined && ageOf(page.provedAt) <= OLDEST_WORD_MILLISECONDS + ANSWER_LIMIT_MILLISECONDS) return { peer, page }
+        const page = await ask(peer, after, isInOutage)
+        if (page !== undefined && ageOf(page.provedAt) <= oldest + ANSWER_LIMIT_MILLISECONDS) return { peer, page }
       }
       preferred += 1
     }
     return undefined
   }
 
-  async function ask (peer: Peer, after: number): Promise<RelayedPage | undefined> {
+  async function ask (peer: Peer, after: number, isInOutage: boolean): Promise<RelayedPage | undefined> {
     const question = nextQuestion++
     const page = await new Promise<RelayedPage | undefined>(resolve => {
       questions.set(question, { askedAt: presentInstant(), resolve })
-      link.notify(peer.address, ASK_METHOD, { vm: self, question, after })
+      const ownWordMilliseconds = isInOutage && provedAt !== undefined ? ageOf(provedAt) : undefined
+      link.notify(peer.address, ASK_METHOD, { vm: self, question, after, ownWordMilliseconds })
       void pauseInBackground(ANSWER_LIMIT_MILLISECONDS).then(() => {
         if (questions.has(question)) muteUntil.set(peer.vm, performance.now() + MUTE_MILLISECONDS)
         resolve(undefined)
@@ -206,27 +231,31 @@
         noteFollowed(undefined, 'it is its turn')
         return undefined
       }
-      const told = await askFollowers(followers, after)
+      const told = await askInTurn(followers, after, false)
       noteFollowed(told?.peer.vm, told === undefined ? `${followers.join(' and ')} could not tell` : 'it follows the store')
       return told?.page
     },
+    async pollInOutage (after) {
+      const near = storeFollowers().filter(vm => vm !== self)
+      const told = await askInTurn([...new Set([...near, ...peers.anyOf(DRAWN_PEERS).map(({ vm }) => vm)])], after, true)
+      if (told !== undefined) noteFollowed(told.peer.vm, 'the store does not answer')
+      return told?.page
+    },
     noteListed (listed) {
       kept.length = 0
       wholeAfter = listed
       revision = listed
     },
     noteChange (change) {
-      if (nearPeers().length < MOST_FOLLOWING_ALONE) {
-        wholeAfter = Math.max(wholeAfter, change.revision)
-        return
-      }
       kept.push(change)
       if (kept.length > KEPT_CHANGES) wholeAfter = Math.max(wholeAfter, kept.shift()!.revision)
     },
     noteProved (proved, at) {
       revision = Math.max(revision, proved)
       provedAt = at
-      for (const waiting of [...held]) if (revision > waiting.after) waiting.answer()
+      for (const waiting of [...held]) {
+        if (revision > waiting.after || (waiting.newerThan !== undefined && isNews(waiting))) waiting.answer()
+      }
     },
     noteRegained (agoMilliseconds) {
       regainedAt = performance.now() - agoMilliseconds
--- a/packages/relay/src/process/store-mirror.ts
+++ b/packages/relay/src/process/store-mirror.ts
@@ -3,7 +3,7 @@
  */
 import { FailureKind, describeFailure, type Failure, type KeyValueEntry, type PollableKeyValue, type WatchEvent } from '@wigeonlead/protocol'
 import { pauseInBackground } from 'wigeonlead'
-import { presentInstant, type Instant } from './instant.js'
+import { ageOf, presentInstant, type Instant } from './instant.js'
 import type { MirrorRelay, RelayedPage } from './mirror-relay.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
 
@@ -33,14 +33,17 @@
 /** Pause after a failed call, milliseconds: short against every bound, long against the store's rates. */
 const RETRY_PAUSE_MILLISECONDS = 150
 const LONGEST_RETRY_PAUSE_MILLISECONDS = 600
-/** A VM that follows peers asks a store that failed it again after so long, milliseconds: peers tell it sooner that the store is back. */
-const FOLLOWER_RETRY_MILLISECONDS = 2000
+/** A VM that hears from peers asks a store that failed it again after so long, milliseconds: they tell it sooner that the store is back. */
+const TOLD_RETRY_MILLISECONDS = 2000
 /** Changes that come closer together are fetched in one poll, milliseconds: a small part of each bound on what they bring. */
 const LEAST_POLL_INTERVAL_MILLISECONDS = 250
 const HISTORY_GONE_STATUS = 410
 /** A poll for others waits so long, milliseconds: only its end proves the copy to all that follow it, and the next proof takes another. */
 const SERVING_WAIT_MILLISECONDS = 500
 
+/** Peers told lately if that was so long ago at most, milliseconds: over two questions to them. */
+const TOLD_LATELY_MILLISECONDS = 1500
+
 /** Keeps a copy until the signal aborts. */
 export async function runStoreMirror (
   store: PollableKeyValue, reader: MirrorReader, log: RelayLog, options: MirrorOptions
@@ -49,6 +52,11 @@
   let revision: number | undefined
   let hasListed = false
   let isLost = false
+  let isListening = false
+  /** When the first call was sent that the store did not answer. */
+  let lostSince: Instant | undefined
+  /** When peers last told what the store had answered them since then, by the steady clock, milliseconds. */
+  let toldAt = -Infinity
   let failures = 0
   /** Steady time from which the store itself may be asked, milliseconds. */
   let mayAskAt = -Infinity
@@ -77,24 +85,51 @@
       revision = undefined
       continue
     }
-    await noteFailed(failure)
+    await noteFailed(failure, sentAt)
   }
 
   function takeRelayed (page: RelayedPage): void {
-    const { regainedMilliseconds } = page
-    if (!isLost && regainedMilliseconds !== undefined) reader.onRegained(regainedMilliseconds)
-    noteReached(regainedMilliseconds)
+    if (page.regainedMilliseconds !== undefined) noteRegained(page.regainedMilliseconds)
+    if (isLost && options.relay?.followsStore() === false) {
+      log.note(RelayEvent.StoreRegained, { failures, through: 'peers' })
+      isLost = false
+      mayAskAt = -Infinity
+      failures = 0
+    }
     for (const change of page.changes) apply(change)
     revision = Math.max(revision!, page.revision)
     noteProved(page.provedAt)
   }
 
+  /** Hears from peers what changes until the store answers again. */
+  async function listenToPeers (relay: MirrorRelay): Promise<void> {
+    if (isListening) return
+    isListening = true
+    while (isLost && !options.signal.aborted) {
+      const page = revision === undefined ? undefined : await relay.pollInOutage(revision)
+      // The store may have answered meanwhile, or its listing is on its way: what is older than that is not taken.
+      if (!isLost || revision === undefined || page === undefined) {
+        await pauseInBackground(RETRY_PAUSE_MILLISECONDS)
+        continue
+      }
+      if (lostSince !== undefined && ageOf(page.provedAt) < ageOf(lostSince)) toldAt = performance.now()
+      takeRelayed(page)
+    }
+    isListening = false
+  }
+
+  function isToldLately (): boolean {
+    return performance.now() - toldAt < TOLD_LATELY_MILLISECONDS
+  }
+
   function noteProved (provedAt: Instant): void {
     options.relay?.noteProved(revision!, provedAt)
     reader.onProved(provedAt)
   }
 
   function waitMilliseconds (): number {
+    // A short call tells soon whether the store is back; changes come from peers meanwhile.
+    if (isToldLately()) return 0
     return options.relay?.servesOthers() === true ? Math.min(SERVING_WAIT_MILLISECONDS, options.waitMilliseconds) : options.waitMilliseconds
   }
 
@@ -132,24 +167,34 @@
     else reader.onEntry(change.entry)
   }
 
-  function noteReached (agoMilliseconds = 0): void {
+  function noteReached (): void {
     if (isLost) {
-      reader.onRegained(agoMilliseconds)
-      options.relay?.noteRegained(agoMilliseconds)
+      // Peers that were answered all the while have told of every entry that lapsed: none of those comes back.
+      if (!isToldLately()) noteRegained(0)
       log.note(RelayEvent.StoreRegained, { failures })
     }
     isLost = false
     failures = 0
   }
 
-  async function noteFailed (failure: Failure): Promise<void> {
-    if (!isLost) log.warn(RelayEvent.StoreLost, { reason: describeFailure(failure), revision })
+  function noteRegained (agoMilliseconds: number): void {
+    reader.onRegained(agoMilliseconds)
+    options.relay?.noteRegained(agoMilliseconds)
+  }
+
+  async function noteFailed (failure: Failure, sentAt: Instant): Promise<void> {
+    if (!isLost) {
+      log.warn(RelayEvent.StoreLost, { reason: describeFailure(failure), revision })
+      lostSince = sentAt
+    }
     isLost = true
     failures += 1
     if (options.relay?.followsStore() === false) {
-      mayAskAt = performance.now() + FOLLOWER_RETRY_MILLISECONDS
+      mayAskAt = performance.now() + TOLD_RETRY_MILLISECONDS
       return await pauseInBackground(RETRY_PAUSE_MILLISECONDS)
     }
+    if (options.relay !== undefined) void listenToPeers(options.relay)
+    if (isToldLately()) return await pauseInBackground(TOLD_RETRY_MILLISECONDS)
     await pauseInBackground(Math.min(LONGEST_RETRY_PAUSE_MILLISECONDS, RETRY_PAUSE_MILLISECONDS * failures))
   }
 }
--- a/packages/relay/test/process/mirror-relay.spec.ts
+++ b/packages/relay/test/process/mirror-relay.spec.ts
@@ -132,7 +132,11 @@
   try {
     for (const vm of vms) {
       const others = names.filter(name => name !== vm.name).map(name => ({ vm: name, address: name, failureDomain: 'east' }))
-      const peers = { known: () => others, find: (name: string) => others.find(other => other.vm === name) }
+      const peers = {
+        known: () => others,
+        find: (name: string) => others.find(other => other.vm === name),
+        anyOf: (most: number) => others.slice(-most)
+      }
       const relay = createMirrorRelay({ self: vm.name, failureDomain: 'east', peers, link: links.get(vm.name)!, log: SILENT_RELAY_LOG })
       void runStoreMirror(store.port(vm.name), {
         onEntry ({ key, value }) { vm.seen.set(key, value) },
@@ -242,6 +246,29 @@
   for (const vm of vms) assert.is(vm.seen.get('configuration'), '2', vm.name)
 }))
 
+/** Pattern: the store turns away some VMs of small failure domains for long, while targets take over layers: those VMs sent work astray. */
+for (const how of ['away', 'refused'] as const) {
+  following(`of three VMs the store turns one away (${how}): it hears of changes from the others, and is soon back`, () => withFleet(3, async fleet => {
+    const { store, vms, pass } = fleet
+    store[how].add('vm-001')
+    await pass(4000)
+    store.calls.clear()
+    let oldest = 0
+    for (const version of ['2', '3', '4', '5']) {
+      store.put('configuration', version)
+      oldest = Math.max(oldest, await pass(2000))
+      for (const vm of vms) assert.is(vm.seen.get('configuration'), version, vm.name)
+    }
+    assert.ok(oldest < OLDEST_PROOF_MILLISECONDS, `a proof ${oldest} ms old`)
+    assert.ok(store.calls.get('vm-001')! <= 5, `${store.calls.get('vm-001')} calls of the VM in 8 s`)
+    assert.not(vms[1]!.told.includes('regained'), 'the store was never away, so no entry comes back')
+    store[how].clear()
+    store.calls.clear()
+    await pass(6000)
+    assert.ok(store.calls.get('vm-001')! >= 3, 'it follows the store again')
+  }))
+}
+
 following('a VM that only the store turns away follows the others', () => withFleet(8, async ({ store, vms, pass }) => {
   store.away.add('vm-005')
   await pass(3000)
