Types that checks, accelerators and generations share stand in modules of their own

Cause: three circles of imports (check and its parts over PlacedFault, core and accelerator over EngineFaults, generation and its mover over GenerationOrder). Change: placed-fault.ts, faults.ts, generation-order.ts; nothing else moved.

--- a/packages/protocol/src/manifest/check-claims.ts
+++ b/packages/protocol/src/manifest/check-claims.ts
@@ -1,7 +1,7 @@
 /**
  * Whether the claims of non-idempotent orders fit the small key-value service.
  */
-import type { PlacedFault } from './check.js'
+import type { PlacedFault } from './placed-fault.js'
 import { claimLoads, claimSize } from './claim-size.js'
 import { ClaimKind, type Manifest } from './schema.js'
 
--- a/packages/protocol/src/manifest/check-coverage.ts
+++ b/packages/protocol/src/manifest/check-coverage.ts
@@ -1,7 +1,7 @@
 /**
  * Whether the targets' layer ranges make at least one whole path for each declared version and adapter of each model.
  */
-import type { PlacedFault } from './check.js'
+import type { PlacedFault } from './placed-fault.js'
 import type { Manifest, ManifestModel, ManifestPart } from './schema.js'
 
 /** Lists versions and adapters that no path serves, with the gap. */
--- a/packages/protocol/src/manifest/check-references.ts
+++ b/packages/protocol/src/manifest/check-references.ts
@@ -1,7 +1,7 @@
 /**
  * What a manifest names has to stand in it, and ranges have to make sense.
  */
-import type { LeftOut, PlacedFault } from './check.js'
+import type { LeftOut, PlacedFault } from './placed-fault.js'
 import type { Manifest, ManifestModel, ManifestPart, ManifestService, ManifestTarget, ManifestWorkspace } from './schema.js'
 
 const LARGEST_PORT = 65_535
--- a/packages/protocol/src/manifest/check-uniqueness.ts
+++ b/packages/protocol/src/manifest/check-uniqueness.ts
@@ -1,7 +1,7 @@
 /**
  * What may stand only once in a manifest: names, addresses, key digests, operations and links.
  */
-import type { PlacedFault } from './check.js'
+import type { PlacedFault } from './placed-fault.js'
 import type { Manifest } from './schema.js'
 
 /** Lists what stands twice. */
--- a/packages/protocol/src/manifest/check.ts
+++ b/packages/protocol/src/manifest/check.ts
@@ -8,6 +8,7 @@
 import { listCoverageFaults } from './check-coverage.js'
 import { listReferenceFaults } from './check-references.js'
 import { listUniquenessFaults } from './check-uniqueness.js'
+import type { LeftOut, PlacedFault } from './placed-fault.js'
 import { manifestSchema, type Manifest } from './schema.js'
 
 /** One fault of a manifest. */
@@ -42,19 +43,6 @@
   return faults.length > 0 ? { ok: false, faults } : { ok: true, manifest: parsed.data }
 }
 
-/** A fault whose place is a path of keys and indices. */
-export interface PlacedFault {
-  path: Array<string | number>
-  message: string
-}
-
-/** Names of malformed items, which references may name all the same. */
-export interface LeftOut {
-  models: ReadonlySet<string>
-  services: ReadonlySet<string>
-  hasTargets: boolean
-}
-
 const NOTHING_LEFT_OUT: LeftOut = { models: new Set(), services: new Set(), hasTargets: false }
 const REST_SCHEMA = manifestSchema.extend({ workspaces: manifestSchema.shape.workspaces.or(z.array(z.never())) })
 const LISTS = ['models', 'targets', 'services', 'workspaces', 'links'] as const
--- a/packages/stand-ins/src/engine/accelerator.ts
+++ b/packages/stand-ins/src/engine/accelerator.ts
@@ -3,7 +3,7 @@
  */
 import { CacheEventKind, prefixDigest, type EngineReport, type StepInput } from '@wigeonlead/protocol'
 import { createCarry } from '../carry.js'
-import type { EngineFaults } from './core.js'
+import type { EngineFaults } from './faults.js'
 
 /** How fast an accelerator is, for the layers that it holds. */
 export interface AcceleratorTiming {
--- a/packages/stand-ins/src/engine/core.ts
+++ b/packages/stand-ins/src/engine/core.ts
@@ -7,6 +7,7 @@
   type PathStage, type StepInput, type StepRequest, type StepResult
 } from '@wigeonlead/protocol'
 import { createAccelerator, type AcceleratorTiming } from './accelerator.js'
+import type { EngineFaults } from './faults.js'
 import { answerLength, runLayers, startState, tokenText } from './model.js'
 
 /** One run of a layer range, as the engine's ledger keeps it. */
@@ -27,18 +28,6 @@
   refused?: string
 }
 
-/** Faults that tests and the quickstart switch on. */
-export interface EngineFaults {
-  /** The engine answers nothing and breaks its connections after so many more steps. */
-  dieAfterSteps?: number
-  isDead: boolean
-  isStalled: boolean
-  /** Factor on each step's time. */
-  slowdown: number
-  /** Changes a step's result before it is answered. */
-  corrupt?: (result: StepResult) => StepResult
-}
-
 /** Options of an engine. */
 export interface EngineOptions {
   name: string
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -11,8 +11,9 @@
   PeerFault, createMemoryPeerNetwork, type MemoryPeerNetwork, type MemoryPeerOptions, type MemoryPeerTraffic, type PeerCall
 } from './peers/memory.js'
 export {
-  createEngine, type Engine, type EngineFaults, type EngineOptions, type ForwardStep, type LedgerEntry, type OrderLedgerEntry
+  createEngine, type Engine, type EngineOptions, type ForwardStep, type LedgerEntry, type OrderLedgerEntry
 } from './engine/core.js'
+export type { EngineFaults } from './engine/faults.js'
 export { createMemoryEngines, type MemoryEnginesOptions } from './engine/memory.js'
 export type { AcceleratorTiming } from './engine/accelerator.js'
 export { startEngineServer } from './engine/server.js'
--- a/packages/wigeonlead/src/request/completion-input.ts
+++ b/packages/wigeonlead/src/request/completion-input.ts
@@ -5,7 +5,7 @@
 import { ProblemType, createProblem, type ModelReference, type Problem } from '@wigeonlead/protocol'
 import type { CallerRequest } from './caller.js'
 import type { RequestContext } from './context.js'
-import type { GenerationOrder } from './generation.js'
+import type { GenerationOrder } from './generation-order.js'
 
 /** The two shapes of completions. */
 export enum CompletionShape {
--- a/packages/wigeonlead/src/request/completion-start.ts
+++ b/packages/wigeonlead/src/request/completion-start.ts
@@ -5,7 +5,7 @@
 import { FailureKind, ProblemType, Step, createProblem, failed, success, type Outcome, type Problem } from '@wigeonlead/protocol'
 import type { CompletionInput } from './completion-input.js'
 import type { RequestContext } from './context.js'
-import type { GenerationOrder } from './generation.js'
+import type { GenerationOrder } from './generation-order.js'
 
 /** One completion that wants to start. */
 export interface CompletionStart {
--- a/packages/wigeonlead/src/request/generation-move.ts
+++ b/packages/wigeonlead/src/request/generation-move.ts
@@ -6,7 +6,7 @@
 import { TargetAvailability } from '../process/targets.js'
 import type { RequestContext } from './context.js'
 import { isServedIn } from './placement.js'
-import type { GenerationOrder } from './generation.js'
+import type { GenerationOrder } from './generation-order.js'
 import { createSessionMover } from './move.js'
 
 /** The mover of one epoch. */
--- a/packages/wigeonlead/src/request/generation.ts
+++ b/packages/wigeonlead/src/request/generation.ts
@@ -4,29 +4,17 @@
  */
 import {
   FailureKind, FinishReason, isCertainlyNotSent,
-  type Failure, type GenerationRequest, type ModelReference, type Outcome, type PathStage, type Problem, type Token
+  type Failure, type GenerationRequest, type Outcome, type PathStage, type Problem, type Token
 } from '@wigeonlead/protocol'
-import type { CompiledModel } from '../version/index.js'
 import { LogEvent } from '../process/logging.js'
 import type { RequestContext } from './context.js'
 import { findFailedTargets } from './generation-blame.js'
 import { runEpoch, type EpochEnd } from './generation-epoch.js'
 import { createGenerationMover } from './generation-move.js'
+import type { GenerationOrder } from './generation-order.js'
 import { refuseFailed, refuseLate } from './generation-refusal.js'
 import { Interruption, createWatch, type Watch } from './generation-watch.js'
 
-/** What is to be generated. */
-export interface GenerationOrder {
-  model: CompiledModel
-  reference: ModelReference
-  prompt: string
-  maximumTokens: number
-  temperature?: number
-  seed?: number
-  /** The path of the first epoch, where admission chose one. */
-  firstPath?: PathStage[]
-}
-
 /** Kinds of deliveries. */
 export enum DeliveryKind {
   Token = 'token',
