A failure domain with several chains is mended by cards that come and by neighbours that grow; nothing is laid anew

Change: with two chains or more, a span that fewer cards hold than there are chains is given to empty cards that fit it; one that nobody holds, or that no card came for in 6 s, to the neighbours, which only grow. An empty card that nothing needs stands in beside the narrowest. One chain is mended as before. Further chains are only counted where ends or room speak for them. Ruled out: filling single gaps of a chain, with chains told apart as before: no fewer orders in the model. Every layer has all its holders at the end. The table for chains beside a gap goes with the grouping; that no card gives layers up in place of it is stricter.

--- a/packages/relay/src/process/path-finder.ts
+++ b/packages/relay/src/process/path-finder.ts
@@ -6,7 +6,7 @@
 import { lifeOf, type Target } from '../version/target.js'
 import type { Directory } from './directory.js'
 import type { Load } from './load.js'
-import { gapsBetween } from './placement/plan.js'
+import { gapsBetween } from './placement/cards.js'
 import { kindOf, layerMilliseconds, tokenCapacity } from './stage-cost.js'
 
 /** What is looked for. */
--- a/packages/relay/src/process/placement/plan.ts
+++ b/packages/relay/src/process/placement/plan.ts
@@ -1,39 +1,21 @@
 /**
  * Decides which layers each card holds. Pure: cards and costs in, ranges out.
  */
-import type { AcceleratorKind, EngineProfile } from '../../version/configuration.js'
-import { mostLayers, tokenCapacity } from '../stage-cost.js'
-
-/** A card as the planner sees it. */
-export interface Card {
-  id: string
-  failureDomain: string
-  kind: AcceleratorKind
-  /** Layers that it holds or was ordered to hold. */
-  held?: LayerSpan
-  /** Loads now: takes no further order. */
-  isBusy: boolean
-  /** Empty for long enough that no neighbour's leaving will need it at once. */
-  isSettled: boolean
-}
-
-/** Layers from `from` up to, not including, `to`. */
-export interface LayerSpan {
-  from: number
-  to: number
-}
-
-/** One card that is to hold other layers. */
-export interface Placement extends LayerSpan {
-  id: string
-}
+import type { EngineProfile } from '../../version/configuration.js'
+import { mostLayers } from '../stage-cost.js'
+import {
+  MOST_STAGES, compare, coverageOf, evenRoom, gapsOf, layersOf, memoryOf, planChain, roomOf, sumOf,
+  type Card, type LayerSpan, type Placement
+} from './cards.js'
+import { fillGaps } from './fill.js'
+import { repairShared } from './shared-repair.js'
 
 /** A standing chain is given up once its domain has less than this share of the room for requests that a chain is laid out for. */
 const LEAST_ROOM_SHARE = 0.3
+/** Cards that grew hold more than their part; only with this share of the room for each chain is that taken for further ones. */
+const NEW_CHAIN_ROOM_SHARE = 0.75
 /** A failure domain that has lost its layers on more than this share of its memory is laid out like a new one. */
 const MOSTLY_EMPTY_SHARE = 0.5
-/** Most stages of one path that engines accept, less a few for stand-ins of other failure domains. */
-const MOST_STAGES = 28
 const BYTES_PER_MEGABYTE = 1e6
 
 /** Places the model on empty cards: one chain or more in each failure domain that can hold it. */
@@ -48,32 +30,6 @@
   return placements.concat(planChain(interleave(leftOver), engine))
 }
 
-/** Spreads layers, all by default, over cards by their memory, in their order; empty where they cannot hold them. */
-export function planChain (
-  cards: readonly Card[], engine: EngineProfile, span: LayerSpan = { from: 0, to: engine.layers }
-): Placement[] {
-  const layers = span.to - span.from
-  const usable = cards.filter(card => mostLayers(card.kind, engine) > 0).slice(0, MOST_STAGES)
-  const memory = sumOf(usable, card => card.kind.memoryMegabytes)
-  if (sumOf(usable, card => mostLayers(card.kind, engine)) < layers) return []
-  const shares = usable.map(card => {
-    const exact = layers * card.kind.memoryMegabytes / memory
-    const most = mostLayers(card.kind, engine)
-    return { card, most, exact, layers: Math.min(most, Math.floor(exact)) }
-  })
-  for (let left = layers - sumOf(shares, share => share.layers); left > 0; left--) {
-    const next = shares.filter(share => share.layers < share.most)
-      .sort((one, other) => (other.exact - other.layers) - (one.exact - one.layers))[0]!
-    next.layers += 1
-  }
-  let { from } = span
-  return shares.filter(share => share.layers > 0).map(share => {
-    const placement = { id: share.card.id, from, to: from + share.layers }
-    from += share.layers
-    return placement
-  })
-}
-
 /** Orders stages so that each small one has a large neighbour, which can take its layers when it is lost. */
 function interleave (cards: readonly Card[]): Card[] {
   const byMemory = [...cards].sort((one, other) => other.kind.memoryMegabytes - one.kind.memoryMegabytes)
@@ -102,63 +58,16 @@
     }
     const empty = here.filter(card => card.held === undefined && !card.isBusy && mostLayers(card.kind, engine) > 0)
     const count = chainsHeld(here, engine)
-    const share = memoryOf(here) / count
-    const chains = chainsOf(here, count).map(chain => {
-      const gaps = gapsOf(chain, engine.layers)
-      return { chain, gaps, filled: fillGaps(chain, gaps, empty, engine, share) }
-    })
-    // What a chain with a gap may need is not spent on others.
-    return chains.sort((one, other) => other.gaps.length - one.gaps.length).flatMap(({ chain, gaps, filled }) => {
-      if (filled !== undefined) return filled
-      const isCovered = gapsOf(here, engine.layers).length === 0
-      const mayExtend = isCovered ? steadiness.mayReinforce(domain) : steadiness.mayExtend(domain)
-      const added = takeShare(chain, empty, share, gaps.length > 0)
-      return approachTarget(chain, gaps, added, engine, mayExtend)
-    })
+    const may = { extend: steadiness.mayExtend(domain), reinforce: steadiness.mayReinforce(domain) }
+    if (count > 1) return repairShared(here, empty, count, engine, may)
+    const chain = here.filter(card => card.held !== undefined)
+    const gaps = gapsOf(chain, engine.layers)
+    const terms = { roomTokens: evenRoom(memoryOf(chain), engine), lackingMegabytes: memoryOf(empty) }
+    return fillGaps(gaps, empty, engine, terms) ??
+      approachTarget(chain, gaps, empty.filter(card => card.isSettled || gaps.length > 0), engine, may.extend)
   })
 }
 
-/** Room of a card that fills a gap, as a share of what the chain would have if it were laid anew. */
-const FILLING_ROOM_SHARE = 0.6
-
-/** @returns empty cards for each gap, or nothing where they do not suffice: the cheapest way, since no other card changes. */
-function fillGaps (
-  chain: readonly Card[], gaps: readonly LayerSpan[], empty: Card[], engine: EngineProfile, shareMegabytes: number
-): Placement[] | undefined {
-  if (gaps.length === 0) return undefined
-  const left = [...empty].sort((one, other) => one.kind.memoryMegabytes - other.kind.memoryMegabytes)
-  const wanted = FILLING_ROOM_SHARE * evenRoom(chain, engine)
-  const fillings: Placement[] = []
-  for (const gap of gaps) {
-    const layers = gap.to - gap.from
-    const index = left.findIndex(({ kind }) => layers <= mostLayers(kind, engine) && roomOf(kind, layers, engine) >= wanted)
-    if (index !== -1) {
-      fillings.push({ id: left.splice(index, 1)[0]!.id, ...gap })
-      continue
-    }
-    const parts = splitGap(gap, left, engine, wanted, shareMegabytes - memoryOf(chain))
-    if (parts === undefined) return undefined
-    fillings.push(...parts)
-    for (const { id } of parts) left.splice(left.findIndex(card => card.id === id), 1)
-  }
-  empty.splice(0, empty.length, ...left)
-  return fillings
-}
-
-/** @returns cards, largest first, that hold a gap together with the wanted room for tokens each, and bring the memory that is lacking. */
-function splitGap (
-  gap: LayerSpan, empty: readonly Card[], engine: EngineProfile, wanted: number, lackingMegabytes: number
-): Placement[] | undefined {
-  const largestFirst = [...empty].reverse()
-  for (let count = 2; count <= largestFirst.length; count++) {
-    if (count < largestFirst.length && memoryOf(largestFirst.slice(0, count)) < lackingMegabytes) continue
-    const parts = planChain(largestFirst.slice(0, count), engine, gap)
-    const isRoomy = parts.every(({ id, from, to }) => roomOf(empty.find(card => card.id === id)!.kind, to - from, engine) >= wanted)
-    if (parts.length > 0 && isRoomy) return parts
-  }
-  return undefined
-}
-
 /** A chain whose narrowest card has less than this share of the room that it could have is laid out better. */
 const NARROW_SHARE = 0.8
 /** Most of a card's layers that it holds while it takes some over, so that its running requests keep their memory. */
@@ -188,17 +97,6 @@
   return placements
 }
 
-/** Takes the empty cards for a chain that bring its memory to that of the others of its domain, out of those that are left. */
-function takeShare (chain: readonly Card[], empty: Card[], megabytes: number, hasGap: boolean): Card[] {
-  const taken: Card[] = []
-  for (const card of [...empty]) {
-    if (memoryOf(chain) + memoryOf(taken) >= megabytes) break
-    if (!hasGap && !card.isSettled) continue
-    taken.push(...empty.splice(empty.indexOf(card), 1))
-  }
-  return taken
-}
-
 /** @returns the layout with empty cards where they move the fewest layers of the others. */
 function bestLayout (ordered: readonly Card[], added: readonly Card[], engine: EngineProfile): Placement[] {
   let cards = [...ordered]
@@ -248,53 +146,6 @@
   return one.held!.from + one.held!.to - other.held!.from - other.held!.to || compare(one.id, other.id)
 }
 
-function layersOf (card: Card): number {
-  return card.held === undefined ? 0 : card.held.to - card.held.from
-}
-
-function bySpan (one: Card, other: Card): number {
-  return one.held!.from - other.held!.from || one.held!.to - other.held!.to || compare(one.id, other.id)
-}
-
-/** Groups the cards of a failure domain into chains: each card goes on where a chain ends, else in the chain that is furthest behind. */
-export function chainsOf (cards: readonly Card[], count: number): Card[][] {
-  const chains: Array<{ cards: Card[], end: number }> = Array.from({ length: count }, () => ({ cards: [], end: 0 }))
-  const holders = cards.filter(card => card.held !== undefined).sort(bySpan)
-  for (const card of holders) {
-    const { from, to } = card.held!
-    const next = chains.find(chain => chain.end === from) ?? chains.reduce((least, chain) => chain.end < least.end ? chain : least)
-    next.cards.push(card)
-    next.end = Math.max(next.end, to)
-  }
-  return chains.map(chain => chain.cards)
-}
-
-/** @returns tokens for which each card has room where the layers lie by memory. */
-function evenRoom (cards: readonly Card[], engine: EngineProfile): number {
-  const freeMegabytes = memoryOf(cards) - engine.layers * engine.layerMegabytes
-  return Math.max(0, freeMegabytes * BYTES_PER_MEGABYTE / engine.tokenBytes)
-}
-
-function roomOf (kind: AcceleratorKind, layers: number, engine: EngineProfile): number {
-  return layers > mostLayers(kind, engine) ? 0 : tokenCapacity(kind, layers, engine)
-}
-
-/** @returns spans of layers that no card holds. */
-export function gapsOf (cards: readonly Card[], layers: number): LayerSpan[] {
-  return gapsBetween(cards.flatMap(card => card.held ?? []), layers)
-}
-
-/** @returns spans of layers that none of the given spans covers. */
-export function gapsBetween (spans: readonly LayerSpan[], layers: number): LayerSpan[] {
-  const gaps: LayerSpan[] = []
-  let covered = 0
-  for (const span of [...spans].sort((one, other) => one.from - other.from).concat({ from: layers, to: layers })) {
-    if (span.from > covered) gaps.push({ from: covered, to: span.from })
-    covered = Math.max(covered, span.to)
-  }
-  return gaps
-}
-
 function splitIntoChains (cards: readonly Card[], engine: EngineProfile): Card[][] {
   const chains: Card[][] = Array.from({ length: chainCount(cards, engine) }, () => [])
   const byMemory = [...cards].sort((one, other) => other.kind.memoryMegabytes - one.kind.memoryMegabytes || compare(one.id, other.id))
@@ -316,7 +167,10 @@
   if (memoryOf(held) < (1 - MOSTLY_EMPTY_SHARE) * memoryOf(cards)) return chainCount(cards, engine)
   const holders = coverageOf(held, engine.layers).sort((one, other) => one - other)
   const most = Math.floor(memoryOf(cards) / chainMegabytes(engine, LEAST_ROOM_SHARE))
-  return Math.max(1, Math.min(holders[Math.floor(holders.length / 2)]!, most))
+  const begun = held.filter(card => card.held!.from === 0).length
+  const ended = held.filter(card => card.held!.to === engine.layers).length
+  const roomy = Math.floor(memoryOf(cards) / chainMegabytes(engine, NEW_CHAIN_ROOM_SHARE))
+  return Math.max(1, Math.min(holders[Math.floor(holders.length / 2)]!, most, Math.max(begun, ended, roomy)))
 }
 
 /**
@@ -329,30 +183,12 @@
   return engine.layers * engine.layerMegabytes + roomShare * tokens * engine.tokenBytes / BYTES_PER_MEGABYTE
 }
 
-/** @returns for each layer how many cards hold it. */
-function coverageOf (cards: readonly Card[], layers: number): number[] {
-  return Array.from({ length: layers }, (_, layer) =>
-    cards.filter(({ held }) => held !== undefined && held.from <= layer && layer < held.to).length)
-}
-
 /** @returns whether some layer of a failure domain is held less often than most are. */
 export function isThin (cards: readonly Card[], engine: EngineProfile): boolean {
   const coverage = coverageOf(cards, engine.layers)
   return Math.min(...coverage) < chainsHeld(cards, engine)
 }
 
-function memoryOf (cards: readonly Card[]): number {
-  return sumOf(cards, card => card.kind.memoryMegabytes)
-}
-
 function domainsOf (cards: readonly Card[]): string[] {
   return [...new Set(cards.map(card => card.failureDomain))].sort()
 }
-
-function compare (one: string, other: string): number {
-  return one < other ? -1 : one > other ? 1 : 0
-}
-
-function sumOf<T> (items: readonly T[], read: (item: T) => number): number {
-  return items.reduce((sum, item) => sum + read(item), 0)
-}
--- a/packages/relay/src/process/placement/planner.ts
+++ b/packages/relay/src/process/placement/planner.ts
@@ -10,7 +10,8 @@
 import { RelayEvent, type RelayLog } from '../relay-log.js'
 import { kindOf, mostLayers } from '../stage-cost.js'
 import type { CoordinatorLease } from './lease.js'
-import { gapsOf, isThin, planFirst, planRepair, type Card, type LayerSpan, type Placement } from './plan.js'
+import { gapsOf, type Card, type LayerSpan, type Placement } from './cards.js'
+import { isThin, planFirst, planRepair } from './plan.js'
 
 /** Parts of the planner. */
 export interface PlannerParts {
