--- a/packages/wigeonctl/src/command-line.ts
+++ b/packages/wigeonctl/src/command-line.ts
@@ -7,6 +7,7 @@
 import { createEtcdKeyValue, createVmListClient } from '@wigeonlead/protocol'
 import { checkCommand } from './commands/check.js'
 import { explainCommand } from './commands/explain.js'
+import { fleetCommand } from './commands/fleet.js'
 import { publishCommand } from './commands/publish.js'
 import { reportCommand } from './commands/report.js'
 import { renderReportPage } from './commands/report-page.js'
@@ -59,7 +60,7 @@
     const isInformation = parsed.options.help === true || parsed.options.version === true
     if (program.matchedCommand === undefined && !isInformation) {
       const found = parsed.args[0] === undefined ? 'no command' : `"${parsed.args[0]}"`
-      return print(faultyArguments([`found ${found}, wanted one of: check, publish, stop, status, report, explain; see --help`]), { json: parsed.options.json === true })
+      return print(faultyArguments([`found ${found}, wanted one of: check, publish, stop, status, report, fleet, explain; see --help`]), { json: parsed.options.json === true })
     }
     await program.runMatchedCommand()
     return code
@@ -94,6 +95,8 @@
     if (name === 'report') declared.option('--html <file>', 'Write a self-contained page')
     declared.action((options: Options) => run(options, command))
   }
+  program.command('fleet [...addresses]', 'Show what the relays at these metrics addresses believe and refuse')
+    .action((addresses: string[], options: Options) => run(options, () => fleetOf(addresses)))
   program.command('explain <request> [...logs]', 'Tell the story of one request from log files of the entry VMs')
     .action((request: string, logs: string[], options: Options) => run(options, () => explainFiles(String(request), logs)))
   program.help()
@@ -101,6 +104,13 @@
   return program
 }
 
+async function fleetOf (addresses: string[]): Promise<CommandOutput> {
+  const faulty = addresses.filter(address => !/^[\w.-]+:\d+$/.test(address))
+  if (faulty.length > 0) return faultyArguments(faulty.map(address => `found "${address}", wanted IP:PORT of a metrics listener`))
+  if (addresses.length === 0) return faultyArguments(['found no address, wanted: fleet IP:PORT...'])
+  return await fleetCommand(addresses)
+}
+
 function explainFiles (request: string, logs: string[]): CommandOutput {
   if (logs.length === 0) return faultyArguments(['found no log file, wanted: explain REQUEST-ID FILE...'])
   return explainCommand(request, logs.map(readText))
--- a/packages/wigeonctl/test/command-line.spec.ts
+++ b/packages/wigeonctl/test/command-line.spec.ts
@@ -23,6 +23,9 @@
   { given: ['status'], code: ExitCode.Faulty, output: /no operators' token/ },
   { given: ['report', '--token-file', PROGRAM], code: ExitCode.Faulty, output: /no entry VM to ask/ },
   { given: ['report', '--token-file', PROGRAM, '--operators-port', '1'], code: ExitCode.Faulty, output: /--vm-list with it/ },
+  { given: ['fleet'], code: ExitCode.Faulty, output: /no address, wanted: fleet IP:PORT/ },
+  { given: ['fleet', 'vm-1'], code: ExitCode.Faulty, output: /found "vm-1", wanted IP:PORT/ },
+  { given: ['fleet', '127.0.0.1:1'], code: ExitCode.Failed, output: /127.0.0.1:1 could not be reached/ },
   { given: ['explain', 'r1'], code: ExitCode.Faulty, output: /no log file/ },
   { given: ['explain', 'r1', PROGRAM], code: ExitCode.Failed, output: /no line names the request "r1"/ },
   { given: ['--version'], code: ExitCode.Done, output: /wigeonctl\/\d/ }
