--- a/packages/relay/src/process/placement/cards.ts
+++ b/packages/relay/src/process/placement/cards.ts
@@ -2,7 +2,7 @@
  * Cards and the layers that they hold: what every plan of a layout works with.
  */
 import type { AcceleratorKind, EngineProfile } from '../../version/configuration.js'
-import { mostLayers, tokenCapacity } from '../stage-cost.js'
+import { BYTES_PER_MEGABYTE, mostLayers, tokenCapacity } from '../stage-cost.js'
 
 /** A card as the planner sees it. */
 export interface Card {
@@ -30,7 +30,8 @@
 
 /** Most stages of one path that engines accept, less a few for stand-ins of other failure domains. */
 export const MOST_STAGES = 28
-const BYTES_PER_MEGABYTE = 1e6
+/** Most of a card's layers that it holds once it took some over, so that its running requests keep their memory. */
+export const GROWN_SHARE = 0.85
 
 /** Spreads layers, all by default, over cards by their memory, in their order; empty where they cannot hold them. */
 export function planChain (
--- a/packages/relay/src/process/placement/plan.ts
+++ b/packages/relay/src/process/placement/plan.ts
@@ -2,9 +2,9 @@
  * Decides which layers each card holds. Pure: cards and costs in, ranges out.
  */
 import type { EngineProfile } from '../../version/configuration.js'
-import { mostLayers } from '../stage-cost.js'
+import { BYTES_PER_MEGABYTE, mostLayers } from '../stage-cost.js'
 import {
-  MOST_STAGES, compare, coverageOf, evenRoom, gapsOf, layersOf, memoryOf, planChain, roomOf, sumOf,
+  GROWN_SHARE, MOST_STAGES, compare, coverageOf, evenRoom, gapsOf, layersOf, memoryOf, planChain, roomOf, sumOf,
   type Card, type LayerSpan, type Placement
 } from './cards.js'
 import { fillGaps } from './fill.js'
@@ -16,7 +16,6 @@
 const NEW_CHAIN_ROOM_SHARE = 0.75
 /** A failure domain that has lost its layers on more than this share of its memory is laid out like a new one. */
 const MOSTLY_EMPTY_SHARE = 0.5
-const BYTES_PER_MEGABYTE = 1e6
 
 /** Places the model on empty cards: one chain or more in each failure domain that can hold it. */
 export function planFirst (cards: readonly Card[], engine: EngineProfile): Placement[] {
@@ -70,8 +69,6 @@
 
 /** A chain whose narrowest card has less than this share of the room that it could have is laid out better. */
 const NARROW_SHARE = 0.8
-/** Most of a card's layers that it holds while it takes some over, so that its running requests keep their memory. */
-const TRANSITION_SHARE = 0.85
 
 /**
  * Moves a chain towards the layout by memory, in the order in which its cards lie: each card first grows to its target, and gives layers
@@ -125,7 +122,7 @@
   const { held } = card
   if (held === undefined || target === undefined) return target
   const grown = { from: Math.min(held.from, target.from), to: Math.max(held.to, target.to) }
-  const most = Math.max(1, Math.floor(mostLayers(card.kind, engine) * TRANSITION_SHARE))
+  const most = Math.max(1, Math.floor(mostLayers(card.kind, engine) * GROWN_SHARE))
   const isGrowing = grown.from < held.from || grown.to > held.to
   if (isGrowing && grown.to - grown.from <= most) return grown
   const kept = { ...held }
--- a/packages/relay/src/process/placement/shared-repair.ts
+++ b/packages/relay/src/process/placement/shared-repair.ts
@@ -3,7 +3,7 @@
  */
 import type { EngineProfile } from '../../version/configuration.js'
 import { mostLayers } from '../stage-cost.js'
-import { coverageOf, evenRoom, layersOf, memoryOf, roomOf, type Card, type LayerSpan, type Placement } from './cards.js'
+import { GROWN_SHARE, coverageOf, evenRoom, layersOf, memoryOf, roomOf, type Card, type LayerSpan, type Placement } from './cards.js'
 import { fillGaps } from './fill.js'
 
 /** What time allows. */
@@ -20,8 +20,6 @@
   isUncovered: boolean
 }
 
-/** Most of a card's layers that it holds once it took some over, so that its running requests keep their memory. */
-const GROWN_SHARE = 0.85
 /** Room that suffices for a span that nobody holds, as a share of the usual: any path is better than none. */
 const LEAST_SHARE = 0.3
 /** A card waits for a wider span if one that others hold has less than this share of the layers that it would hold by its memory. */
--- a/packages/relay/src/process/stage-cost.ts
+++ b/packages/relay/src/process/stage-cost.ts
@@ -6,7 +6,7 @@
 
 /** Used for a target whose kind the configuration doesn't list. */
 const UNKNOWN_KIND: AcceleratorKind = { memoryMegabytes: 0, stepFactor: 1, readFactor: 1 }
-const BYTES_PER_MEGABYTE = 1e6
+export const BYTES_PER_MEGABYTE = 1e6
 
 /** @returns the kind of a target's accelerator. */
 export function kindOf (target: Pick<Target, 'acceleratorKind'>, engine: EngineProfile): AcceleratorKind {
--- a/packages/relay/src/process/store-mirror.ts
+++ b/packages/relay/src/process/store-mirror.ts
@@ -40,7 +40,6 @@
 const HISTORY_GONE_STATUS = 410
 /** A poll for others waits so long, milliseconds: only its end proves the copy to all that follow it, and the next proof takes another. */
 const SERVING_WAIT_MILLISECONDS = 500
-
 /** Peers told lately if that was so long ago at most, milliseconds: over two questions to them. */
 const TOLD_LATELY_MILLISECONDS = 1500
 
