--- a/packages/relay/src/connection/dialect.ts
+++ b/packages/relay/src/connection/dialect.ts
@@ -19,6 +19,8 @@
   maximumAnswerTokens: number
   /** The caller's estimate of the answer's length, tokens. */
   answerTokensEstimate?: number
+  /** Identifiers of the prompt's parts that other requests may contain too; absent where the caller states none. */
+  sharedPromptParts?: readonly string[]
 }
 
 /** One stage of a path: a target that runs the layers from `from` up to, but not including, `to`. */
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -37,8 +37,18 @@
   faultyAddress?: string
 }
 
-/** How much of the answer the caller has received over all runs. */
+/** How much of a run's answer has arrived from its target. */
+export enum AnswerProgress {
+  Nothing = 'nothing',
+  /** Status line and headers, but no complete event. */
+  Head = 'head',
+  Events = 'events'
+}
+
+/** How much of the answer the caller has received over all runs, and how far the present run has come. */
 export interface EventsProgress {
+  presentRun: AnswerProgress
+
   /** Number of the last event that was forwarded. */
   lastEvent?: number
   /** Whether the status line and headers of the answer were sent to the caller. */
@@ -66,6 +76,7 @@
   request: AdmittedRequest, dependencies: RequestDependencies, path: FoundPath, progress: EventsProgress, ledger: AttemptLedger
 ): Promise<RunOutcome> {
   const { exchange } = request
+  progress.presentRun = AnswerProgress.Nothing
   const firstTarget = dependencies.directory.find(path.stages[0]!.targetId)
   if (firstTarget === undefined) return { end: RunEnd.NotSent, status: 0, reason: 'the first stage is no longer listed' }
   const abortController = new AbortController()
@@ -129,6 +140,7 @@
       return await readNonStreamAnswer(response, terms, send, dependencies, path)
     }
     send.state = SendState.MayHaveRun
+    progress.presentRun = AnswerProgress.Head
     return await forwardEvents(request, firstTarget, outcome, progress, dependencies, recordProgress, () => state.reason)
   } finally {
     clearTimeout(timer)
@@ -238,6 +250,7 @@
     }
 
     function forward (bytes: Buffer): void {
+      progress.presentRun = AnswerProgress.Events
       onProgress()
       if (!progress.isHeadSent) writeHead()
       if (caller.write(bytes)) return
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -8,7 +8,7 @@
 import { RepeatRule } from '../version/configuration.js'
 import { Refusal } from './refusal.js'
 import { ANSWER_TRANSIT_MILLISECONDS, remainingTime, type AdmittedRequest, type RequestDependencies } from './context.js'
-import { RunEnd, runEvents, type EventsProgress, type RunOutcome } from './event-run.js'
+import { AnswerProgress, RunEnd, runEvents, type EventsProgress, type RunOutcome } from './event-run.js'
 import { createAttemptLedger } from './ledger.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields } from './outcome.js'
 import { commonPause } from './pauses.js'
@@ -20,6 +20,8 @@
 const NO_PATH_PAUSE_MILLISECONDS = 150
 /** Retry delay sent with a refusal, milliseconds: about the duration of one usual answer, at whose end capacity becomes free. */
 const REFUSAL_RETRY_MILLISECONDS = 2000
+/** Number of prompt parts that one log line lists. */
+const MAXIMUM_LOGGED_PARTS = 8
 /** Share of the route's latency objective that may be spent waiting for capacity, which running requests free as they end. */
 const CAPACITY_WAIT_SHARE = 0.6
 /** Mean pause before the next search for a path with capacity, milliseconds. */
@@ -32,7 +34,7 @@
   const { route, exchange } = request
   const mayRunAgain = route.isResumable || route.repeat === RepeatRule.Idempotent
   const ledger = createAttemptLedger(mayRunAgain, route.maximumTargets)
-  const progress: EventsProgress = { lastEvent: request.terms.lastEvent, isHeadSent: false }
+  const progress: EventsProgress = { lastEvent: request.terms.lastEvent, isHeadSent: false, presentRun: AnswerProgress.Nothing }
   const pathWaitEndsAt = performance.now() + Math.min(route.latencyObjectiveMilliseconds, remainingTime(request)) * PATH_WAIT_SHARE
   const capacityWaitEndsAt = performance.now() + Math.min(
     route.latencyObjectiveMilliseconds * CAPACITY_WAIT_SHARE, remainingTime(request) / 2
@@ -146,6 +148,8 @@
       reason: outcome.reason,
       faultyAddress: outcome.faultyAddress,
       lastEvent: progress.lastEvent,
+      answerProgress: progress.presentRun,
+      sharedPromptParts: request.terms.sharedPromptParts?.slice(0, MAXIMUM_LOGGED_PARTS).join(' '),
       result: outcome.end === RunEnd.NotSent ? SendResult.NotSent : undefined
     })
 }
