Test that fails: requests with a part that crashes targets reach one after the other

Three relays over sockets, six targets that end as soon as they begin to answer a request with one part; requests with it come at each VM in turn, sound ones share its other part. Cases: headers sent or not, VMs restarted in turn and all at once.

--- /dev/null
+++ b/packages/relay/test/fleet.ts
@@ -0,0 +1,182 @@
+/**
+ * A small fleet of relays over real sockets to callers and targets, with a store and datagrams in memory. Targets end and start again on
+ * command of the test.
+ */
+import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import {
+  SILENT_RELAY_LOG, checkRelaySettings, createCallerListener, createRelay, createStoreEra, incarnationOf, type CallerListener, type Relay,
+  type Target
+} from '@wigeonlead/relay'
+import { joinLinks } from './joined-links.js'
+import { PLAIN_DIALECT } from './plain-dialect.js'
+import { createRestoredStore, type RestoredStore } from './properties/restored-store.js'
+import { testConfiguration } from './test-configuration.js'
+import { testTarget } from './test-engine.js'
+
+/** What a target does with a request; `crash` ends its process: all its connections are reset, and its port no longer listens. */
+export type TargetBehaviour = (incoming: IncomingMessage, response: ServerResponse, crash: () => void) => void
+
+/** A caller's view of an answer. */
+export interface FleetAnswer {
+  status: number
+  headers: IncomingMessage['headers']
+  body: string
+  isComplete: boolean
+}
+
+/** The fleet and its controls. */
+export interface Fleet {
+  /** Sends a request to one VM. */
+  call: (vm: number, headers: Record<string, string>) => Promise<FleetAnswer>
+  /** Restarts the given VMs at the same moment; they keep nothing. */
+  restart: (vms: readonly number[]) => Promise<void>
+  /** Starts targets that have ended, as new incarnations, and waits until every VM lists them. */
+  reviveTargets: () => Promise<void>
+  store: RestoredStore
+  relays: readonly Relay[]
+}
+
+interface TargetProcess {
+  index: number
+  server: Server
+  target: Target
+  isAlive: boolean
+}
+
+interface VmProcess {
+  relay: Relay
+  callers: CallerListener
+  address: string
+}
+
+const REPORT = '{"stalled":[],"slowness":1,"bornAtMilliseconds":1,"ordersAccepted":0}'
+
+async function listen (server: Server, port = 0): Promise<string> {
+  await new Promise<void>(resolve => { server.listen(port, '127.0.0.1', resolve) })
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => { setTimeout(resolve, 5) })
+}
+
+/** Runs a test against a fleet of `vmCount` relays before `targetCount` targets, each of which holds the whole model. */
+export async function withFleet (
+  vmCount: number, targetCount: number, behaviour: TargetBehaviour, use: (fleet: Fleet) => Promise<void>
+): Promise<void> {
+  const store = createRestoredStore()
+  const names = Array.from({ length: vmCount }, (_, index) => `vm-${index}`)
+  const links = joinLinks(names)
+  store.put('configuration', '1')
+  const targets: TargetProcess[] = []
+  for (let index = 0; index < targetCount; index++) {
+    const server = createServer((incoming, response) => {
+      incoming.resume()
+      incoming.on('end', () => {
+        if (incoming.url === '/report') response.end(REPORT)
+        else behaviour(incoming, response, () => crash(targets[index]!))
+      })
+    })
+    const target = testTarget(`t${index}`, { from: 0, to: 80 }, { address: await listen(server), acceleratorKind: undefined })
+    targets.push({ index, server, target, isAlive: true })
+    publish(targets[index]!)
+  }
+  const vms: VmProcess[] = []
+  for (const name of names) vms.push(await startVm(name))
+  await until(() => vms.every(({ relay }) => isServing(relay)))
+
+  function publish ({ target }: TargetProcess): void {
+    store.put(`targets/${target.id}`, JSON.stringify(target))
+  }
+
+  function crash (process: TargetProcess): void {
+    process.isAlive = false
+    process.server.close()
+    process.server.closeAllConnections()
+  }
+
+  function isServing (relay: Relay): boolean {
+    return relay.isReady() && targets.every(({ target }) => relay.directory.findIncarnation(incarnationOf(target)) !== undefined)
+  }
+
+  async function startVm (name: string): Promise<VmProcess> {
+    const checked = checkRelaySettings({
+      node: { vm: name, failureDomain: 'east', ip: '127.0.0.1' },
+      listen: { callers: '127.0.0.1:1', readiness: '127.0.0.1:1', peers: '127.0.0.1:1', metrics: '127.0.0.1:1' },
+      store: { address: '127.0.0.1:1' },
+      failureDomains: ['east']
+    }, 'test')
+    if (!checked.ok) throw new Error(checked.faults.join())
+    const era = createStoreEra(SILENT_RELAY_LOG)
+    const relay = createRelay({ ...checked.settings, listen: { ...checked.settings.listen, peers: name } }, {
+      store: store.clientFor(name, era.admit),
+      era,
+      dialect: PLAIN_DIALECT,
+      link: links.get(name)!,
+      keys: { configuration: 'configuration', targetPrefix: 'targets/' },
+      decodeConfiguration: text => testConfiguration(Number(text)),
+      decodeTarget: (_id, text) => JSON.parse(text),
+      log: SILENT_RELAY_LOG,
+      nextFloat: () => 0.5
+    })
+    const callers = createCallerListener(relay.handle, error => { throw error })
+    const address = await listen(callers.server)
+    relay.start()
+    return { relay, callers, address }
+  }
+
+  function stopVm ({ relay, callers }: VmProcess): void {
+    relay.stop()
+    callers.server.closeAllConnections()
+    callers.server.close()
+  }
+
+  let nextRequest = 1
+  const fleet: Fleet = {
+    store,
+    relays: new Proxy([], { get: (_, key) => Reflect.get(vms.map(({ relay }) => relay), key) }),
+    call (vm, headers) {
+      return new Promise((resolve, reject) => {
+        const outgoing = request(`http://${vms[vm]!.address}/write/1`, {
+          method: 'POST',
+          agent: false,
+          headers: { Host: 'a.example', 'X-Request': `r-${nextRequest++}`, 'X-Wait': '3000', Authorization: 'key-1', ...headers }
+        }, incoming => {
+          let body = ''
+          incoming.on('data', chunk => { body += String(chunk) })
+          incoming.on('error', () => {})
+          incoming.on('close', () => resolve({
+            status: incoming.statusCode!, headers: incoming.headers, body, isComplete: incoming.complete
+          }))
+        })
+        outgoing.on('error', reject)
+        outgoing.end()
+      })
+    },
+    async restart (indexes) {
+      for (const index of indexes) stopVm(vms[index]!)
+      for (const index of indexes) vms[index] = await startVm(names[index]!)
+      await until(() => vms.every(({ relay }) => isServing(relay)))
+    },
+    async reviveTargets () {
+      for (const process of targets.filter(({ isAlive }) => !isAlive)) {
+        const port = Number(process.target.address.split(':')[1])
+        await listen(process.server, port)
+        process.isAlive = true
+        process.target = { ...process.target, bornAtMilliseconds: process.target.bornAtMilliseconds + 1 }
+        publish(process)
+      }
+      await until(() => vms.every(({ relay }) => isServing(relay)))
+    }
+  }
+  try {
+    await use(fleet)
+  } finally {
+    for (const vm of vms) stopVm(vm)
+    for (const { server, isAlive } of targets) {
+      server.closeAllConnections()
+      if (isAlive) server.close()
+    }
+  }
+}
--- a/packages/relay/test/plain-dialect.ts
+++ b/packages/relay/test/plain-dialect.ts
@@ -13,7 +13,8 @@
     key: headers.authorization,
     lastEvent: headers['last-event-id'] === undefined ? undefined : Number(headers['last-event-id']),
     promptTokens: 10,
-    maximumAnswerTokens: 10
+    maximumAnswerTokens: 10,
+    sharedPromptParts: headers['x-parts'] === undefined ? undefined : String(headers['x-parts']).split(',').slice(0, -1)
   }),
   writeHeaders: (rawHeaders, terms) => [
     ...withoutConnectionHeaders(rawHeaders), 'X-Target', terms.targetId, 'X-Wait', String(terms.waitMilliseconds),
