--- a/packages/relay/src/connection/dialect.ts
+++ b/packages/relay/src/connection/dialect.ts
@@ -61,6 +61,11 @@
   isLeaving: boolean
   /** How long the target wants nothing more from this VM, seconds; NaN if what it states is not a number. */
   pauseSeconds?: number
+  /**
+   * How many requests a second the target takes from all VMs together, as long as its answers state it; NaN if what it states is not a
+   * positive number or zero.
+   */
+  requestsPerSecond?: number
   /** Idle time after which the target closes the connection, milliseconds. */
   idleMilliseconds?: number
 }
--- a/packages/relay/src/process/relay-log.ts
+++ b/packages/relay/src/process/relay-log.ts
@@ -23,6 +23,8 @@
   TargetSuspected = 'target-suspected',
   TargetPaused = 'target-paused',
   TargetPauseFaulty = 'target-pause-faulty',
+  TargetLimited = 'target-limited',
+  TargetLimitFaulty = 'target-limit-faulty',
   TargetOutdated = 'target-entry-outdated',
   TargetSkipped = 'target-entry-skipped',
   StoreLost = 'store-lost',
--- a/packages/relay/src/process/target-answers.ts
+++ b/packages/relay/src/process/target-answers.ts
@@ -23,9 +23,21 @@
     log.info(RelayEvent.TargetPaused, { incarnation, milliseconds })
   }
 
+  const limits = new Map<string, number>()
+
+  /** Logs each change of the rate that a target states; undefined where it states none. */
+  function noteLimit (incarnation: string, requestsPerSecond: number | undefined): void {
+    const before = limits.get(incarnation)
+    if (Object.is(before, requestsPerSecond)) return
+    if (requestsPerSecond === undefined) limits.delete(incarnation)
+    else limits.set(incarnation, requestsPerSecond)
+    log.info(RelayEvent.TargetLimited, { incarnation, requestsPerSecond, before })
+  }
+
   return {
     pauseRemaining: directory.pauseRemaining,
     onAnswer (incarnation, status, terms) {
+      noteLimit(incarnation, terms.requestsPerSecond)
       if (terms.isLeaving) directory.markLeaving(incarnation, 'its answer')
       if (status === UNAVAILABLE_STATUS && terms.pauseSeconds !== undefined) pause(incarnation, terms.pauseSeconds)
     }
--- a/packages/relay/test/plain-dialect.ts
+++ b/packages/relay/test/plain-dialect.ts
@@ -26,6 +26,7 @@
     isNotRun: headers['x-not-run'] !== undefined,
     isLeaving: headers['x-leaving'] !== undefined,
     pauseSeconds: headers['retry-after'] === undefined ? undefined : Number(headers['retry-after']),
+    requestsPerSecond: headers['x-limit'] === undefined ? undefined : Number(headers['x-limit']),
     isEventStream: headers['content-type'] === 'text/event-stream'
   }),
   answerHeaders: withoutConnectionHeaders,
