Close a target's connection that sends informational answers without end

Bytes without end were cut at a bound everywhere but there: Node.js accepts any number of 1xx answers, so only the deadline ended such a send.

--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -79,6 +79,8 @@
 /** Idle time after which a pooled connection is no longer reused where the target announced none, milliseconds. */
 const DEFAULT_REUSABLE_IDLE_MILLISECONDS = 3000
 const IDLE_CONNECTIONS_PER_TARGET = 16
+/** Informational answers (1xx) that may precede an answer. Node.js itself accepts any number of them. */
+const MAXIMUM_INFORMATIONAL_ANSWERS = 16
 
 /** Status of an answer that comes from another target than the expected one. */
 const MISDIRECTED_STATUS = 421
@@ -129,6 +131,11 @@
           clearTimeout(connectTimer)
         })
       })
+      let informationalAnswers = 0
+      outgoing.on('information', () => {
+        informationalAnswers += 1
+        if (informationalAnswers > MAXIMUM_INFORMATIONAL_ANSWERS) outgoing.destroy(new Error('too many informational answers'))
+      })
       let answer: IncomingMessage | undefined
       let isReset = false
       outgoing.on('response', response => {
