The manifest router: send a generation to three targets at most if it ends each before a token

After three connections that broke before the first token it is refused; an answer that has begun is resumed as before. The new case of generation.spec failed before (10 first stages ended). Only the single request is bounded here: this router keeps no memory of parts over several requests.

--- a/packages/wigeonlead/src/request/generation.ts
+++ b/packages/wigeonlead/src/request/generation.ts
@@ -30,6 +30,11 @@
 
 /** The generation fails once this many epochs have failed since its last token. */
 const MAX_FRUITLESS_EPOCHS = 10
+/**
+ * A generation without a token is not sent to another target once this many connections broke under it: the prompt itself may be what
+ * crashes the targets.
+ */
+const MAX_BROKEN_BEFORE_FIRST_TOKEN = 3
 /** If more epochs than this have failed since the last token, the next one is delayed with exponential backoff. */
 const EPOCHS_BEFORE_BACKOFF = 2
 /** Added to the failure score of a target that is known to have failed; one that may have caused a failure gets 1. */
@@ -57,6 +62,8 @@
   epoch: number
   /** Failed epochs since the last delivered token. */
   fruitlessEpochs: number
+  /** Connections that broke before the first token. */
+  brokenBeforeFirstToken: number
   /** Whether an engine may have received the request. */
   mayHaveBeenSent: boolean
   /** Path of the next epoch after a session move. */
@@ -67,7 +74,13 @@
 async function * runEpochs (context: RequestContext, order: GenerationOrder, watchdog: Watchdog): AsyncGenerator<Delivery> {
   const { dependencies } = context
   const progress: Progress = {
-    session: dependencies.random.nextNonce(), delivered: [], failureScores: new Map(), epoch: 0, fruitlessEpochs: 0, mayHaveBeenSent: false
+    session: dependencies.random.nextNonce(),
+    delivered: [],
+    failureScores: new Map(),
+    epoch: 0,
+    fruitlessEpochs: 0,
+    brokenBeforeFirstToken: 0,
+    mayHaveBeenSent: false
   }
   dependencies.retryBudgets.recordFirstTry(order.reference.model)
   for (; ; progress.epoch += 1) {
@@ -137,6 +150,7 @@
   }
   progress.lastFailure = failure
   metrics.count('stage_failures_total', { kind: failure.kind })
+  if (failure.kind === FailureKind.Broken && progress.delivered.length === 0) progress.brokenBeforeFirstToken += 1
   const { peer, step, kind, detail } = failure
   logger.warn(LogEvent.TargetFailed, {
     target: blamed.join(',') || peer, step, kind, detail, delivered: progress.delivered.length, epoch: progress.epoch
@@ -151,6 +165,7 @@
 function mayRetry (context: RequestContext, order: GenerationOrder, progress: Progress): boolean {
   if (context.signal.aborted || progress.fruitlessEpochs >= MAX_FRUITLESS_EPOCHS) return false
   if (progress.delivered.length > 0) return true
+  if (progress.brokenBeforeFirstToken >= MAX_BROKEN_BEFORE_FIRST_TOKEN) return false
   const failure = progress.lastFailure
   const isConnectionFailure = failure !== undefined && (failure.kind === FailureKind.Broken || failure.kind === FailureKind.Unreachable)
   if (isConnectionFailure && progress.fruitlessEpochs === 1) return true
--- a/packages/wigeonlead/test/generation.spec.ts
+++ b/packages/wigeonlead/test/generation.spec.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { manifestSchema, type EnginePort, type StepResult } from '@wigeonlead/protocol'
+import { EngineEventKind, FailureKind, Step, manifestSchema, type EngineEvent, type EnginePort, type Failure, type StepResult } from '@wigeonlead/protocol'
 import { createEngine, createMemoryEngines, referenceAnswer, withPausedClock, type Engine } from '@wigeonlead/stand-ins'
 import { TargetAvailability } from '../src/process/index.js'
 import { DeliveryKind, generate, type Delivery } from '../src/request/index.js'
@@ -151,6 +151,23 @@
   assert.is((await running).text, EXPECTED_TEXT)
 }))
 
+generations('a generation that ends each first stage before its first token is not sent to further ones', () => withPausedClock(async clock => {
+  const ended: string[] = []
+  const setup = createSetup(8, 'stream', port => ({
+    ...port,
+    async * generate (target, { attempt }): AsyncGenerator<EngineEvent> {
+      ended.push(target.target)
+      kill(setup.engines.get(target.target)!)
+      const failure: Failure = { kind: FailureKind.Broken, step: Step.Engine, peer: target.target, detail: 'the connection was closed' }
+      yield { kind: EngineEventKind.Failure, attempt, failure }
+    }
+  }))
+  const running = run(setup, { atToken: 0, fault: () => {} })
+  await clock.advance(30_000)
+  assert.is((await running).end?.kind, DeliveryKind.Refusal)
+  assert.ok(new Set(ended).size <= 3, `${ended.length} first stages ended`)
+}))
+
 generations('a failed target is used again if no other target serves its layers', () => withPausedClock(async clock => {
   const running = run(createSetup(1, 'stream'), {
     atToken: 8,
