wigeonctl quarantine: list quarantined parts of prompts, and lift one

An operator finds the reason of a refusal in the log and the metrics; nothing showed which parts are quarantined at a moment, nor let one be released that is known to be sound. The metrics listener serves both now. A lifted part counts as one whose answer has begun, so the peers take it over like any begin.

--- a/packages/relay/src/process/index.ts
+++ b/packages/relay/src/process/index.ts
@@ -21,7 +21,10 @@
 export { checkRelaySettings, relaySettingsSchema, type RelaySettings, type RelaySettingsCheck } from './settings.js'
 export { createPeers, type Peer, type Peers, type PeersDependencies } from './peers.js'
 export { Verdict, judge, lossKey, mergeEvidence, openLosses, type PartEvidence, type PartLoss } from './prompt-evidence.js'
-export { createPromptQuarantine, type LostTarget, type Prompt, type PromptQuarantine, type ToldEvidence } from './prompt-quarantine.js'
+export { createOperatorsListener, type OperatorsView } from './operators-listener.js'
+export {
+  createPromptQuarantine, type LostTarget, type Prompt, type PromptQuarantine, type QuarantinedPart, type ToldEvidence
+} from './prompt-quarantine.js'
 export { createPromptRecords, type PromptRecords } from './prompt-records.js'
 export { createStoreEra, type StoreEra } from './store-era.js'
 export { runStoreMirror, type MirrorOptions, type MirrorReader } from './store-mirror.js'
--- a/packages/relay/src/process/prompt-quarantine.ts
+++ b/packages/relay/src/process/prompt-quarantine.ts
@@ -29,6 +29,16 @@
   remainingMilliseconds: number
 }
 
+/** A quarantined part, for operators. */
+export interface QuarantinedPart {
+  service: string
+  part: string
+  /** Parts that a request must contain too for the quarantine to apply. */
+  companions: readonly string[]
+  targets: number
+  remainingMilliseconds: number
+}
+
 /** Evidence against one part, as it is told to peers. */
 export interface ToldEvidence {
   service: string
@@ -49,8 +59,15 @@
   learn: (told: ToldEvidence) => void
   /** @returns evidence to tell, the last changed first: all that is held, or what changed within the given time in milliseconds. */
   tell: (changedWithin?: number) => ToldEvidence[]
-  /** @returns the parts that are quarantined, for the store and the metrics. */
+  /** @returns the evidence of the parts that are quarantined, for the store. */
   quarantined: () => ToldEvidence[]
+  /** @returns the parts that are quarantined, for operators. */
+  list: () => QuarantinedPart[]
+  /**
+   * Refutes the evidence against a part, on an operator's word that it is sound.
+   * @returns whether there was any.
+   */
+  lift: (service: string, part: string) => boolean
   /** Registers a listener that is called when this VM itself has noticed a loss. */
   onLoss: (listener: () => void) => void
 }
@@ -209,6 +226,24 @@
       expire()
       return [...entries.values()].filter(({ judgement }) => judgement.verdict === Verdict.Quarantined).map(told)
     },
+    list () {
+      expire()
+      const now = performance.now()
+      return [...entries.values()].filter(({ judgement }) => judgement.verdict === Verdict.Quarantined).map(entry => ({
+        service: entry.service,
+        part: entry.part,
+        companions: suspectsOf(entry).filter(companion => companion !== entry.part),
+        targets: countTargets(entry.evidence),
+        remainingMilliseconds: Math.round(entry.judgement.until - now)
+      }))
+    },
+    lift (service, part) {
+      const key = keyOf(service, part)
+      if (!entries.has(key)) return false
+      rememberBegin(key, performance.now())
+      add(service, part, NO_EVIDENCE, 'operator')
+      return true
+    },
     onLoss: listener => { listeners.push(listener) }
   }
 }
--- a/packages/relay/src/process/serve.ts
+++ b/packages/relay/src/process/serve.ts
@@ -6,6 +6,7 @@
 import { splitAddress } from '../connection/address.js'
 import { createCallerListener } from '../connection/callers.js'
 import { createPeerLink } from '../connection/peer-link.js'
+import { createOperatorsListener } from './operators-listener.js'
 import { RelayEvent } from './relay-log.js'
 import type { RelaySettings } from './settings.js'
 import { createRelay, type Relay, type RelayPorts } from './wire.js'
@@ -39,10 +40,7 @@
   })
   relay.configurationState.onChange(version => callers.setLimits(version.configuration.limits))
   const readiness = createStatusListener(ports.dialect.readinessPath, () => relay.isReady() ? READY_STATUS : NOT_READY_STATUS)
-  const metrics = createServer((_incoming, response) => {
-    response.setHeader('Content-Type', 'text/plain; version=0.0.4')
-    response.end(relay.metrics.render())
-  })
+  const metrics = createOperatorsListener(relay)
   await Promise.all([
     link.open(settings.listen.peers),
     listen(callers.server, settings.listen.callers),
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -23,7 +23,7 @@
 import { createPlanner } from './placement/planner.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
 import { createPeers, type Peer } from './peers.js'
-import { createPromptQuarantine } from './prompt-quarantine.js'
+import { createPromptQuarantine, type PromptQuarantine } from './prompt-quarantine.js'
 import { createPromptRecords } from './prompt-records.js'
 import { createRateLimits, type Sender } from './rate-limits.js'
 import { createRepeatBudget } from './repeat-budget.js'
@@ -56,6 +56,7 @@
   configurationState: ConfigurationState
   directory: Directory
   metrics: Metrics
+  promptQuarantine: PromptQuarantine
   handle: (exchange: Exchange) => Promise<void>
   /** Whether the balancer should send connections to this VM. */
   isReady: () => boolean
@@ -261,6 +262,7 @@
     configurationState,
     directory,
     metrics,
+    promptQuarantine,
     handle: exchange => handleExchange(exchange, requestDependencies),
     isReady,
     startFollowingStore,
--- a/packages/wigeonctl/src/command-line.ts
+++ b/packages/wigeonctl/src/command-line.ts
@@ -9,6 +9,7 @@
 import { explainCommand } from './commands/explain.js'
 import { fleetCommand } from './commands/fleet.js'
 import { publishCommand } from './commands/publish.js'
+import { quarantineCommand } from './commands/quarantine.js'
 import { reportCommand } from './commands/report.js'
 import { renderReportPage } from './commands/report-page.js'
 import { statusCommand } from './commands/status.js'
@@ -19,6 +20,7 @@
 const VERSION = '0.1.0'
 const DEFAULT_KEY_VALUE = 'http://127.0.0.1:2379'
 const TOKEN_VARIABLE = 'WIGEONLEAD_TOKEN'
+const METRICS_ADDRESS = /^[\w.-]+:\d+$/
 const FILE_ERROR_TEXTS: Record<string, string> = {
   ENOENT: 'found nothing there, wanted a file',
   EISDIR: 'found a directory, wanted a file',
@@ -37,6 +39,8 @@
   from?: string
   until?: string
   html?: string
+  lift?: string
+  service?: string
 }
 
 /** Runs a command with its options and its positional argument. */
@@ -61,7 +65,7 @@
     const isHelpOrVersion = parsed.options.help === true || parsed.options.version === true
     if (program.matchedCommand === undefined && !isHelpOrVersion) {
       const found = parsed.args[0] === undefined ? 'no command' : `"${parsed.args[0]}"`
-      return printOutput(invalidArguments([`found ${found}, wanted one of: check, publish, stop, status, report, fleet, explain; see --help`]), { json: parsed.options.json === true })
+      return printOutput(invalidArguments([`found ${found}, wanted one of: check, publish, stop, status, report, fleet, quarantine, explain; see --help`]), { json: parsed.options.json === true })
     }
     await program.runMatchedCommand()
     return code
@@ -99,6 +103,10 @@
   }
   program.command('fleet [...addresses]', 'Show the state of the relays at these metrics addresses')
     .action((addresses: string[], options: Options) => execute(options, () => runFleet(addresses)))
+  program.command('quarantine <address>', 'List the parts of prompts that the relay at this metrics address refuses')
+    .option('--lift <part>', 'Part that is sound: requests with it are sent again')
+    .option('--service <name>', 'Service of that part, as listed')
+    .action((address: string, options: Options) => execute(options, () => runQuarantine(address, options)))
   program.command('explain <request> [...logs]', 'Show what happened to one request, from the log files of the entry VMs')
     .action((request: string, logs: string[], options: Options) => execute(options, () => runExplain(String(request), logs)))
   program.help()
@@ -107,12 +115,18 @@
 }
 
 async function runFleet (addresses: string[]): Promise<CommandOutput> {
-  const malformed = addresses.filter(address => !/^[\w.-]+:\d+$/.test(address))
+  const malformed = addresses.filter(address => !METRICS_ADDRESS.test(address))
   if (malformed.length > 0) return invalidArguments(malformed.map(address => `found "${address}", wanted IP:PORT of a metrics listener`))
   if (addresses.length === 0) return invalidArguments(['found no address, wanted: fleet IP:PORT...'])
   return await fleetCommand(addresses)
 }
 
+async function runQuarantine (address: string, { lift, service }: Options): Promise<CommandOutput> {
+  if (!METRICS_ADDRESS.test(address)) return invalidArguments([`found "${address}", wanted IP:PORT of a metrics listener`])
+  if ((lift === undefined) !== (service === undefined)) return invalidArguments(['found one of --lift and --service, wanted both or none'])
+  return await quarantineCommand(address, lift === undefined ? undefined : { service: String(service), part: String(lift) })
+}
+
 function runExplain (request: string, logs: string[]): CommandOutput {
   if (logs.length === 0) return invalidArguments(['found no log file, wanted: explain REQUEST-ID FILE...'])
   return explainCommand(request, logs.map(readText))
--- a/packages/wigeonctl/src/commands/fleet.ts
+++ b/packages/wigeonctl/src/commands/fleet.ts
@@ -1,8 +1,7 @@
 /**
  * `wigeonctl fleet`: shows the state of the relays of a fleet, read from their metrics listeners.
  */
-import { get } from 'node:http'
-import { readAnswer } from '@wigeonlead/protocol'
+import { callRelay } from '../relay-call.js'
 import { ExitCode, type CommandOutput } from '../tool.js'
 
 /** State of one relay, as its metrics show it. */
@@ -32,9 +31,6 @@
   value: number
 }
 
-/** Timeout of a metrics request, milliseconds. Relays normally answer within a few milliseconds. */
-const ANSWER_TIMEOUT_MILLISECONDS = 2000
-const MAX_ANSWER_BYTES = 1_048_576
 /**
  * Maximum time since a relay last confirmed its version, seconds; it spans several poll intervals of the store. A relay that exceeds it is
  * stale: it receives updates neither from the store nor from peers.
@@ -104,22 +100,12 @@
 
 async function readRelay (address: string): Promise<RelayResult> {
   try {
-    return toRelayState(address, readSamples(await readMetricsText(address)))
+    return toRelayState(address, readSamples((await callRelay('GET', address, '/metrics')).text))
   } catch (error) {
     return { address, unreachable: (error as Error).message }
   }
 }
 
-function readMetricsText (address: string): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const request = get(`http://${address}/metrics`, { agent: false, timeout: ANSWER_TIMEOUT_MILLISECONDS }, response => {
-      readAnswer(response, MAX_ANSWER_BYTES).then(body => resolve(body.toString()), reject)
-    })
-    request.on('timeout', () => request.destroy(new Error('no answer in time')))
-    request.on('error', reject)
-  })
-}
-
 function readSamples (text: string): Sample[] {
   return text.split('\n').flatMap(line => {
     const [, name, labels = '', value] = /^([a-z_]+)(\{.*\})? (\S+)$/.exec(line) ?? []
