Never drop the evidence of a quarantine for that of other parts

A quarantined part whose evidence had not changed for longest was dropped once 512 parts had evidence: a thousand requests with parts of their own, each losing a target, would have ended a quarantine. Entries that no verdict rests on go first now. The new case of prompt-quarantine.spec failed before.

--- a/packages/relay/src/process/prompt-quarantine.ts
+++ b/packages/relay/src/process/prompt-quarantine.ts
@@ -72,7 +72,7 @@
   onLoss: (listener: () => void) => void
 }
 
-/** Maximum number of parts with evidence; the ones that changed first are dropped. */
+/** Maximum number of parts with evidence. */
 const MAXIMUM_ENTRIES = 512
 /** Maximum number of parts that are known to have begun. */
 const MAXIMUM_BEGUN = 8192
@@ -124,7 +124,13 @@
     entries.delete(key)
     entries.set(key, entry)
     logChange(before, entry, source)
-    if (entries.size > MAXIMUM_ENTRIES) entries.delete(entries.keys().next().value!)
+    if (entries.size > MAXIMUM_ENTRIES) dropWeakest()
+  }
+
+  /** Drops the entry that changed first, of those that no verdict rests on if there are any. */
+  function dropWeakest (): void {
+    const weakest = [...entries].find(([, { judgement }]) => judgement.verdict === Verdict.Clear) ?? [...entries][0]!
+    entries.delete(weakest[0])
   }
 
   /** Whether a request without the part has begun here since the first loss. */
--- a/packages/relay/test/process/prompt-quarantine.spec.ts
+++ b/packages/relay/test/process/prompt-quarantine.spec.ts
@@ -185,6 +185,16 @@
       assert.ok(losses.every(({ companions }) => companions.length <= 24))
     }
   },
+  {
+    name: 'evidence against more parts than are held: a quarantine stays',
+    play (vm) {
+      for (let loss = 0; loss < 3; loss++) vm.lose(['bad'])
+      vm.begin('other')
+      for (let request = 0; request < 1000; request++) vm.lose([`p-${request}`])
+      assert.ok(vm.isRefused('bad'))
+      assert.ok(vm.quarantine.tell().length <= 512)
+    }
+  },
   {
     name: 'a prompt without shared parts: ignored',
     play (vm) {
