Tell the strongest evidence against prompt parts first

A message lists 24 parts, the last changed first: at a first stage with a hundred waiting requests, their parts crowded out the one whose request had begun when the target ended. Parts are ordered by the ends that had headers now. The new case of prompt-quarantine.spec failed before.

--- a/packages/relay/src/process/prompt-quarantine.ts
+++ b/packages/relay/src/process/prompt-quarantine.ts
@@ -57,7 +57,7 @@
   recordLoss: (prompt: Prompt, lost: LostTarget) => void
   /** Merges evidence from a peer or from the store. */
   learn: (told: ToldEvidence) => void
-  /** @returns evidence to tell, the last changed first: all that is held, or what changed within the given time in milliseconds. */
+  /** @returns evidence to tell, the strongest first: all that is held, or what changed within the given time in milliseconds. */
   tell: (changedWithin?: number) => ToldEvidence[]
   /** @returns the evidence of the parts that are quarantined, for the store. */
   quarantined: () => ToldEvidence[]
@@ -226,7 +226,7 @@
       expire()
       const now = performance.now()
       const changed = [...entries.values()].filter(({ changedAt }) => now - changedAt < changedWithin)
-      return changed.sort((a, b) => b.changedAt - a.changedAt).map(told)
+      return changed.sort((a, b) => strengthOf(b) - strengthOf(a) || b.changedAt - a.changedAt).map(told)
     },
     quarantined () {
       expire()
@@ -259,6 +259,11 @@
   return Math.min(...openLosses(evidence).map(({ endedAt }) => endedAt))
 }
 
+/** Number of targets that had begun to answer when they ended. */
+function strengthOf ({ evidence }: Entry): number {
+  return openLosses(evidence).filter(({ hasHead }) => hasHead).length
+}
+
 function countTargets (evidence: PartEvidence): number {
   return new Set(openLosses(evidence).map(({ incarnation }) => incarnation)).size
 }
--- a/packages/relay/test/process/prompt-quarantine.spec.ts
+++ b/packages/relay/test/process/prompt-quarantine.spec.ts
@@ -185,6 +185,17 @@
       assert.ok(losses.every(({ companions }) => companions.length <= 24))
     }
   },
+  {
+    name: 'many sound requests wait at a target that ends: the evidence with headers is told first',
+    play (vm) {
+      vm.lose(['first', 'bad'], { target: 't1@1' })
+      for (let request = 0; request < 100; request++) {
+        vm.clock.tick(1)
+        vm.quarantine.recordLoss({ service: 'model', parts: [`p-${request}`] }, { incarnation: 't1@1', sentAt: performance.now() - 50, hasHead: false })
+      }
+      assert.ok(vm.quarantine.tell().slice(0, 2).some(({ part }) => part === 'bad'))
+    }
+  },
   {
     name: 'evidence against more parts than are held: a quarantine stays',
     play (vm) {
