Take a target for ended if its address belongs to the next incarnation already

After a broken connection a target counted as ended only if nothing listened at its address: one that restarts at once, or whose address another target has taken, was not counted as evidence against the prompt that ended it.

--- a/packages/relay/src/connection/engine-client.ts
+++ b/packages/relay/src/connection/engine-client.ts
@@ -17,6 +17,8 @@
   isAlive: (target: Target) => Promise<boolean>
   /** Checks whether a target accepts a new connection: a slow target does, one that is dead or partitioned does not. */
   isReachable: (target: Target) => Promise<boolean>
+  /** Checks by a new connection whether a target has ended: nothing listens at its address, or another target or incarnation does. */
+  hasEnded: (target: Target) => Promise<boolean>
   /** Orders a target to load a range of layers. */
   place: (target: Target, order: PlaceOrder) => Promise<OrderResult>
   /** Moves a running request to other stages behind the same first stage. */
@@ -42,9 +44,19 @@
 const LIVENESS_TIMEOUT_MILLISECONDS = 150
 const ANSWER_BYTES_LIMIT = 1_048_576
 const NOT_FOUND_STATUS = 404
+/** Status of a target that is not the one named by the request. */
+const MISDIRECTED_STATUS = 421
 /** Maximum length of an answer's text in the log. */
 const DETAIL_CHARACTERS = 100
 
+/** What a probe of a target found. */
+enum ProbeResult {
+  Unreachable = 'unreachable',
+  /** Another target, or a later incarnation, has the address. */
+  Replaced = 'replaced',
+  Reachable = 'reachable'
+}
+
 /** Creates the client. */
 export function createEngineClient (dialect: Dialect, targets: TargetClient): EngineClient {
   async function call (
@@ -76,22 +88,11 @@
     }
   }
 
-  return {
-    async report (target, limitMilliseconds) {
-      const answer = await call('GET', target, dialect.reportPath, '', limitMilliseconds)
-      if (answer?.status !== 200) return undefined
-      try {
-        return dialect.readReport(answer.text)
-      } catch {
-        return undefined
-      }
-    },
-    async isAlive (target) {
-      return await call('GET', target, dialect.reportPath, '', LIVENESS_TIMEOUT_MILLISECONDS) !== undefined
-    },
-    async isReachable (target) {
-      const abortController = new AbortController()
-      const timer = setTimeout(() => abortController.abort(), LIVENESS_TIMEOUT_MILLISECONDS)
+  /** Requests a report over a new connection. */
+  async function probe (target: Target): Promise<ProbeResult> {
+    const abortController = new AbortController()
+    const timer = setTimeout(() => abortController.abort(), LIVENESS_TIMEOUT_MILLISECONDS)
+    try {
       const outcome = await targets.send({
         address: target.address,
         incarnation: incarnationOf(target),
@@ -102,10 +103,36 @@
         mayReuseConnection: false,
         signal: abortController.signal
       })
+      if (outcome.kind === SendResult.NotSent) return ProbeResult.Unreachable
+      if (outcome.kind !== SendResult.Answered) return ProbeResult.Reachable
+      if (outcome.response.statusCode === MISDIRECTED_STATUS) return ProbeResult.Replaced
+      const { bornAtMilliseconds } = dialect.readReport((await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)).toString())
+      const isReplaced = bornAtMilliseconds > 0 && target.bornAtMilliseconds > 0 && bornAtMilliseconds !== target.bornAtMilliseconds
+      return isReplaced ? ProbeResult.Replaced : ProbeResult.Reachable
+    } catch {
+      // The target answers, though not with a valid report.
+      return ProbeResult.Reachable
+    } finally {
       clearTimeout(timer)
       abortController.abort()
-      return outcome.kind !== SendResult.NotSent
+    }
+  }
+
+  return {
+    async report (target, limitMilliseconds) {
+      const answer = await call('GET', target, dialect.reportPath, '', limitMilliseconds)
+      if (answer?.status !== 200) return undefined
+      try {
+        return dialect.readReport(answer.text)
+      } catch {
+        return undefined
+      }
+    },
+    async isAlive (target) {
+      return await call('GET', target, dialect.reportPath, '', LIVENESS_TIMEOUT_MILLISECONDS) !== undefined
     },
+    isReachable: async target => await probe(target) !== ProbeResult.Unreachable,
+    hasEnded: async target => await probe(target) !== ProbeResult.Reachable,
     async place (target, order) {
       const answer = await call('POST', target, dialect.orderPath, dialect.writePlaceOrder(order), ORDER_TIMEOUT_MILLISECONDS)
       return answer === undefined ? OrderResult.Unknown : dialect.readOrderStatus(answer.status)
--- a/packages/relay/src/process/index.ts
+++ b/packages/relay/src/process/index.ts
@@ -28,5 +28,6 @@
 export { createPromptRecords, type PromptRecords } from './prompt-records.js'
 export { createStoreEra, type StoreEra } from './store-era.js'
 export { runStoreMirror, type MirrorOptions, type MirrorReader } from './store-mirror.js'
+export { createTargetEnds, type TargetEnds } from './target-ends.js'
 export { createTargetStates } from './target-answers.js'
 export { createRelay, type Relay, type RelayPorts } from './wire.js'
--- a/packages/relay/src/process/target-ends.ts
+++ b/packages/relay/src/process/target-ends.ts
@@ -21,7 +21,7 @@
   const checks = new Map<string, Promise<boolean>>()
 
   async function check (target: Target): Promise<boolean> {
-    if (await engines.isReachable(target)) return false
+    if (!await engines.hasEnded(target)) return false
     const listed = directory.find(target.id)
     if (listed !== undefined && incarnationOf(listed) === incarnationOf(target)) {
       directory.suspect(listed, ENDED_SUSPICION_MILLISECONDS, 'a connection broke, and no new one is accepted', { isLoss: true })
