--- a/packages/relay/test/fleet.ts
+++ b/packages/relay/test/fleet.ts
@@ -4,15 +4,11 @@
  */
 import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import {
-  SILENT_RELAY_LOG, checkRelaySettings, createCallerListener, createRelay, createStoreEra, incarnationOf, type CallerListener, type Relay,
-  type Target
-} from '@wigeonlead/relay'
+import { createCallerListener, incarnationOf, type CallerListener, type Relay, type Target } from '@wigeonlead/relay'
 import { joinLinks } from './joined-links.js'
-import { PLAIN_DIALECT } from './plain-dialect.js'
 import { createRestoredStore, type RestoredStore } from './properties/restored-store.js'
-import { testConfiguration } from './test-configuration.js'
 import { testTarget } from './test-engine.js'
+import { createStoreRelay } from './test-relay.js'
 
 /** What a target does with a request; `crash` ends its process: all its connections are reset, and its port no longer listens. */
 export type TargetBehaviour = (incoming: IncomingMessage, response: ServerResponse, crash: () => void) => void
@@ -101,25 +97,7 @@
   }
 
   async function startVm (name: string): Promise<VmProcess> {
-    const checked = checkRelaySettings({
-      node: { vm: name, failureDomain: 'east', ip: '127.0.0.1' },
-      listen: { callers: '127.0.0.1:1', readiness: '127.0.0.1:1', peers: '127.0.0.1:1', metrics: '127.0.0.1:1' },
-      store: { address: '127.0.0.1:1' },
-      failureDomains: ['east']
-    }, 'test')
-    if (!checked.ok) throw new Error(checked.faults.join())
-    const era = createStoreEra(SILENT_RELAY_LOG)
-    const relay = createRelay({ ...checked.settings, listen: { ...checked.settings.listen, peers: name } }, {
-      store: store.clientFor(name, era.admit),
-      era,
-      dialect: PLAIN_DIALECT,
-      link: links.get(name)!,
-      keys: { configuration: 'configuration', targetPrefix: 'targets/' },
-      decodeConfiguration: text => testConfiguration(Number(text)),
-      decodeTarget: (_id, text) => JSON.parse(text),
-      log: SILENT_RELAY_LOG,
-      nextFloat: () => 0.5
-    })
+    const relay = createStoreRelay(name, store, links.get(name)!)
     const callers = createCallerListener(relay.handle, error => { throw error })
     const address = await listen(callers.server)
     relay.start()
--- a/packages/relay/test/properties/restore.ts
+++ b/packages/relay/test/properties/restore.ts
@@ -5,11 +5,10 @@
 import fc from 'fast-check'
 import { install, type Clock } from '@sinonjs/fake-timers'
 import * as assert from 'uvu/assert'
-import { SILENT_RELAY_LOG, checkRelaySettings, createRelay, createStoreEra, incarnationOf, type Relay, type Target } from '@wigeonlead/relay'
+import { incarnationOf, type Relay, type Target } from '@wigeonlead/relay'
 import { joinLinks } from '../joined-links.js'
-import { PLAIN_DIALECT } from '../plain-dialect.js'
-import { testConfiguration } from '../test-configuration.js'
 import { testTarget } from '../test-engine.js'
+import { createStoreRelay } from '../test-relay.js'
 import { createRestoredStore, type RestoredStore } from './restored-store.js'
 
 /** Seed and number of sequences. */
@@ -69,25 +68,7 @@
 }
 
 function startVm (world: World, name: string, links: ReturnType<typeof joinLinks>): void {
-  const checked = checkRelaySettings({
-    node: { vm: name, failureDomain: 'east', ip: '127.0.0.1' },
-    listen: { callers: '127.0.0.1:1', readiness: '127.0.0.1:1', peers: '127.0.0.1:1', metrics: '127.0.0.1:1' },
-    store: { address: '127.0.0.1:1' },
-    failureDomains: ['east']
-  }, 'test')
-  if (!checked.ok) throw new Error(checked.faults.join())
-  const era = createStoreEra(SILENT_RELAY_LOG)
-  const relay = createRelay({ ...checked.settings, listen: { ...checked.settings.listen, peers: name } }, {
-    store: world.store.clientFor(name, era.admit),
-    era,
-    dialect: PLAIN_DIALECT,
-    link: links.get(name)!,
-    keys: { configuration: 'configuration', targetPrefix: 'targets/' },
-    decodeConfiguration: text => testConfiguration(Number(text)),
-    decodeTarget: (_id, text) => JSON.parse(text),
-    log: SILENT_RELAY_LOG,
-    nextFloat: () => 0.5
-  })
+  const relay = createStoreRelay(name, world.store, links.get(name)!)
   world.vms.set(name, { relay, highestVersion: -1, heardLeavingAt: new Map() })
   relay.start()
 }
--- /dev/null
+++ b/packages/relay/test/test-relay.ts
@@ -0,0 +1,40 @@
+/**
+ * Relays without listeners on a store in memory.
+ */
+import {
+  SILENT_RELAY_LOG, checkRelaySettings, createRelay, createStoreEra, type PeerLink, type Relay, type RelaySettings
+} from '@wigeonlead/relay'
+import { PLAIN_DIALECT } from './plain-dialect.js'
+import type { RestoredStore } from './properties/restored-store.js'
+import { testConfiguration } from './test-configuration.js'
+
+/**
+ * @param vm name of the VM, under which the peers reach it too.
+ * @returns valid settings of a relay in the failure domain `east`.
+ */
+export function testRelaySettings (vm: string): RelaySettings {
+  const checked = checkRelaySettings({
+    node: { vm, failureDomain: 'east', ip: '127.0.0.1' },
+    listen: { callers: '127.0.0.1:1', readiness: '127.0.0.1:1', peers: '127.0.0.1:1', metrics: '127.0.0.1:1' },
+    store: { address: '127.0.0.1:1' },
+    failureDomains: ['east']
+  }, 'test')
+  if (!checked.ok) throw new Error(checked.faults.join())
+  return { ...checked.settings, listen: { ...checked.settings.listen, peers: vm } }
+}
+
+/** Creates the relay of one VM, whose targets are listed in the store as JSON. It is not started. */
+export function createStoreRelay (vm: string, store: RestoredStore, link: PeerLink): Relay {
+  const era = createStoreEra(SILENT_RELAY_LOG)
+  return createRelay(testRelaySettings(vm), {
+    store: store.clientFor(vm, era.admit),
+    era,
+    dialect: PLAIN_DIALECT,
+    link,
+    keys: { configuration: 'configuration', targetPrefix: 'targets/' },
+    decodeConfiguration: text => testConfiguration(Number(text)),
+    decodeTarget: (_id, text) => JSON.parse(text),
+    log: SILENT_RELAY_LOG,
+    nextFloat: () => 0.5
+  })
+}
