--- a/packages/relay/src/process/prompt-records.ts
+++ b/packages/relay/src/process/prompt-records.ts
@@ -94,7 +94,7 @@
     for (const { address } of peers.sample(fanout)) link.notify(address, EVIDENCE_METHOD, message)
   }
 
-  /** Writes what the store lacks. All VMs have the same evidence, so each writes with a probability that makes about one of them do it. */
+  /** Writes the records that the store lacks. All VMs have the same evidence, so each writes with a probability of one in their number. */
   async function writeMissing (): Promise<void> {
     for (const told of quarantine.quarantined()) {
       const key = keyOf(told)
--- a/packages/relay/src/process/rate-limits.ts
+++ b/packages/relay/src/process/rate-limits.ts
@@ -46,11 +46,11 @@
 
 /** Lowest rate that is used, requests a second: a target that names zero is still asked now and then whether that holds. */
 const MINIMUM_RATE = 0.1
-/** Senders beside one for each request a second. The users' bound allows five requests in addition to the rate. */
+/** Number of senders in addition to one for each request a second: the users' bound allows five requests beside the rate. */
 const EXTRA_SENDERS = 2
 /**
- * Share of a VM in another failure domain than the target, relative to a local one. It sends there only what its own targets cannot take,
- * but without a share its callers would be refused where its own targets are lost.
+ * Share of a VM in another failure domain than the target, relative to a local VM. A remote VM needs little, because it prefers targets of
+ * its own failure domain; without any share, its callers would be refused where those are lost.
  */
 const REMOTE_WEIGHT = 0.15
 /** Wait of a VM without a share, milliseconds: callers that retry then may reach another VM, or the limit may have ended. */
@@ -64,7 +64,7 @@
  * the minimum rate, two senders ask every 20 seconds.
  */
 const STATEMENT_EXPIRY_MILLISECONDS = 30_000
-/** Interval at which a VM looks whether the list of VMs has changed its share, milliseconds. */
+/** Interval at which a share is calculated again if the list of VMs has changed, milliseconds. */
 const SHARE_CHECK_MILLISECONDS = 1000
 /** Number of statements that one message lists: a datagram must hold them beside the load counts. */
 const MAXIMUM_TOLD = 100
