Log a digest of what a request asks for when its target is lost

The logs show that each end has a connection of one route among those that break, under another request id each time; they do not show whether the requests are the same.

--- a/packages/relay/src/request/context.ts
+++ b/packages/relay/src/request/context.ts
@@ -48,6 +48,8 @@
   route: Route
   service: Service
   workspace?: Workspace
+  /** @returns the digest of what the caller asks for: the same for all attempts with the same path, workspace and body. */
+  contentDigest: () => string
   version: number
   /** Monotonic time by which the caller must have its answer, milliseconds. */
   deadline: number
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -156,6 +156,7 @@
       faultyAddress: outcome.faultyAddress,
       lastEvent: progress.lastEvent,
       answerProgress: progress.presentRun,
+      content: request.contentDigest(),
       sharedPromptParts: request.terms.sharedPromptParts?.slice(0, MAXIMUM_LOGGED_PARTS).join(' '),
       result: outcome.end === RunEnd.NotSent ? SendResult.NotSent : undefined
     })
--- a/packages/relay/src/request/handle.ts
+++ b/packages/relay/src/request/handle.ts
@@ -6,6 +6,7 @@
 import { digestKey } from '../version/digest.js'
 import { RelayEvent } from '../process/relay-log.js'
 import { Refusal, endWithRefusal } from './refusal.js'
+import { lazyContentDigest } from './content.js'
 import type { AdmittedRequest, RequestDependencies } from './context.js'
 import { relayEvents } from './events.js'
 import { relaySingleBody } from './whole.js'
@@ -62,7 +63,15 @@
   if (service === undefined) return { refusal: Refusal.NoTarget, requestId }
   const wait = Math.min(terms.waitMilliseconds ?? Infinity, route.timeoutMilliseconds)
   return {
-    exchange, requestId, terms, route, service, workspace, version: configuration.version, deadline: exchange.arrivedAt.monotonic + wait
+    exchange,
+    requestId,
+    terms,
+    route,
+    service,
+    workspace,
+    contentDigest: lazyContentDigest(exchange, workspace?.name),
+    version: configuration.version,
+    deadline: exchange.arrivedAt.monotonic + wait
   }
 }
 
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -192,7 +192,9 @@
 ): void {
   if (request.exchange.callerLeft.aborted) return
   dependencies.metrics.count('sends_failed_total', { service: request.service.name, result })
-  dependencies.log.info(RelayEvent.SendFailed, { ...requestLogFields(request, dependencies), target: target.id, result, reason })
+  dependencies.log.info(RelayEvent.SendFailed, {
+    ...requestLogFields(request, dependencies), target: target.id, result, reason, content: request.contentDigest()
+  })
   if (result === SendResult.NotSent) dependencies.directory.suspect(target, UNREACHABLE_SUSPICION_MILLISECONDS, reason)
   // The caller has not left, so a send that was aborted has timed out.
   else if (isAborted && dependencies.load.recordTimeout(incarnationOf(target)) >= TIMEOUTS_BEFORE_SUSPICION) dependencies.directory.suspect(target, TIMEOUT_SUSPICION_MILLISECONDS, 'repeated timeouts')
