--- a/packages/relay/test/fleet.ts
+++ b/packages/relay/test/fleet.ts
@@ -23,8 +23,8 @@
 
 /** The fleet and its controls. */
 export interface Fleet {
-  /** Sends a request to one VM. */
-  call: (vm: number, headers: Record<string, string>) => Promise<FleetAnswer>
+  /** Sends a request to one VM; by default one whose answer is a series of events. */
+  call: (vm: number, headers: Record<string, string>, options?: { path?: string, body?: string }) => Promise<FleetAnswer>
   /** Restarts the given VMs at the same moment; they keep nothing. */
   restart: (vms: readonly number[]) => Promise<void>
   /** Starts targets that have ended, as new incarnations, and waits until every VM lists them. */
@@ -57,9 +57,12 @@
   while (!condition()) await new Promise(resolve => { setTimeout(resolve, 5) })
 }
 
-/** Runs a test against a fleet of `vmCount` relays before `targetCount` targets, each of which holds the whole model. */
+/**
+ * Runs a test against a fleet of `vmCount` relays before `targetCount` targets.
+ * @param service `model`, each target of which holds the whole model, or the plain service `desk`.
+ */
 export async function withFleet (
-  vmCount: number, targetCount: number, behaviour: TargetBehaviour, use: (fleet: Fleet) => Promise<void>
+  vmCount: number, targetCount: number, behaviour: TargetBehaviour, use: (fleet: Fleet) => Promise<void>, service: 'model' | 'desk' = 'model'
 ): Promise<void> {
   const store = createRestoredStore()
   const names = Array.from({ length: vmCount }, (_, index) => `vm-${index}`)
@@ -74,7 +77,8 @@
         else behaviour(incoming, response, () => crash(targets[index]!))
       })
     })
-    const target = testTarget(`t${index}`, { from: 0, to: 80 }, { address: await listen(server), acceleratorKind: undefined })
+    const layers = service === 'model' ? { from: 0, to: 80 } : undefined
+    const target = testTarget(`t${index}`, layers, { service, address: await listen(server), acceleratorKind: undefined })
     targets.push({ index, server, target, isAlive: true })
     publish(targets[index]!)
   }
@@ -114,9 +118,9 @@
   const fleet: Fleet = {
     store,
     relays: new Proxy([], { get: (_, key) => Reflect.get(vms.map(({ relay }) => relay), key) }),
-    call (vm, headers) {
+    call (vm, headers, { path = '/write/1', body = '' } = {}) {
       return new Promise((resolve, reject) => {
-        const outgoing = request(`http://${vms[vm]!.address}/write/1`, {
+        const outgoing = request(`http://${vms[vm]!.address}${path}`, {
           method: 'POST',
           agent: false,
           headers: { Host: 'a.example', 'X-Request': `r-${nextRequest++}`, 'X-Wait': '3000', Authorization: 'key-1', ...headers }
@@ -129,7 +133,7 @@
           }))
         })
         outgoing.on('error', reject)
-        outgoing.end()
+        outgoing.end(body)
       })
     },
     async restart (indexes) {
