--- a/packages/relay/src/connection/engine-client.ts
+++ b/packages/relay/src/connection/engine-client.ts
@@ -17,7 +17,10 @@
   isAlive: (target: Target) => Promise<boolean>
   /** Checks whether a target accepts a new connection: a slow target does, one that is dead or partitioned does not. */
   isReachable: (target: Target) => Promise<boolean>
-  /** Checks by a new connection whether a target has ended: nothing listens at its address, or another target or incarnation does. */
+  /**
+   * Checks by a new connection whether a target has certainly ended: nothing listens at its address, or another target or incarnation
+   * does. A target that is cut off from this VM may go on.
+   */
   hasEnded: (target: Target) => Promise<boolean>
   /** Orders a target to load a range of layers. */
   place: (target: Target, order: PlaceOrder) => Promise<OrderResult>
@@ -51,12 +54,18 @@
 
 /** What a probe of a target found. */
 enum ProbeResult {
+  /** No connection was established in time: the target may have ended, or the network between is cut. */
   Unreachable = 'unreachable',
+  /** Nothing listens at the address. */
+  Refused = 'refused',
   /** Another target, or a later incarnation, has the address. */
   Replaced = 'replaced',
   Reachable = 'reachable'
 }
 
+const NO_CONNECTION: ReadonlySet<ProbeResult> = new Set([ProbeResult.Unreachable, ProbeResult.Refused])
+const PROOFS_OF_END: ReadonlySet<ProbeResult> = new Set([ProbeResult.Refused, ProbeResult.Replaced])
+
 /** Creates the client. */
 export function createEngineClient (dialect: Dialect, targets: TargetClient): EngineClient {
   async function call (
@@ -103,7 +112,7 @@
         mayReuseConnection: false,
         signal: abortController.signal
       })
-      if (outcome.kind === SendResult.NotSent) return ProbeResult.Unreachable
+      if (outcome.kind === SendResult.NotSent) return outcome.isRefused ? ProbeResult.Refused : ProbeResult.Unreachable
       if (outcome.kind !== SendResult.Answered) return ProbeResult.Reachable
       if (outcome.response.statusCode === MISDIRECTED_STATUS) return ProbeResult.Replaced
       const { bornAtMilliseconds } = dialect.readReport((await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)).toString())
@@ -131,8 +140,8 @@
     async isAlive (target) {
       return await call('GET', target, dialect.reportPath, '', LIVENESS_TIMEOUT_MILLISECONDS) !== undefined
     },
-    isReachable: async target => await probe(target) !== ProbeResult.Unreachable,
-    hasEnded: async target => await probe(target) !== ProbeResult.Reachable,
+    isReachable: async target => !NO_CONNECTION.has(await probe(target)),
+    hasEnded: async target => PROOFS_OF_END.has(await probe(target)),
     async place (target, order) {
       const answer = await call('POST', target, dialect.orderPath, dialect.writePlaceOrder(order), ORDER_TIMEOUT_MILLISECONDS)
       return answer === undefined ? OrderResult.Unknown : dialect.readOrderStatus(answer.status)
--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -18,7 +18,7 @@
   Unknown = 'unknown'
 }
 
-/** Outcome of a send. */
+/** Outcome of a send. `isRefused` tells that nothing listens at the address. */
 export type SendOutcome =
   | {
     kind: SendResult.Answered
@@ -27,7 +27,7 @@
     /** To be called once the body has ended: whether it ended regularly, and not by a reset that looked like an end. */
     isEndConfirmed: () => Promise<boolean>
   }
-  | { kind: SendResult.NotSent, reason: string }
+  | { kind: SendResult.NotSent, reason: string, isRefused: boolean }
   | { kind: SendResult.Withheld, reason: string }
   | { kind: SendResult.Unknown, reason: string }
 
@@ -82,6 +82,7 @@
 /** Informational answers (1xx) that may precede an answer. Node.js itself accepts any number of them. */
 const MAXIMUM_INFORMATIONAL_ANSWERS = 16
 
+const CONNECTION_REFUSED = 'ECONNREFUSED'
 /** Status of an answer that comes from another target than the expected one. */
 const MISDIRECTED_STATUS = 421
 
@@ -91,7 +92,7 @@
 
   function send (call: TargetCall): Promise<SendOutcome> {
     return new Promise(resolve => {
-      if (call.signal.aborted) return resolve({ kind: SendResult.NotSent, reason: 'aborted before the send' })
+      if (call.signal.aborted) return resolve({ kind: SendResult.NotSent, reason: 'aborted before the send', isRefused: false })
       const pauseMilliseconds = states.pauseRemaining(call.incarnation)
       if (pauseMilliseconds > 0) {
         return resolve({ kind: SendResult.Withheld, reason: `the target wants nothing for ${Math.ceil(pauseMilliseconds)} ms` })
@@ -115,8 +116,8 @@
       const onAbort = (): void => { outgoing.destroy() }
       call.signal.addEventListener('abort', onAbort, { once: true })
 
-      function fail (reason: string): void {
-        resolve(isConnected ? { kind: SendResult.Unknown, reason } : { kind: SendResult.NotSent, reason })
+      function fail (reason: string, isRefused = false): void {
+        resolve(isConnected ? { kind: SendResult.Unknown, reason } : { kind: SendResult.NotSent, reason, isRefused })
       }
 
       outgoing.on('socket', socket => {
@@ -154,7 +155,7 @@
         // Node.js reports a reset as the regular end of a body without a length: the body must not count as complete.
         isReset = true
         answer?.destroy(error)
-        fail(error.message)
+        fail(error.message, (error as NodeJS.ErrnoException).code === CONNECTION_REFUSED)
       })
       outgoing.on('close', () => {
         clearTimeout(connectTimer)
--- a/packages/relay/src/process/prompt-evidence.ts
+++ b/packages/relay/src/process/content-evidence.ts
@@ -1,10 +1,18 @@
 /**
- * Evidence that a part of prompts crashes targets: which targets have ended while a request with the part had not delivered anything.
- * Evidence of several VMs is merged; merging is idempotent, and its order does not matter.
+ * Evidence that the content of requests crashes targets: which targets have ended while a request with this content had not delivered
+ * anything. Evidence of several VMs is merged; merging is idempotent, and its order does not matter.
  */
 
-/** One target that ended while requests with the part ran there or waited there, before their first event. */
-export interface PartLoss {
+/** What the evidence is against. */
+export enum SubjectKind {
+  /** A part of prompts, which several requests may contain. */
+  PromptPart = 'prompt-part',
+  /** A whole request: what all attempts with the same path, workspace and body have in common. */
+  Request = 'request'
+}
+
+/** One target that ended while requests with the subject ran there or waited there, before their first event. */
+export interface TargetLoss {
   /** Incarnation of the target. */
   incarnation: string
   /** When the last of the requests was sent, monotonic milliseconds. */
@@ -13,25 +21,25 @@
   endedAt: number
   /** Whether the target had begun to answer: it had sent status line and headers, but no event. */
   hasHead: boolean
-  /** Shared parts that all these requests at the target had in common, including the part itself. */
+  /** Shared parts of the prompt that all these requests at the target had in common, including the part itself. */
   companions: readonly string[]
 }
 
-/** What is known of one part at one service. */
-export interface PartEvidence {
+/** What is known of one subject at one service. */
+export interface ContentEvidence {
   /** By `lossKey`. */
-  losses: ReadonlyMap<string, PartLoss>
-  /** Whether an answer to a request with the part has ever begun. */
+  losses: ReadonlyMap<string, TargetLoss>
+  /** Whether an answer to a request with the subject has ever begun. */
   hasBegun: boolean
-  /** When an answer to a request with the part last began, monotonic milliseconds; -Infinity if unknown. */
+  /** When an answer to a request with the subject last began, monotonic milliseconds; -Infinity if unknown. */
   beganAt: number
-  /** Whether a request of the service without the part began since there is evidence: the service as a whole works. */
+  /** Whether a request of the service without the subject began since there is evidence: the service as a whole works. */
   hasControl: boolean
 }
 
-export const NO_EVIDENCE: PartEvidence = { losses: new Map(), hasBegun: false, beganAt: -Infinity, hasControl: false }
+export const NO_EVIDENCE: ContentEvidence = { losses: new Map(), hasBegun: false, beganAt: -Infinity, hasControl: false }
 
-/** How strongly the evidence speaks against a part. */
+/** How strongly the evidence speaks against a subject. */
 export enum Verdict {
   /** Requests with it are sent as usual. */
   Clear = 'clear',
@@ -51,18 +59,26 @@
 }
 /** Time for which a quarantine lasts after the last loss, milliseconds. After it, one more loss starts the next. */
 export const QUARANTINE_MILLISECONDS = 600_000
-/** Number of losses that are kept for one part: more than any verdict needs. */
+/** Number of successive losses that lead to the quarantine of a request. */
+const REQUEST_LOSSES_TO_QUARANTINE = 3
+/**
+ * Number of successive losses that lead to a short quarantine of a request, if no other request was at all of these targets. A sound
+ * request that loses two targets by chance is refused only for that time.
+ */
+const REQUEST_LOSSES_TO_SHORT_QUARANTINE = 2
+const SHORT_QUARANTINE_MILLISECONDS = 30_000
+/** Number of losses that are kept for one subject: more than any verdict needs. */
 const MAXIMUM_LOSSES = 16
 /** Differences in time up to this one only come from the transit of messages, or from VMs that notice the same end, milliseconds. */
 const TIME_TOLERANCE_MILLISECONDS = 50
 
 /** @returns the key of a loss. Requests that had their headers and those that had nothing count as two losses of the target. */
-export function lossKey ({ incarnation, hasHead }: Pick<PartLoss, 'incarnation' | 'hasHead'>): string {
+export function lossKey ({ incarnation, hasHead }: Pick<TargetLoss, 'incarnation' | 'hasHead'>): string {
   return hasHead ? `${incarnation} head` : incarnation
 }
 
 /** @returns the merged evidence; the first argument itself if the second adds nothing. */
-export function mergeEvidence (known: PartEvidence, added: PartEvidence): PartEvidence {
+export function mergeEvidence (known: ContentEvidence, added: ContentEvidence): ContentEvidence {
   const losses = new Map(known.losses)
   let isChanged = (added.hasBegun && !known.hasBegun) || (added.hasControl && !known.hasControl)
   for (const [key, loss] of added.losses) {
@@ -81,11 +97,11 @@
 }
 
 /** @returns the losses that no later begin refutes: an answer that began shows that the part does not crash its targets. */
-export function openLosses ({ losses, beganAt }: PartEvidence): PartLoss[] {
+export function openLosses ({ losses, beganAt }: ContentEvidence): TargetLoss[] {
   return [...losses.values()].filter(({ endedAt }) => endedAt > beganAt)
 }
 
-function mergeLosses (known: PartLoss, added: PartLoss): PartLoss {
+function mergeLosses (known: TargetLoss, added: TargetLoss): TargetLoss {
   return {
     ...known,
     sentAt: Math.max(known.sentAt, added.sentAt),
@@ -94,12 +110,12 @@
   }
 }
 
-function isDifferent (before: PartLoss, after: PartLoss): boolean {
+function isDifferent (before: TargetLoss, after: TargetLoss): boolean {
   return before.companions.length !== after.companions.length || after.sentAt - before.sentAt > TIME_TOLERANCE_MILLISECONDS ||
     after.endedAt - before.endedAt > TIME_TOLERANCE_MILLISECONDS
 }
 
-function newestLosses (losses: ReadonlyMap<string, PartLoss>): ReadonlyMap<string, PartLoss> {
+function newestLosses (losses: ReadonlyMap<string, TargetLoss>): ReadonlyMap<string, TargetLoss> {
   if (losses.size <= MAXIMUM_LOSSES) return losses
   return new Map([...losses].sort(([, a], [, b]) => b.endedAt - a.endedAt).slice(0, MAXIMUM_LOSSES))
 }
@@ -117,7 +133,7 @@
  * Judges the evidence against one part. Losses count only if their request was sent after the previous one that counts had ended: targets
  * that end together, by the loss of a rack, count once.
  */
-export function judge (evidence: PartEvidence, now: number): Judgement {
+export function judge (evidence: ContentEvidence, now: number): Judgement {
   const limits = LOSSES_TO_QUARANTINE[evidence.hasBegun ? 'begunPart' : 'newPart']
   const losses = openLosses(evidence)
   const withHead = longestSeries(losses.filter(({ hasHead }) => hasHead))
@@ -133,16 +149,47 @@
   }
 }
 
+/**
+ * Judges the evidence against one whole request. A target that ends takes the requests of others along; their evidence tells which of the
+ * requests explains the ends.
+ * @param others evidence against other requests of the service that were at some of the same targets.
+ */
+export function judgeRequest (evidence: ContentEvidence, others: readonly ContentEvidence[], now: number): Judgement {
+  const series = longestSeries(openLosses(evidence))
+  const unexplained = series.filter(({ incarnation }) => !others.some(other => {
+    const losses = openLosses(other)
+    return hasLost(losses, incarnation) && longestSeries(losses).length > series.length
+  }))
+  const isAmbiguous = others.some(other => {
+    const losses = openLosses(other)
+    return unexplained.every(({ incarnation }) => hasLost(losses, incarnation))
+  })
+  const isProven = unexplained.length >= REQUEST_LOSSES_TO_QUARANTINE
+  const isDecided = isProven || (unexplained.length === REQUEST_LOSSES_TO_SHORT_QUARANTINE && !isAmbiguous)
+  const until = Math.max(...unexplained.map(({ endedAt }) => endedAt), -Infinity) +
+    (isProven ? QUARANTINE_MILLISECONDS : SHORT_QUARANTINE_MILLISECONDS)
+  return { verdict: decideVerdict(), companions: [], until }
+
+  function decideVerdict (): Verdict {
+    if (isDecided && evidence.hasControl && until > now) return Verdict.Quarantined
+    return unexplained.length >= REQUEST_LOSSES_TO_SHORT_QUARANTINE ? Verdict.Doubtful : Verdict.Clear
+  }
+}
+
+function hasLost (losses: readonly TargetLoss[], incarnation: string): boolean {
+  return losses.some(loss => loss.incarnation === incarnation)
+}
+
 /** @returns the longest series in which each request was sent after the previous loss. */
-function longestSeries (losses: readonly PartLoss[]): PartLoss[] {
-  const series: PartLoss[] = []
+function longestSeries (losses: readonly TargetLoss[]): TargetLoss[] {
+  const series: TargetLoss[] = []
   for (const loss of [...losses].sort((a, b) => a.endedAt - b.endedAt)) {
     if (loss.sentAt + TIME_TOLERANCE_MILLISECONDS >= (series.at(-1)?.endedAt ?? -Infinity)) series.push(loss)
   }
   return series
 }
 
-function commonParts (losses: readonly PartLoss[]): readonly string[] {
+function commonParts (losses: readonly TargetLoss[]): readonly string[] {
   const [first, ...others] = losses
   return (first?.companions ?? []).filter(part => others.every(({ companions }) => companions.includes(part)))
 }
--- /dev/null
+++ b/packages/relay/src/process/content-quarantine.ts
@@ -0,0 +1,341 @@
+/**
+ * Keeps requests away from targets if their content has crashed several targets in a row: a part of the prompt, or the request as a whole.
+ */
+import {
+  NO_EVIDENCE, SubjectKind, Verdict, judge, judgeRequest, lossKey, mergeEvidence, openLosses, type ContentEvidence, type Judgement,
+  type TargetLoss
+} from './content-evidence.js'
+import { RelayEvent, type RelayLog } from './relay-log.js'
+
+/** What of a request may crash targets, and the service that the request is for. */
+export interface RequestContent {
+  service: string
+  /** Shared parts of the prompt; empty where the request names none. */
+  parts: readonly string[]
+  /** @returns the digest of the whole request. It is only computed while there is evidence against requests of the service. */
+  digest: () => string
+}
+
+/** A target that ended before it had delivered anything of an answer. */
+export interface LostTarget {
+  incarnation: string
+  /** When the request was sent there, monotonic milliseconds. */
+  sentAt: number
+  /** Whether status line and headers of the answer had arrived. */
+  hasHead: boolean
+}
+
+/** A quarantine that applies to a request. */
+export interface Quarantine {
+  kind: SubjectKind
+  /** The part of the prompt, or the digest of the request. */
+  subject: string
+  /** Targets that have ended. */
+  losses: number
+  /** Time until the quarantine ends if no more targets end, milliseconds. */
+  remainingMilliseconds: number
+}
+
+/** A quarantined part or request, for operators. */
+export interface QuarantinedContent {
+  kind: SubjectKind
+  service: string
+  subject: string
+  /** Parts that a request must contain too for the quarantine to apply. */
+  companions: readonly string[]
+  targets: number
+  remainingMilliseconds: number
+}
+
+/** Evidence against one subject, as it is told to peers. */
+export interface ToldEvidence {
+  kind: SubjectKind
+  service: string
+  subject: string
+  evidence: ContentEvidence
+}
+
+/** The evidence that this VM has, and what follows from it. */
+export interface ContentQuarantine {
+  /** @returns the quarantine that forbids to send the request; undefined if it may be sent. */
+  find: (content: RequestContent) => Quarantine | undefined
+  /** Whether a request that has lost its target may be sent to another one. */
+  mayRepeat: (content: RequestContent) => boolean
+  /** Whether a target has ended under the request, and no answer to it has begun since. */
+  isSuspected: (content: RequestContent) => boolean
+  /** Records that an answer has begun: neither the request nor any of its parts crashes its targets. */
+  recordBegin: (content: RequestContent) => void
+  recordLoss: (content: RequestContent, lost: LostTarget) => void
+  /** Merges evidence from a peer or from the store. */
+  learn: (told: ToldEvidence) => void
+  /** @returns evidence to tell, the strongest first: all that is held, or what changed within the given time in milliseconds. */
+  tell: (changedWithin?: number) => ToldEvidence[]
+  /** @returns the evidence of what is quarantined, for the store. */
+  quarantined: () => ToldEvidence[]
+  /** @returns what is quarantined, for operators. */
+  list: () => QuarantinedContent[]
+  /**
+   * Refutes the evidence against a part or a request, on an operator's word that it is sound.
+   * @returns whether there was any.
+   */
+  lift: (kind: SubjectKind, service: string, subject: string) => boolean
+  /** Registers a listener that is called when this VM itself has noticed a loss. */
+  onLoss: (listener: () => void) => void
+}
+
+/** Maximum number of subjects of one kind with evidence. */
+const MAXIMUM_ENTRIES = 512
+/** Maximum number of parts that are known to have begun. */
+const MAXIMUM_BEGUN = 8192
+/** Maximum number of parts of one request that a loss counts against; parts that have never begun come first. */
+const MAXIMUM_SUSPECTS = 24
+/** How long evidence is held after its last change if no quarantine follows from it, milliseconds. */
+const EVIDENCE_EXPIRY_MILLISECONDS = 600_000
+/** How long evidence that a begin has refuted is held, milliseconds: until peers know that an answer has begun. */
+const CLEARED_EXPIRY_MILLISECONDS = 10_000
+/** How long evidence against a request that has lost a single target is told, milliseconds: about two rounds of the messages. */
+const WEAK_EVIDENCE_TOLD_MILLISECONDS = 400
+/** How long evidence against a doubtful subject is held, milliseconds: after the end of a quarantine, one more loss starts the next. */
+const QUARANTINE_EVIDENCE_EXPIRY_MILLISECONDS = 24 * 3_600_000
+
+interface Entry extends ToldEvidence {
+  judgement: Judgement
+  changedAt: number
+}
+
+/** Creates the state of a process that has no evidence. */
+export function createContentQuarantine (log: RelayLog): ContentQuarantine {
+  /** By kind, and by service and subject; least recently changed first. */
+  const entriesByKind: Record<SubjectKind, Map<string, Entry>> = {
+    [SubjectKind.PromptPart]: new Map(), [SubjectKind.Request]: new Map()
+  }
+  /** Monotonic time of the last begin by part and service, least recent first. */
+  const begunAt = new Map<string, number>()
+  /** The last begin by service. */
+  const lastBegins = new Map<string, { at: number, content: RequestContent }>()
+  const listeners: Array<() => void> = []
+
+  function keyOf (service: string, subject: string): string {
+    return `${service} ${subject}`
+  }
+
+  function allEntries (): Entry[] {
+    return Object.values(entriesByKind).flatMap(entries => [...entries.values()])
+  }
+
+  function add (kind: SubjectKind, service: string, subject: string, added: ContentEvidence, source: string): void {
+    const entries = entriesByKind[kind]
+    const key = keyOf(service, subject)
+    const before = entries.get(key)
+    const merged = mergeEvidence(before?.evidence ?? NO_EVIDENCE, added)
+    const ownBeganAt = kind === SubjectKind.PromptPart ? begunAt.get(key) ?? -Infinity : -Infinity
+    const evidence = mergeEvidence(merged, {
+      losses: new Map(), hasBegun: ownBeganAt > -Infinity, beganAt: ownBeganAt, hasControl: isControlled(kind, service, subject, merged)
+    })
+    if (evidence === before?.evidence || (before === undefined && evidence.losses.size === 0)) return
+    const isRefuted = openLosses(evidence).length === 0 && before !== undefined && openLosses(before.evidence).length > 0
+    const isRelevant = evidence.losses !== before?.evidence.losses || isRefuted
+    const now = performance.now()
+    const judgement = judgeEntry(kind, service, subject, evidence)
+    const entry: Entry = { kind, service, subject, evidence, judgement, changedAt: isRelevant ? now : before!.changedAt }
+    entries.delete(key)
+    entries.set(key, entry)
+    logChange(before, entry, source)
+    if (kind === SubjectKind.Request) judgeOthersAgain(entry, before)
+    if (entries.size > MAXIMUM_ENTRIES) dropWeakest(entries)
+  }
+
+  function judgeEntry (kind: SubjectKind, service: string, subject: string, evidence: ContentEvidence): Judgement {
+    const now = performance.now()
+    if (kind === SubjectKind.PromptPart) return judge(evidence, now)
+    // Most requests have lost one target: no other evidence changes their verdict.
+    const others = evidence.losses.size < 2 ? [] : requestsAtSameTargets(service, subject, evidence).map(other => other.evidence)
+    return judgeRequest(evidence, others, now)
+  }
+
+  /** @returns evidence against other requests of the service that were at one of the targets that ended. */
+  function requestsAtSameTargets (service: string, subject: string, { losses }: ContentEvidence): Entry[] {
+    return [...entriesByKind[SubjectKind.Request].values()].filter(other =>
+      other.service === service && other.subject !== subject && [...other.evidence.losses.keys()].some(key => losses.has(key)))
+  }
+
+  function judgeOthersAgain (changed: Entry, before: Entry | undefined): void {
+    if (changed.evidence.losses.size < 2 && before === undefined) return
+    for (const other of requestsAtSameTargets(changed.service, changed.subject, changed.evidence)) {
+      const judged = { ...other, judgement: judgeEntry(other.kind, other.service, other.subject, other.evidence) }
+      entriesByKind[other.kind].set(keyOf(other.service, other.subject), judged)
+      logChange(other, judged, 'other request')
+    }
+  }
+
+  /** Drops the entry that changed first, of those that no verdict rests on if there are any. */
+  function dropWeakest (entries: Map<string, Entry>): void {
+    const weakest = [...entries].find(([, { judgement }]) => judgement.verdict === Verdict.Clear) ?? [...entries][0]!
+    entries.delete(weakest[0])
+  }
+
+  /** Whether a request without the subject has begun here since the first loss. */
+  function isControlled (kind: SubjectKind, service: string, subject: string, evidence: ContentEvidence): boolean {
+    const last = lastBegins.get(service)
+    if (last === undefined || last.at <= firstLossAt(evidence)) return false
+    return kind === SubjectKind.PromptPart ? !last.content.parts.includes(subject) : last.content.digest() !== subject
+  }
+
+  function logChange (before: Entry | undefined, { kind, service, subject, evidence, judgement }: Entry, source: string): void {
+    if (judgement.verdict === (before?.judgement.verdict ?? Verdict.Clear)) return
+    const targets = countTargets(evidence)
+    const fields = { kind, service, subject, source, targets, companions: judgement.companions.join(' '), hasBegun: evidence.hasBegun }
+    if (judgement.verdict === Verdict.Quarantined) log.warn(RelayEvent.ContentQuarantined, fields)
+    else log.info(RelayEvent.ContentJudged, { ...fields, verdict: judgement.verdict })
+  }
+
+  /** @returns the entries whose verdict concerns the request. */
+  function applicable (content: RequestContent, verdict: Verdict): Entry[] {
+    const entries = entriesByKind[SubjectKind.PromptPart]
+    const ofParts = entries.size === 0
+      ? []
+      : content.parts.flatMap(part => {
+        const entry = entries.get(keyOf(content.service, part))
+        if (entry?.judgement.verdict !== verdict) return []
+        return suspectsOf(entry).every(companion => content.parts.includes(companion)) ? entry : []
+      })
+    const ofRequest = findRequestEntry(content)
+    return ofRequest?.judgement.verdict === verdict ? [ofRequest, ...ofParts] : ofParts
+  }
+
+  function findRequestEntry ({ service, digest }: RequestContent): Entry | undefined {
+    const entries = entriesByKind[SubjectKind.Request]
+    return entries.size === 0 ? undefined : entries.get(keyOf(service, digest()))
+  }
+
+  /** @returns the companions of a part without those that have begun an answer since its first loss. */
+  function suspectsOf ({ service, subject, evidence, judgement }: Entry): string[] {
+    const suspectedSince = firstLossAt(evidence)
+    return judgement.companions.filter(companion => companion === subject || lastBeganAt(keyOf(service, companion)) < suspectedSince)
+  }
+
+  /** @returns when an answer to a request with a part last began here or at a peer, monotonic milliseconds. */
+  function lastBeganAt (key: string): number {
+    return Math.max(begunAt.get(key) ?? -Infinity, entriesByKind[SubjectKind.PromptPart].get(key)?.evidence.beganAt ?? -Infinity)
+  }
+
+  function expire (): void {
+    const now = performance.now()
+    for (const entry of allEntries()) {
+      const entries = entriesByKind[entry.kind]
+      const key = keyOf(entry.service, entry.subject)
+      if (entry.judgement.verdict === Verdict.Quarantined && entry.judgement.until <= now) {
+        const ended = { ...entry, judgement: judgeEntry(entry.kind, entry.service, entry.subject, entry.evidence) }
+        entries.set(key, ended)
+        logChange(entry, ended, 'expiry')
+      }
+      if (now - entry.changedAt > holdingTime(entry)) entries.delete(key)
+    }
+  }
+
+  function holdingTime ({ evidence, judgement }: Entry): number {
+    if (openLosses(evidence).length === 0) return CLEARED_EXPIRY_MILLISECONDS
+    return judgement.verdict === Verdict.Clear ? EVIDENCE_EXPIRY_MILLISECONDS : QUARANTINE_EVIDENCE_EXPIRY_MILLISECONDS
+  }
+
+  function rememberBegin (key: string, at: number): void {
+    begunAt.delete(key)
+    begunAt.set(key, at)
+    if (begunAt.size > MAXIMUM_BEGUN) begunAt.delete(begunAt.keys().next().value!)
+  }
+
+  function told ({ kind, service, subject, evidence }: Entry): ToldEvidence {
+    return { kind, service, subject, evidence }
+  }
+
+  /** Evidence against a request that has lost a single target is frequent, so it is passed on for a short time only. */
+  function isTold (entry: Entry, changedWithin: number): boolean {
+    const isWeak = entry.kind === SubjectKind.Request && entry.judgement.verdict === Verdict.Clear
+    return performance.now() - entry.changedAt < (isWeak ? Math.min(changedWithin, WEAK_EVIDENCE_TOLD_MILLISECONDS) : changedWithin)
+  }
+
+  function quarantinedEntries (): Entry[] {
+    expire()
+    return allEntries().filter(({ judgement }) => judgement.verdict === Verdict.Quarantined)
+  }
+
+  return {
+    find (content) {
+      const now = performance.now()
+      const entry = applicable(content, Verdict.Quarantined).find(({ judgement }) => judgement.until > now)
+      if (entry === undefined) return undefined
+      const { kind, subject, evidence, judgement } = entry
+      return { kind, subject, losses: countTargets(evidence), remainingMilliseconds: judgement.until - now }
+    },
+    mayRepeat: content => applicable(content, Verdict.Doubtful).length === 0 && applicable(content, Verdict.Quarantined).length === 0,
+    isSuspected (content) {
+      const entry = findRequestEntry(content)
+      return entry !== undefined && openLosses(entry.evidence).length > 0
+    },
+    recordBegin (content) {
+      const { service, parts } = content
+      const now = performance.now()
+      for (const part of parts) rememberBegin(keyOf(service, part), now)
+      lastBegins.set(service, { at: now, content })
+      for (const { kind, subject, evidence } of allEntries().filter(entry => entry.service === service)) {
+        const isContained = kind === SubjectKind.PromptPart ? parts.includes(subject) : content.digest() === subject
+        const begin = isContained ? { ...NO_EVIDENCE, hasBegun: true, beganAt: now } : NO_EVIDENCE
+        if (isContained || !evidence.hasControl) add(kind, service, subject, begin, 'begin')
+      }
+    },
+    recordLoss ({ service, parts, digest }, { incarnation, sentAt, hasHead }) {
+      const endedAt = performance.now()
+      const suspects = [...parts].sort((a, b) => Number(begunAt.has(keyOf(service, a))) - Number(begunAt.has(keyOf(service, b))))
+        .slice(0, MAXIMUM_SUSPECTS)
+      const loss: TargetLoss = { incarnation, sentAt, endedAt, hasHead, companions: suspects }
+      for (const part of suspects) add(SubjectKind.PromptPart, service, part, evidenceOf(loss), 'loss')
+      add(SubjectKind.Request, service, digest(), evidenceOf({ ...loss, hasHead: false, companions: [] }), 'loss')
+      for (const listener of listeners) listener()
+    },
+    learn ({ kind, service, subject, evidence }) {
+      add(kind, service, subject, evidence, 'peer')
+    },
+    tell (changedWithin = Infinity) {
+      expire()
+      const entries = allEntries().filter(entry => isTold(entry, changedWithin))
+      return entries.sort((a, b) => strengthOf(b) - strengthOf(a) || b.changedAt - a.changedAt).map(told)
+    },
+    quarantined: () => quarantinedEntries().map(told),
+    list: () => quarantinedEntries().map(entry => ({
+      kind: entry.kind,
+      service: entry.service,
+      subject: entry.subject,
+      companions: suspectsOf(entry).filter(companion => companion !== entry.subject),
+      targets: countTargets(entry.evidence),
+      remainingMilliseconds: Math.round(entry.judgement.until - performance.now())
+    })),
+    lift (kind, service, subject) {
+      const key = keyOf(service, subject)
+      if (!entriesByKind[kind].has(key)) return false
+      const now = performance.now()
+      if (kind === SubjectKind.PromptPart) rememberBegin(key, now)
+      add(kind, service, subject, { ...NO_EVIDENCE, hasBegun: true, beganAt: now }, 'operator')
+      return true
+    },
+    onLoss: listener => { listeners.push(listener) }
+  }
+}
+
+function evidenceOf (loss: TargetLoss): ContentEvidence {
+  return { ...NO_EVIDENCE, losses: new Map([[lossKey(loss), loss]]) }
+}
+
+/** @returns when the first target ended, of those that no later begin refutes, monotonic milliseconds; Infinity if there is none. */
+function firstLossAt (evidence: ContentEvidence): number {
+  return Math.min(...openLosses(evidence).map(({ endedAt }) => endedAt))
+}
+
+/** Number of targets whose end speaks against the subject: those that had begun to answer, or each that ended under a request again. */
+function strengthOf ({ kind, evidence }: Entry): number {
+  const losses = openLosses(evidence)
+  return kind === SubjectKind.Request ? losses.length - 1 : losses.filter(({ hasHead }) => hasHead).length
+}
+
+function countTargets (evidence: ContentEvidence): number {
+  return new Set(openLosses(evidence).map(({ incarnation }) => incarnation)).size
+}
--- a/packages/relay/src/process/prompt-records.ts
+++ b/packages/relay/src/process/content-records.ts
@@ -1,6 +1,6 @@
 /**
- * Spreads evidence against parts of prompts: by datagram to peers, and, for quarantined parts, through the store, so that processes that
- * all restart at the same moment do not forget it.
+ * Spreads evidence against the content of requests: by datagram to peers, and, for what is quarantined, through the store, so that
+ * processes that all restart at the same moment do not forget it.
  */
 import { WriteResult, type KeyValueEntry, type PollableKeyValue } from '@wigeonlead/protocol'
 import { z } from 'zod'
@@ -8,12 +8,12 @@
 import { digestKey } from '../version/digest.js'
 import { repeatInBackground } from './background.js'
 import type { Peers } from './peers.js'
-import { QUARANTINE_MILLISECONDS, lossKey } from './prompt-evidence.js'
-import type { PromptQuarantine, ToldEvidence } from './prompt-quarantine.js'
+import { QUARANTINE_MILLISECONDS, SubjectKind, lossKey } from './content-evidence.js'
+import type { ContentQuarantine, ToldEvidence } from './content-quarantine.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
 
 /** Receives the records of the store. */
-export interface PromptRecords {
+export interface ContentRecords {
   start: () => void
   /** Applies a record that the store contains. */
   put: (entry: KeyValueEntry) => void
@@ -24,8 +24,8 @@
 }
 
 /** Dependencies of the records. */
-export interface PromptRecordsDependencies {
-  quarantine: PromptQuarantine
+export interface ContentRecordsDependencies {
+  quarantine: ContentQuarantine
   keyPrefix: string
   store: PollableKeyValue
   peers: Peers
@@ -46,16 +46,18 @@
 const ALL_FANOUT = 2
 /** Number of peers that are told of a loss at once. */
 const LOSS_FANOUT = 24
-/** Maximum number of parts in one datagram. */
+/** Maximum number of subjects in one datagram. */
 const MAXIMUM_TOLD = 24
-/** Length of the digest in a key: short enough for the store's limit, long enough that no two parts share one. */
+/** Length of the digest in a key: short enough for the store's limit, long enough that no two subjects share one. */
 const KEY_DIGEST_CHARACTERS = 32
 /** Interval at which records that the store lacks are written, milliseconds. */
 const WRITE_INTERVAL_MILLISECONDS = 500
 
 const messageSchema = z.array(z.object({
+  /** Processes of earlier builds send evidence against parts of prompts only, and without a kind. */
+  kind: z.nativeEnum(SubjectKind).default(SubjectKind.PromptPart),
   service: z.string(),
-  part: z.string(),
+  part: z.string().describe('the part, or the digest of the request'),
   hasBegun: z.boolean(),
   hasControl: z.boolean(),
   /** Time since the last begin, milliseconds; absent if none is known. */
@@ -68,7 +70,7 @@
     z.array(z.string()).describe('companions')
   ]))
 }))
-type EvidenceMessage = z.infer<typeof messageSchema>
+type EvidenceMessage = z.input<typeof messageSchema>
 
 const recordSchema = z.object({
   /** Unix time at which the record was written, milliseconds. */
@@ -77,7 +79,7 @@
 })
 
 /** Creates the records of one process. */
-export function createPromptRecords (dependencies: PromptRecordsDependencies): PromptRecords {
+export function createContentRecords (dependencies: ContentRecordsDependencies): ContentRecords {
   const { quarantine, keyPrefix, store, peers, link, log, signal } = dependencies
   const storedKeys = new Set<string>()
   const beingWritten = new Set<string>()
@@ -112,12 +114,12 @@
     const written = await store.compareAndSwap({ key, expectedModRevision: 0, value, leaseId: lease.value.leaseId })
     if (written.kind === WriteResult.Committed) {
       storedKeys.add(key)
-      log.info(RelayEvent.PromptPartRecorded, { service: told.service, part: told.part, key })
+      log.info(RelayEvent.ContentRecorded, { kind: told.kind, service: told.service, subject: told.subject, key })
     }
   }
 
-  function keyOf ({ service, part }: ToldEvidence): string {
-    return keyPrefix + digestKey(`${service} ${part}`).slice(0, KEY_DIGEST_CHARACTERS)
+  function keyOf ({ kind, service, subject }: ToldEvidence): string {
+    return keyPrefix + digestKey(kind === SubjectKind.PromptPart ? `${service} ${subject}` : `${kind} ${service} ${subject}`).slice(0, KEY_DIGEST_CHARACTERS)
   }
 
   return {
@@ -133,7 +135,7 @@
         const age = Math.min(QUARANTINE_MILLISECONDS, Math.max(0, Date.now() - writtenAt))
         for (const told of decode(evidence, age)) quarantine.learn(told)
       } catch (error) {
-        log.warn(RelayEvent.PromptRecordRefused, { key, reason: (error as Error).message.slice(0, 200) })
+        log.warn(RelayEvent.ContentRecordRefused, { key, reason: (error as Error).message.slice(0, 200) })
       }
     },
     remove: key => { storedKeys.delete(key) },
@@ -145,9 +147,10 @@
 
 function encode (told: readonly ToldEvidence[]): EvidenceMessage {
   const now = performance.now()
-  return told.map(({ service, part, evidence }) => ({
+  return told.map(({ kind, service, subject, evidence }) => ({
+    kind: kind === SubjectKind.PromptPart ? undefined : kind,
     service,
-    part,
+    part: subject,
     hasBegun: evidence.hasBegun,
     hasControl: evidence.hasControl,
     beganAgo: evidence.beganAt === -Infinity ? undefined : Math.round(now - evidence.beganAt),
@@ -157,11 +160,12 @@
 }
 
 /** @param age time since the message was written, milliseconds. */
-function decode (message: EvidenceMessage, age: number): ToldEvidence[] {
+function decode (message: z.output<typeof messageSchema>, age: number): ToldEvidence[] {
   const writtenAt = performance.now() - age
-  return message.map(({ service, part, hasBegun, hasControl, beganAgo, losses }) => ({
+  return message.map(({ kind, service, part, hasBegun, hasControl, beganAgo, losses }) => ({
+    kind,
     service,
-    part,
+    subject: part,
     evidence: {
       hasBegun,
       hasControl,
--- a/packages/relay/src/process/index.ts
+++ b/packages/relay/src/process/index.ts
@@ -20,12 +20,14 @@
 export { createStreamWatch, type StreamWatch, type WatchedRun } from './stream-watch.js'
 export { checkRelaySettings, relaySettingsSchema, type RelaySettings, type RelaySettingsCheck } from './settings.js'
 export { createPeers, type Peer, type Peers, type PeersDependencies } from './peers.js'
-export { Verdict, judge, lossKey, mergeEvidence, openLosses, type PartEvidence, type PartLoss } from './prompt-evidence.js'
+export {
+  SubjectKind, Verdict, judge, judgeRequest, lossKey, mergeEvidence, openLosses, type ContentEvidence, type TargetLoss
+} from './content-evidence.js'
 export { createOperatorsListener, type OperatorsView } from './operators-listener.js'
 export {
-  createPromptQuarantine, type LostTarget, type Prompt, type PromptQuarantine, type QuarantinedPart, type ToldEvidence
-} from './prompt-quarantine.js'
-export { createPromptRecords, type PromptRecords } from './prompt-records.js'
+  createContentQuarantine, type ContentQuarantine, type LostTarget, type QuarantinedContent, type RequestContent, type ToldEvidence
+} from './content-quarantine.js'
+export { createContentRecords, type ContentRecords } from './content-records.js'
 export { createStoreEra, type StoreEra } from './store-era.js'
 export { runStoreMirror, type MirrorOptions, type MirrorReader } from './store-mirror.js'
 export { createTargetEnds, type TargetEnds } from './target-ends.js'
--- a/packages/relay/src/process/operators-listener.ts
+++ b/packages/relay/src/process/operators-listener.ts
@@ -1,26 +1,28 @@
 /**
- * The listener for operators: metrics, and the quarantine of prompt parts.
+ * The listener for operators: metrics, and the quarantine of parts of prompts and of requests.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Metrics } from 'wigeonlead'
-import type { PromptQuarantine } from './prompt-quarantine.js'
+import { SubjectKind } from './content-evidence.js'
+import type { ContentQuarantine } from './content-quarantine.js'
 
 /** What operators may read and change. */
 export interface OperatorsView {
   metrics: Metrics
-  promptQuarantine: PromptQuarantine
+  contentQuarantine: ContentQuarantine
 }
 
 type Handler = (view: OperatorsView, query: URLSearchParams, response: ServerResponse) => void
 
 /** Handlers by method and path; any other request gets the metrics. */
 const HANDLERS: Record<string, Handler> = {
-  'GET /prompt-parts': ({ promptQuarantine }, _query, response) => sendJson(response, 200, promptQuarantine.list()),
-  'POST /prompt-parts/lift': ({ promptQuarantine }, query, response) => {
-    const [service, part] = [query.get('service'), query.get('part')]
-    if (service === null || part === null) return sendJson(response, 400, { detail: 'found no service or no part in the query' })
-    if (!promptQuarantine.lift(service, part)) return sendJson(response, 404, { detail: `there is no evidence against part ${part} of ${service}` })
-    sendJson(response, 200, { service, part })
+  'GET /quarantine': ({ contentQuarantine }, _query, response) => sendJson(response, 200, contentQuarantine.list()),
+  'POST /quarantine/lift': ({ contentQuarantine }, query, response) => {
+    const [service, subject] = [query.get('service'), query.get('subject')]
+    if (service === null || subject === null) return sendJson(response, 400, { detail: 'found no service or no subject in the query' })
+    const lifted = Object.values(SubjectKind).filter(kind => contentQuarantine.lift(kind, service, subject))
+    if (lifted.length === 0) return sendJson(response, 404, { detail: `there is no evidence against ${subject} of ${service}` })
+    sendJson(response, 200, { service, subject })
   }
 }
 
--- a/packages/relay/src/process/target-ends.ts
+++ b/packages/relay/src/process/target-ends.ts
@@ -33,7 +33,7 @@
     hasEnded (target) {
       const incarnation = incarnationOf(target)
       const listed = directory.find(target.id)
-      if (listed === undefined || incarnationOf(listed) !== incarnation || directory.isSuspectedLost(listed)) return Promise.resolve(true)
+      if (listed === undefined || incarnationOf(listed) !== incarnation) return Promise.resolve(true)
       const running = checks.get(incarnation)
       if (running !== undefined) return running
       const started = check(target)
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -23,8 +23,9 @@
 import { createPlanner } from './placement/planner.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
 import { createPeers, type Peer } from './peers.js'
-import { createPromptQuarantine, type PromptQuarantine } from './prompt-quarantine.js'
-import { createPromptRecords } from './prompt-records.js'
+import { SubjectKind } from './content-evidence.js'
+import { createContentQuarantine, type ContentQuarantine } from './content-quarantine.js'
+import { createContentRecords } from './content-records.js'
 import { createRateLimits, type Sender } from './rate-limits.js'
 import { createRepeatBudget } from './repeat-budget.js'
 import { createRepeatLoans } from './repeat-loans.js'
@@ -56,7 +57,7 @@
   configurationState: ConfigurationState
   directory: Directory
   metrics: Metrics
-  promptQuarantine: PromptQuarantine
+  contentQuarantine: ContentQuarantine
   handle: (exchange: Exchange) => Promise<void>
   /** Whether the balancer should send connections to this VM. */
   isReady: () => boolean
@@ -73,7 +74,8 @@
 /** Prefix of the keys that the relay itself writes to the store. */
 const KEY_PREFIX = 'wigeonlead/'
 const PEER_PREFIX = `${KEY_PREFIX}vms/`
-const PROMPT_PREFIX = `${KEY_PREFIX}prompt-parts/`
+/** Named when only parts of prompts were quarantined; processes of earlier builds read it. */
+const QUARANTINE_PREFIX = `${KEY_PREFIX}prompt-parts/`
 const COORDINATOR_KEY = `${KEY_PREFIX}coordinator`
 /**
  * How long one poll of the store waits, as a share of the time within which revoked keys must be refused: a poll confirms the keys only
@@ -91,6 +93,8 @@
 /** Assumed number of running VMs per listed VM: a process whose calls the store rejects may not have listed new VMs yet. */
 const RUNNING_VMS_PER_LISTED_VM = 4 / 3
 
+const QUARANTINE_GAUGES = { prompt_parts_quarantined: SubjectKind.PromptPart, requests_quarantined: SubjectKind.Request }
+
 /** Builds a relay process. */
 export function createRelay (settings: RelaySettings, ports: RelayPorts): Relay {
   const { log, dialect, store } = ports
@@ -144,10 +148,10 @@
     era,
     log
   })
-  const promptQuarantine = createPromptQuarantine(log)
-  const promptRecords = createPromptRecords({
-    quarantine: promptQuarantine,
-    keyPrefix: PROMPT_PREFIX,
+  const contentQuarantine = createContentQuarantine(log)
+  const contentRecords = createContentRecords({
+    quarantine: contentQuarantine,
+    keyPrefix: QUARANTINE_PREFIX,
     store,
     peers,
     link: ports.link,
@@ -176,7 +180,7 @@
     engines,
     sendWait,
     targetEnds: createTargetEnds(directory, engines),
-    promptQuarantine,
+    contentQuarantine,
     repeats,
     watch,
     log,
@@ -198,7 +202,7 @@
       if (key === COORDINATOR_KEY) lease.setKey(undefined)
       if (key === ports.keys.configuration) shownVersion = undefined
       if (key.startsWith(PEER_PREFIX)) peers.remove(key.slice(PEER_PREFIX.length))
-      if (key.startsWith(PROMPT_PREFIX)) promptRecords.remove(key)
+      if (key.startsWith(QUARANTINE_PREFIX)) contentRecords.remove(key)
       if (key.startsWith(ports.keys.targetPrefix)) directory.remove(key.slice(ports.keys.targetPrefix.length))
     },
     onListed (keys) {
@@ -206,7 +210,7 @@
       directory.removeUnlisted(new Set([...keys].filter(key => key.startsWith(prefix)).map(key => key.slice(prefix.length))))
       if (!keys.has(COORDINATOR_KEY)) lease.setKey(undefined)
       if (!keys.has(ports.keys.configuration)) shownVersion = undefined
-      promptRecords.keepListed(keys)
+      contentRecords.keepListed(keys)
       for (const { vm } of peers.known()) if (!keys.has(PEER_PREFIX + vm)) peers.remove(vm)
     },
     onConfirmed: confirmedAt => { if (era.isSettledAt(confirmedAt)) configurationState.confirm(confirmedAt, shownVersion) },
@@ -217,7 +221,7 @@
     if (entry.key === ports.keys.configuration) shownVersion = configurationState.adopt(entry.value, 'store')
     if (entry.key === COORDINATOR_KEY) lease.setKey(entry)
     if (entry.key.startsWith(PEER_PREFIX)) peers.put(entry.key.slice(PEER_PREFIX.length), entry.value)
-    if (entry.key.startsWith(PROMPT_PREFIX)) promptRecords.put(entry)
+    if (entry.key.startsWith(QUARANTINE_PREFIX)) contentRecords.put(entry)
     if (!entry.key.startsWith(ports.keys.targetPrefix)) return
     const id = entry.key.slice(ports.keys.targetPrefix.length)
     try {
@@ -252,7 +256,9 @@
     metrics.gauge('belief_age_seconds', () => configurationState.age() / 1000)
     metrics.gauge('configuration_version', () => configurationState.current()?.configuration.version ?? 0)
     metrics.gauge('streams_under_way', () => watch.size())
-    metrics.gauge('prompt_parts_quarantined', () => promptQuarantine.quarantined().length)
+    for (const [name, kind] of Object.entries(QUARANTINE_GAUGES)) {
+      metrics.gauge(name, () => contentQuarantine.quarantined().filter(quarantined => quarantined.kind === kind).length)
+    }
     metrics.gauge('store_era', era.current)
     metrics.gauge('follows_store', () => Number(mirrorRelay.followsStore()))
     metrics.gauge('is_coordinator', () => Number(lease.isHeld()))
@@ -262,14 +268,14 @@
     configurationState,
     directory,
     metrics,
-    promptQuarantine,
+    contentQuarantine,
     handle: exchange => handleExchange(exchange, requestDependencies),
     isReady,
     startFollowingStore,
     start () {
       startFollowingStore()
       peers.start()
-      promptRecords.start()
+      contentRecords.start()
       repeatInBackground(COORDINATOR_INTERVAL_MILLISECONDS, stopped.signal, () => { if (!isLeaving) void lease.step() })
       repeatInBackground(PLAN_INTERVAL_MILLISECONDS, stopped.signal, () => { void planner.step() })
     },
--- a/packages/relay/src/request/context.ts
+++ b/packages/relay/src/request/context.ts
@@ -10,7 +10,7 @@
 import type { Directory } from '../process/directory.js'
 import type { Load } from '../process/load.js'
 import type { PathFinder } from '../process/path-finder.js'
-import type { Prompt, PromptQuarantine } from '../process/prompt-quarantine.js'
+import type { ContentQuarantine, RequestContent } from '../process/content-quarantine.js'
 import type { RelayLog } from '../process/relay-log.js'
 import type { Repeats } from '../process/repeat-loans.js'
 import type { StreamWatch } from '../process/stream-watch.js'
@@ -31,7 +31,7 @@
   /** @returns milliseconds until this VM may send a request to a target, by the pause and the rate that it asked for; 0 for now. */
   sendWait: (incarnation: string) => number
   targetEnds: TargetEnds
-  promptQuarantine: PromptQuarantine
+  contentQuarantine: ContentQuarantine
   repeats: Repeats
   watch: StreamWatch
   log: RelayLog
@@ -63,9 +63,9 @@
   return request.deadline - performance.now()
 }
 
-/** @returns what the quarantine of prompts must know of a request. */
-export function promptOf (request: AdmittedRequest): Prompt {
-  return { service: request.service.name, parts: request.terms.sharedPromptParts ?? [] }
+/** @returns what of a request may crash targets. */
+export function contentOf (request: AdmittedRequest): RequestContent {
+  return { service: request.service.name, parts: request.terms.sharedPromptParts ?? [], digest: request.contentDigest }
 }
 
 /** @returns the urgency sent to targets, 0 (most urgent) to 9: the workspace's priority, or else the route's. */
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -7,7 +7,7 @@
 import type { AnswerTerms } from '../connection/dialect.js'
 import type { FoundPath } from '../process/path-finder.js'
 import type { Target } from '../version/target.js'
-import { ANSWER_TRANSIT_MILLISECONDS, promptOf, remainingTime, urgencyOf, type AdmittedRequest, type RequestDependencies } from './context.js'
+import { ANSWER_TRANSIT_MILLISECONDS, contentOf, remainingTime, urgencyOf, type AdmittedRequest, type RequestDependencies } from './context.js'
 import { createEventSplitter } from './event-splitter.js'
 import { SendState, type AttemptLedger, type Send } from './ledger.js'
 import { createStreamMover } from './stream-move.js'
@@ -33,6 +33,8 @@
   /** HTTP status of the answer; 0 if none arrived. */
   status: number
   reason: string
+  /** Whether this relay itself ended the run, and not the target or the caller. */
+  isAborted?: boolean
   /** Address of the stage that caused the end of the run. */
   faultyAddress?: string
 }
@@ -133,7 +135,7 @@
         dependencies.directory.suspect(firstTarget, UNREACHABLE_SUSPICION_MILLISECONDS, outcome.reason, { isLoss: true })
       }
       const end = outcome.kind === SendResult.Unknown ? RunEnd.Broken : RunEnd.NotSent
-      return { end, status: 0, reason: state.reason || outcome.reason }
+      return { end, status: 0, reason: state.reason || outcome.reason, isAborted: state.reason !== '' }
     }
     const { response, terms } = outcome
     if (response.statusCode !== SUCCESS_STATUS || !terms.isEventStream || !terms.isSealed) {
@@ -141,7 +143,8 @@
     }
     send.state = SendState.MayHaveRun
     progress.presentRun = AnswerProgress.Head
-    return await forwardEvents(request, firstTarget, outcome, progress, dependencies, recordProgress, () => state.reason)
+    const run = await forwardEvents(request, firstTarget, outcome, progress, dependencies, recordProgress, () => state.reason)
+    return { ...run, isAborted: state.reason !== '' }
   } finally {
     clearTimeout(timer)
     unwatch()
@@ -250,7 +253,7 @@
     }
 
     function forward (bytes: Buffer): void {
-      if (progress.presentRun !== AnswerProgress.Events) dependencies.promptQuarantine.recordBegin(promptOf(request))
+      if (progress.presentRun !== AnswerProgress.Events) dependencies.contentQuarantine.recordBegin(contentOf(request))
       progress.presentRun = AnswerProgress.Events
       onProgress()
       if (!progress.isHeadSent) writeHead()
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -4,15 +4,16 @@
 import { pause } from 'wigeonlead'
 import { SendResult } from '../connection/target-client.js'
 import { RelayEvent } from '../process/relay-log.js'
-import type { FoundPath } from '../process/path-finder.js'
+import type { FoundPath, PathQuery } from '../process/path-finder.js'
 import { RepeatRule } from '../version/configuration.js'
+import { incarnationOf } from '../version/target.js'
 import { Refusal } from './refusal.js'
-import { ANSWER_TRANSIT_MILLISECONDS, promptOf, remainingTime, type AdmittedRequest, type RequestDependencies } from './context.js'
+import { ANSWER_TRANSIT_MILLISECONDS, contentOf, remainingTime, type AdmittedRequest, type RequestDependencies } from './context.js'
 import { AnswerProgress, RunEnd, runEvents, type EventsProgress, type RunOutcome } from './event-run.js'
 import { createAttemptLedger } from './ledger.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields } from './outcome.js'
 import { commonPause } from './pauses.js'
-import { mayRepeatAfterLoss, refuseQuarantined } from './lost-target.js'
+import { mayRepeatAfterLoss, rankForSuspect, refuseQuarantined } from './lost-target.js'
 import { estimateTokens } from './tokens.js'
 
 /** Maximum sends of one request, including sends that were refused: enough to outlast the replacement of a lost stage. */
@@ -47,7 +48,7 @@
     if (exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies, { arrivals: ledger.possibleArrivals(), detail })
     if (remainingTime(request) <= ANSWER_TRANSIT_MILLISECONDS) return refuse(request, dependencies, ledger, Refusal.TimedOut, detail)
     if (!ledger.maySendAgain()) break
-    const quarantine = progress.isHeadSent ? undefined : dependencies.promptQuarantine.find(promptOf(request))
+    const quarantine = progress.isHeadSent ? undefined : dependencies.contentQuarantine.find(contentOf(request))
     if (quarantine !== undefined) return refuseQuarantined(request, dependencies, ledger, quarantine)
     const path = findPath(
       request, dependencies, avoided, avoidedFirstStages,
@@ -96,9 +97,9 @@
     recordBrokenRun(request, dependencies, path, outcome, progress)
     avoidFaultyStage(outcome, path, avoided, avoidedFirstStages)
     if (outcome.end === RunEnd.Failed) break
-    if (outcome.end !== RunEnd.Broken || progress.presentRun === AnswerProgress.Events) continue
-    const hasHead = progress.presentRun === AnswerProgress.Head
-    if (!await mayRepeatAfterLoss(request, dependencies, path.incarnations[0]!, sentAt, hasHead) && !progress.isHeadSent) break
+    if (outcome.end !== RunEnd.Broken || outcome.isAborted === true || progress.presentRun === AnswerProgress.Events) continue
+    const lost = { incarnation: path.incarnations[0]!, sentAt, hasHead: progress.presentRun === AnswerProgress.Head }
+    if (!await mayRepeatAfterLoss(request, dependencies, lost) && !progress.isHeadSent) break
   }
   refuse(
     request, dependencies, ledger, ledger.possibleArrivals() === 0 ? Refusal.NoTarget : Refusal.TargetsRefused, detail,
@@ -121,14 +122,27 @@
   request: AdmittedRequest, dependencies: RequestDependencies, avoided: ReadonlySet<string>, avoidedFirstStages: ReadonlySet<string>,
   allowedFirstStages: ReadonlySet<string> | undefined
 ): FoundPath | undefined {
-  return dependencies.paths.find({
+  const query = {
     service: request.service,
     failureDomain: dependencies.failureDomain,
     tokens: estimateTokens(request),
     avoided: avoided.size === 0 ? undefined : avoided,
     avoidedFirstStages: avoidedFirstStages.size === 0 ? undefined : avoidedFirstStages,
     allowedFirstStages
-  })
+  }
+  return findPathForSuspect(request, dependencies, query) ?? dependencies.paths.find(query)
+}
+
+/** @returns a path with the first stage that a request prefers if a target has ended under it; undefined for any other request. */
+function findPathForSuspect (request: AdmittedRequest, dependencies: RequestDependencies, query: PathQuery): FoundPath | undefined {
+  if (!dependencies.contentQuarantine.isSuspected(contentOf(request))) return undefined
+  const firstStages = dependencies.directory.usable(request.service.name).filter(({ layers }) => layers === undefined || layers.from === 0)
+    .map(incarnationOf).filter(incarnation => query.allowedFirstStages?.has(incarnation) !== false)
+  for (const incarnation of rankForSuspect(request, firstStages)) {
+    const path = dependencies.paths.find({ ...query, allowedFirstStages: new Set([incarnation]) })
+    if (path?.hasCapacity === true) return path
+  }
+  return undefined
 }
 
 /** Whether an incarnation of a target is gone; it then no longer counts against the limit of targets. */
--- a/packages/relay/src/request/lost-target.ts
+++ b/packages/relay/src/request/lost-target.ts
@@ -1,33 +1,54 @@
 /**
  * Handles requests whose target ended before it had delivered anything: the request itself may be the cause.
  */
-import type { Quarantine } from '../process/prompt-quarantine.js'
-import { promptOf, type AdmittedRequest, type RequestDependencies } from './context.js'
+import { SubjectKind } from '../process/content-evidence.js'
+import type { LostTarget, Quarantine } from '../process/content-quarantine.js'
+import { digestKey } from '../version/digest.js'
+import { contentOf, type AdmittedRequest, type RequestDependencies } from './context.js'
 import type { AttemptLedger } from './ledger.js'
 import { refuse } from './outcome.js'
 import { Refusal } from './refusal.js'
 
+const REFUSALS: Record<SubjectKind, Refusal> = {
+  [SubjectKind.PromptPart]: Refusal.PromptQuarantined,
+  [SubjectKind.Request]: Refusal.RequestQuarantined
+}
+const SUBJECT_NAMES: Record<SubjectKind, string> = {
+  [SubjectKind.PromptPart]: 'requests with part',
+  [SubjectKind.Request]: 'the request with digest'
+}
+
 /**
- * Finds out whether the target of a broken run has ended, and if so counts it against the parts of the prompt.
- * @param sentAt when the request was sent to the target, monotonic milliseconds.
- * @param hasHead whether status line and headers of the answer had arrived.
+ * Finds out whether the target of a run that it broke off has ended, and if so counts it against the content of the request.
  * @returns whether the request may be sent to another target.
  */
 export async function mayRepeatAfterLoss (
-  request: AdmittedRequest, dependencies: RequestDependencies, incarnation: string, sentAt: number, hasHead: boolean
+  request: AdmittedRequest, dependencies: RequestDependencies, lost: LostTarget
 ): Promise<boolean> {
-  const prompt = promptOf(request)
-  if (prompt.parts.length === 0 || request.exchange.callerLeft.aborted) return true
-  const target = dependencies.directory.findIncarnation(incarnation)
+  if (request.exchange.callerLeft.aborted) return true
+  const target = dependencies.directory.findIncarnation(lost.incarnation)
   if (target !== undefined && !await dependencies.targetEnds.hasEnded(target)) return true
-  dependencies.promptQuarantine.recordLoss(prompt, { incarnation, sentAt, hasHead })
-  return dependencies.promptQuarantine.mayRepeat(prompt)
+  const content = contentOf(request)
+  dependencies.contentQuarantine.recordLoss(content, lost)
+  return dependencies.contentQuarantine.mayRepeat(content)
+}
+
+/**
+ * Orders targets for a request under which a target has ended. Several such requests, of which one may be the cause, are spread over the
+ * targets, so that the next end concerns as few of them as possible.
+ * @returns the incarnations in the order of preference, the same at all VMs.
+ */
+export function rankForSuspect (request: AdmittedRequest, incarnations: readonly string[]): string[] {
+  const digest = request.contentDigest()
+  return incarnations.map(incarnation => ({ incarnation, rank: digestKey(`${digest} ${incarnation}`) }))
+    .sort((a, b) => a.rank < b.rank ? -1 : 1).map(({ incarnation }) => incarnation)
 }
 
-/** Refuses a request whose prompt contains a quarantined part, with the time at which the quarantine ends. */
+/** Refuses a request whose content is quarantined, with the time at which the quarantine ends. */
 export function refuseQuarantined (
   request: AdmittedRequest, dependencies: RequestDependencies, ledger: AttemptLedger, quarantine: Quarantine
 ): void {
-  const detail = `${quarantine.losses} targets have ended under requests with part ${quarantine.part}`
-  refuse(request, dependencies, ledger, Refusal.PromptQuarantined, detail, quarantine.remainingMilliseconds)
+  const { kind, subject, losses, remainingMilliseconds } = quarantine
+  const detail = `${losses} targets have ended under ${SUBJECT_NAMES[kind]} ${subject}`
+  refuse(request, dependencies, ledger, REFUSALS[kind], detail, remainingMilliseconds)
 }
--- a/packages/relay/src/request/refusal.ts
+++ b/packages/relay/src/request/refusal.ts
@@ -15,6 +15,8 @@
   NoCapacity = 'no-room',
   /** The prompt contains a part that has crashed targets. */
   PromptQuarantined = 'prompt-quarantined',
+  /** The request has crashed targets. */
+  RequestQuarantined = 'request-quarantined',
   TargetsRefused = 'targets-refused',
   /** A target may have run the request. */
   Failed = 'failed',
@@ -30,6 +32,7 @@
   [Refusal.NoTarget]: 503,
   [Refusal.NoCapacity]: 503,
   [Refusal.PromptQuarantined]: 503,
+  [Refusal.RequestQuarantined]: 503,
   [Refusal.TargetsRefused]: 503,
   [Refusal.Failed]: 502,
   [Refusal.TimedOut]: 504
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -8,8 +8,8 @@
 import { RepeatRule } from '../version/configuration.js'
 import { incarnationOf, type Target } from '../version/target.js'
 import { Refusal } from './refusal.js'
-import { ANSWER_TRANSIT_MILLISECONDS, promptOf, remainingTime, type AdmittedRequest, type RequestDependencies } from './context.js'
-import { mayRepeatAfterLoss, refuseQuarantined } from './lost-target.js'
+import { ANSWER_TRANSIT_MILLISECONDS, contentOf, remainingTime, type AdmittedRequest, type RequestDependencies } from './context.js'
+import { mayRepeatAfterLoss, rankForSuspect, refuseQuarantined } from './lost-target.js'
 import { SendState, createAttemptLedger, type Send } from './ledger.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields } from './outcome.js'
 import { commonPause } from './pauses.js'
@@ -43,6 +43,12 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 429, 503])
 const FIRST_SERVER_ERROR_STATUS = 500
 
+interface FailedSend {
+  reason: string
+  /** Whether this relay itself ended the send, and not the target. */
+  isAborted: boolean
+}
+
 interface BufferedAnswer {
   response: IncomingMessage
   body: Buffer
@@ -59,11 +65,12 @@
   for (;;) {
     if (request.exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies)
     if (remainingTime(request) <= MINIMUM_SEND_MILLISECONDS) return refuse(request, dependencies, ledger, Refusal.TimedOut, detail)
-    const target = chooseTarget(request, dependencies, ledger.targetIncarnations())
     // `allowedTargets` returns a set only if the limit of targets is reached. All targets in that set have been tried.
-    if (target === undefined || !ledger.maySendAgain() || ledger.allowedTargets(() => false) !== undefined) break
-    const quarantine = dependencies.promptQuarantine.find(promptOf(request))
+    if (!ledger.maySendAgain() || ledger.allowedTargets(() => false) !== undefined) break
+    const quarantine = dependencies.contentQuarantine.find(contentOf(request))
     if (quarantine !== undefined) return refuseQuarantined(request, dependencies, ledger, quarantine)
+    const target = chooseTarget(request, dependencies, ledger.targetIncarnations())
+    if (target === undefined) break
     if (ledger.possibleArrivals() > 0 && !await dependencies.repeats.take(request.service.name)) {
       detail += '; the repeat budget is used up'
       break
@@ -73,13 +80,13 @@
     const answerOrFailure = await sendOnce(
       request, dependencies, target, send, isIdempotent && ledger.possibleArrivals() === 0 && request.route.maximumTargets > 1
     )
-    if (typeof answerOrFailure === 'string') {
-      detail = answerOrFailure
-      const mayHaveCrashed = send.state === SendState.MayHaveRun
-      if (mayHaveCrashed && !await mayRepeatAfterLoss(request, dependencies, incarnationOf(target), sentAt, false)) break
+    if ('reason' in answerOrFailure) {
+      detail = answerOrFailure.reason
+      if (send.state !== SendState.MayHaveRun || answerOrFailure.isAborted) continue
+      if (!await mayRepeatAfterLoss(request, dependencies, { incarnation: send.targetIncarnation, sentAt, hasHead: false })) break
       continue
     }
-    if (!answerOrFailure.isNotRun) dependencies.promptQuarantine.recordBegin(promptOf(request))
+    if (!answerOrFailure.isNotRun) dependencies.contentQuarantine.recordBegin(contentOf(request))
     if (answerOrFailure.isNotRun) {
       detail = `target ${target.id} refused with ${answerOrFailure.response.statusCode}`
       continue
@@ -112,6 +119,10 @@
 ): Target | undefined {
   const candidates = dependencies.directory.usable(request.service.name).filter(target =>
     !triedIncarnations.has(incarnationOf(target)) && dependencies.sendWait(incarnationOf(target)) === 0)
+  if (dependencies.contentQuarantine.isSuspected(contentOf(request))) {
+    const [preferred] = rankForSuspect(request, candidates.map(incarnationOf))
+    return candidates.find(target => incarnationOf(target) === preferred)
+  }
   let best: Target | undefined
   let bestRank = Infinity
   for (const target of candidates) {
@@ -133,11 +144,11 @@
 
 /**
  * Sends the request to one target and buffers the answer.
- * @returns the answer, or the reason why no complete valid answer arrived.
+ * @returns the answer, or why no complete valid answer arrived.
  */
 async function sendOnce (
   request: AdmittedRequest, dependencies: RequestDependencies, target: Target, send: Send, reservesTimeForRepeat: boolean
-): Promise<BufferedAnswer | string> {
+): Promise<BufferedAnswer | FailedSend> {
   const { exchange } = request
   const remaining = remainingTime(request)
   const timeoutMilliseconds = reservesTimeForRepeat ? remaining * FIRST_SEND_SHARE : remaining - ANSWER_TRANSIT_MILLISECONDS
@@ -164,7 +175,9 @@
     if (outcome.kind !== SendResult.Answered) {
       send.state = outcome.kind === SendResult.Unknown ? SendState.MayHaveRun : SendState.NotSent
       handleFailedSend(request, dependencies, target, outcome.kind, outcome.reason, abortController.signal.aborted)
-      return `result "${outcome.kind}" of the send to target ${target.id}: ${outcome.reason}`
+      return {
+        reason: `result "${outcome.kind}" of the send to target ${target.id}: ${outcome.reason}`, isAborted: abortController.signal.aborted
+      }
     }
     const { response, terms } = outcome
     const isNotRun = terms.isNotRun || response.statusCode === MISDIRECTED_STATUS
@@ -178,7 +191,9 @@
   } catch (error) {
     send.state = SendState.MayHaveRun
     handleFailedSend(request, dependencies, target, SendResult.Unknown, (error as Error).message, abortController.signal.aborted)
-    return `no complete valid answer from target ${target.id}: ${(error as Error).message}`
+    return {
+      reason: `no complete valid answer from target ${target.id}: ${(error as Error).message}`, isAborted: abortController.signal.aborted
+    }
   } finally {
     clearTimeout(timer)
     exchange.callerLeft.removeEventListener('abort', onCallerLeft)
--- a/packages/relay/test/known-red/crashing-request.ts
+++ b/packages/relay/test/crashing-request.spec.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage } from 'node:http'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { withFleet, type Fleet, type TargetBehaviour } from '../fleet.js'
+import { withFleet, type Fleet, type TargetBehaviour } from './fleet.js'
 
 const VMS = 3
 const BAD_BODY = 'bad'
--- a/packages/relay/test/process/prompt-evidence.spec.ts
+++ b/packages/relay/test/process/content-evidence.spec.ts
@@ -4,9 +4,9 @@
 import fc from 'fast-check'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { judge, lossKey, mergeEvidence, openLosses, type PartEvidence, type PartLoss } from '@wigeonlead/relay'
+import { judge, lossKey, mergeEvidence, openLosses, type ContentEvidence, type TargetLoss } from '@wigeonlead/relay'
 
-const NONE: PartEvidence = { losses: new Map(), hasBegun: false, beganAt: -Infinity, hasControl: false }
+const NONE: ContentEvidence = { losses: new Map(), hasBegun: false, beganAt: -Infinity, hasControl: false }
 const PARTS = ['a', 'b', 'bad']
 /** Losses start at multiples of this time, milliseconds, which is longer than the tolerance of times in messages. */
 const TIME_UNIT = 1000
@@ -15,7 +15,7 @@
 const LOSS = fc.record({
   incarnation: fc.constantFrom(...INCARNATIONS), sent: fc.nat(20), lasted: fc.nat(3), hasHead: fc.boolean(), companions: fc.subarray(PARTS)
 })
-  .map(({ sent, lasted, companions, ...loss }): PartLoss => ({
+  .map(({ sent, lasted, companions, ...loss }): TargetLoss => ({
     ...loss, sentAt: sent * TIME_UNIT, endedAt: (sent + lasted) * TIME_UNIT, companions: [...new Set([...companions, 'bad'])].sort()
   }))
 const EVIDENCE = fc.record({
@@ -23,12 +23,12 @@
   hasBegun: fc.boolean(),
   began: fc.option(fc.nat(20)),
   hasControl: fc.boolean()
-}).map(({ losses, hasBegun, began, hasControl }): PartEvidence => ({
+}).map(({ losses, hasBegun, began, hasControl }): ContentEvidence => ({
   losses: new Map(losses.map(loss => [lossKey(loss), loss])), hasBegun, beganAt: began === null ? -Infinity : began * TIME_UNIT, hasControl
 }))
 
 /** @returns what decides a verdict, in a form that can be compared. */
-function essence (evidence: PartEvidence): object {
+function essence (evidence: ContentEvidence): object {
   return {
     losses: [...evidence.losses].map(([name, loss]) => ({ name, ...loss })).sort((a, b) => a.name.localeCompare(b.name)),
     hasBegun: evidence.hasBegun,
@@ -36,7 +36,7 @@
   }
 }
 
-function mergeAll (all: readonly PartEvidence[]): PartEvidence {
+function mergeAll (all: readonly ContentEvidence[]): ContentEvidence {
   return all.reduce(mergeEvidence, NONE)
 }
 
--- a/packages/relay/test/process/prompt-records.spec.ts
+++ b/packages/relay/test/process/content-records.spec.ts
@@ -1,13 +1,13 @@
 /**
- * Evidence against a part of prompts in fleets of different sizes, on a paused clock: each loss is noticed by another VM, and all VMs must
- * refuse the part within the contact bound, also those that start later, and after all have restarted at once.
+ * Evidence against content in fleets of different sizes, on a paused clock: each loss is noticed by another VM, and all VMs must refuse the
+ * part of prompts, or the request, within the contact bound, also those that start later, and after all have restarted at once.
  */
 import { install, type Clock } from '@sinonjs/fake-timers'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import {
-  SILENT_RELAY_LOG, createPromptQuarantine, createPromptRecords, createStoreEra, type Peer, type Peers, type PeerLink,
-  type PromptQuarantine, type PromptRecords
+  SILENT_RELAY_LOG, createContentQuarantine, createContentRecords, createStoreEra, type Peer, type Peers, type PeerLink,
+  type ContentQuarantine, type ContentRecords, type RequestContent
 } from '@wigeonlead/relay'
 import { createSeededRandom } from 'wigeonlead'
 import { joinLinks } from '../joined-links.js'
@@ -20,8 +20,8 @@
 const PREFIX = 'prompts/'
 
 interface Vm {
-  quarantine: PromptQuarantine
-  records: PromptRecords
+  quarantine: ContentQuarantine
+  records: ContentRecords
   stop: () => void
 }
 
@@ -45,10 +45,10 @@
 
 function startVm (world: World, name: string): Vm {
   const stopped = new AbortController()
-  const quarantine = createPromptQuarantine(SILENT_RELAY_LOG)
+  const quarantine = createContentQuarantine(SILENT_RELAY_LOG)
   const others: Peer[] = world.names.filter(other => other !== name).map(vm => ({ vm, address: vm, failureDomain: 'east' }))
   const link = world.links.get(name)!
-  const records = createPromptRecords({
+  const records = createContentRecords({
     quarantine,
     keyPrefix: PREFIX,
     store: world.store.clientFor(name, createStoreEra(SILENT_RELAY_LOG).admit),
@@ -74,41 +74,60 @@
   return { quarantine, records, stop: () => stopped.abort() }
 }
 
+/** Content that three targets end under, and content of sound requests that must go on. */
+interface BadContent {
+  name: string
+  /** @param round number of the target that ends. */
+  bad: (round: number) => RequestContent
+  sound: RequestContent
+}
+
+const CONTENTS: BadContent[] = [
+  {
+    name: 'part of prompts',
+    bad: round => ({ service: SERVICE, parts: ['first', 'bad'], digest: () => `r-${round}` }),
+    sound: { service: SERVICE, parts: ['first'], digest: () => 'sound' }
+  },
+  {
+    name: 'request',
+    bad: () => ({ service: SERVICE, parts: [], digest: () => 'bad' }),
+    sound: { service: SERVICE, parts: [], digest: () => 'sound' }
+  }
+]
+
 /** Lets three targets end, each noticed by another VM, and then a sound request begin at one VM. */
-async function crashTargets (world: World, vms: readonly Vm[]): Promise<void> {
+async function crashTargets (world: World, vms: readonly Vm[], { bad, sound }: BadContent): Promise<void> {
   for (let loss = 0; loss < 3; loss++) {
     await world.clock.tickAsync(200)
     const vm = vms[(loss * 7 + 1) % vms.length]!
-    vm.quarantine.recordLoss({ service: SERVICE, parts: ['first', 'bad'] }, {
-      incarnation: `t${loss}@1`, sentAt: performance.now() - 100, hasHead: true
-    })
+    vm.quarantine.recordLoss(bad(loss), { incarnation: `t${loss}@1`, sentAt: performance.now() - 100, hasHead: true })
   }
   await world.clock.tickAsync(1)
-  vms[0]!.quarantine.recordBegin({ service: SERVICE, parts: ['first'] })
+  vms[0]!.quarantine.recordBegin(sound)
 }
 
-function countRefusing (vms: readonly Vm[]): number {
-  return vms.filter(({ quarantine }) => quarantine.find({ service: SERVICE, parts: ['first', 'bad'] }) !== undefined).length
+function countRefusing (vms: readonly Vm[], { bad }: BadContent): number {
+  return vms.filter(({ quarantine }) => quarantine.find(bad(99)) !== undefined).length
 }
 
-const records = suite('records of prompt parts')
+const records = suite('records of quarantined content')
 let world: World
 records.after.each(() => world.clock.uninstall())
 
-for (const vmCount of [2, 9, 195, 461]) {
-  records(`${vmCount} VMs refuse the part within the contact bound, and one that starts later does; what each sends stays small`, async () => {
+for (const [vmCount, content] of [2, 9, 195, 461].flatMap(count => CONTENTS.map(content => [count, content] as const))) {
+  records(`${vmCount} VMs refuse the ${content.name} within the contact bound, and one that starts later does; what each sends stays small`, async () => {
     world = createWorld(vmCount)
     const vms = world.names.map(name => startVm(world, name))
-    await crashTargets(world, vms)
+    await crashTargets(world, vms, content)
     await world.clock.tickAsync(CONTACT_MILLISECONDS)
-    assert.is(countRefusing(vms), vmCount)
-    assert.ok(vms.every(({ quarantine }) => quarantine.find({ service: SERVICE, parts: ['first'] }) === undefined))
+    assert.is(countRefusing(vms, content), vmCount)
+    assert.ok(vms.every(({ quarantine }) => quarantine.find(content.sound) === undefined))
     assert.ok(world.largestDatagram < 60_000)
     vms[1]!.stop()
     const late = startVm(world, world.names[1]!)
     world.sentBytes.clear()
     await world.clock.tickAsync(CONTACT_MILLISECONDS)
-    assert.is(countRefusing([late]), 1)
+    assert.is(countRefusing([late], content), 1)
     for (const bytes of world.sentBytes.values()) assert.ok(bytes <= MAXIMUM_BYTES, `${bytes} bytes in ${CONTACT_MILLISECONDS} ms`)
     for (const vm of [late, ...vms]) vm.stop()
   })
@@ -124,8 +143,8 @@
     }
   }
 ]
-for (const { name, disturb } of LISTINGS) {
-  records(`${name}: the store's records are applied at the start`, async () => {
+for (const [{ name, disturb }, content] of LISTINGS.flatMap(listing => CONTENTS.map(content => [listing, content] as const))) {
+  records(`${name}: the store's records of a ${content.name} are applied at the start`, async () => {
     world = createWorld(9)
     let vms = world.names.map(vm => startVm(world, vm))
     const follow = setInterval(() => {
@@ -138,13 +157,13 @@
         }
       })
     }, 200)
-    await crashTargets(world, vms)
+    await crashTargets(world, vms, content)
     await world.clock.tickAsync(2 * CONTACT_MILLISECONDS)
     await disturb(world)
     for (const vm of vms) vm.stop()
     vms = world.names.map(vm => startVm(world, vm))
     await world.clock.tickAsync(500)
-    assert.is(countRefusing(vms), 9)
+    assert.is(countRefusing(vms, content), 9)
     clearInterval(follow)
     for (const vm of vms) vm.stop()
   })
--- a/packages/wigeonctl/src/command-line.ts
+++ b/packages/wigeonctl/src/command-line.ts
@@ -103,9 +103,9 @@
   }
   program.command('fleet [...addresses]', 'Show the state of the relays at these metrics addresses')
     .action((addresses: string[], options: Options) => execute(options, () => runFleet(addresses)))
-  program.command('quarantine <address>', 'List the parts of prompts that the relay at this metrics address refuses')
-    .option('--lift <part>', 'Part that is sound: requests with it are sent again')
-    .option('--service <name>', 'Service of that part, as listed')
+  program.command('quarantine <address>', 'List the parts of prompts and the requests that the relay at this metrics address refuses')
+    .option('--lift <subject>', 'Part, or digest of a request, that is sound: it is sent again')
+    .option('--service <name>', 'Its service, as listed')
     .action((address: string, options: Options) => execute(options, () => runQuarantine(address, options)))
   program.command('explain <request> [...logs]', 'Show what happened to one request, from the log files of the entry VMs')
     .action((request: string, logs: string[], options: Options) => execute(options, () => runExplain(String(request), logs)))
@@ -124,7 +124,7 @@
 async function runQuarantine (address: string, { lift, service }: Options): Promise<CommandOutput> {
   if (!METRICS_ADDRESS.test(address)) return invalidArguments([`found "${address}", wanted IP:PORT of a metrics listener`])
   if ((lift === undefined) !== (service === undefined)) return invalidArguments(['found one of --lift and --service, wanted both or none'])
-  return await quarantineCommand(address, lift === undefined ? undefined : { service: String(service), part: String(lift) })
+  return await quarantineCommand(address, lift === undefined ? undefined : { service: String(service), subject: String(lift) })
 }
 
 function runExplain (request: string, logs: string[]): CommandOutput {
