--- a/packages/relay/test/crashing-request.spec.ts
+++ b/packages/relay/test/crashing-request.spec.ts
@@ -69,7 +69,7 @@
         await fleet.reviveTargets()
         await disturb?.(fleet, round)
       }
-    }, service)
+    }, { service })
     assert.ok(badArrivals <= MAXIMUM_BAD_ARRIVALS, `${badArrivals} requests reached targets`)
   })
 }
--- a/packages/relay/test/fleet.ts
+++ b/packages/relay/test/fleet.ts
@@ -5,6 +5,7 @@
 import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { createCallerListener, incarnationOf, type CallerListener, type Relay, type Target } from '@wigeonlead/relay'
+import { createTargetGates, type CutForm, type TargetGates } from './target-gates.js'
 import { joinLinks } from './joined-links.js'
 import { createRestoredStore, type RestoredStore } from './properties/restored-store.js'
 import { testTarget } from './test-engine.js'
@@ -29,6 +30,11 @@
   restart: (vms: readonly number[]) => Promise<void>
   /** Starts targets that have ended, as new incarnations, and waits until every VM lists them. */
   reviveTargets: () => Promise<void>
+  /** Cuts VMs off from all targets, while callers, the store and the other VMs still reach them. The fleet must have gates. */
+  cut: (vms: readonly number[], form: CutForm) => Promise<void>
+  heal: (vms: readonly number[]) => Promise<void>
+  /** Ends VMs for good. */
+  kill: (vms: readonly number[]) => void
   store: RestoredStore
   relays: readonly Relay[]
 }
@@ -59,10 +65,12 @@
 
 /**
  * Runs a test against a fleet of `vmCount` relays before `targetCount` targets.
- * @param service `model`, each target of which holds the whole model, or the plain service `desk`.
+ * @param options.service `model`, each target of which holds the whole model, or the plain service `desk`.
+ * @param options.hasGates whether VMs can be cut off from the targets.
  */
 export async function withFleet (
-  vmCount: number, targetCount: number, behaviour: TargetBehaviour, use: (fleet: Fleet) => Promise<void>, service: 'model' | 'desk' = 'model'
+  vmCount: number, targetCount: number, behaviour: TargetBehaviour, use: (fleet: Fleet) => Promise<void>,
+  { service = 'model', hasGates = false }: { service?: 'model' | 'desk', hasGates?: boolean } = {}
 ): Promise<void> {
   const store = createRestoredStore()
   const names = Array.from({ length: vmCount }, (_, index) => `vm-${index}`)
@@ -82,6 +90,12 @@
     targets.push({ index, server, target, isAlive: true })
     publish(targets[index]!)
   }
+  const gates = new Map<string, TargetGates>()
+  for (const name of hasGates ? names : []) {
+    const ofVm = createTargetGates()
+    await ofVm.open(targets.map(({ target }) => target.address))
+    gates.set(name, ofVm)
+  }
   const vms: VmProcess[] = []
   for (const name of names) vms.push(await startVm(name))
   await until(() => vms.every(({ relay }) => isServing(relay)))
@@ -101,7 +115,7 @@
   }
 
   async function startVm (name: string): Promise<VmProcess> {
-    const relay = createStoreRelay(name, store, links.get(name)!)
+    const relay = createStoreRelay(name, store, links.get(name)!, gates.get(name)?.through)
     const callers = createCallerListener(relay.handle, error => { throw error })
     const address = await listen(callers.server)
     relay.start()
@@ -141,6 +155,15 @@
       for (const index of indexes) vms[index] = await startVm(names[index]!)
       await until(() => vms.every(({ relay }) => isServing(relay)))
     },
+    async cut (indexes, form) {
+      for (const index of indexes) await gates.get(names[index]!)!.cut(form)
+    },
+    async heal (indexes) {
+      for (const index of indexes) await gates.get(names[index]!)!.heal()
+    },
+    kill (indexes) {
+      for (const index of indexes) stopVm(vms[index]!)
+    },
     async reviveTargets () {
       for (const process of targets.filter(({ isAlive }) => !isAlive)) {
         const port = Number(process.target.address.split(':')[1])
@@ -156,6 +179,7 @@
     await use(fleet)
   } finally {
     for (const vm of vms) stopVm(vm)
+    for (const ofVm of gates.values()) ofVm.close()
     for (const { server, isAlive } of targets) {
       server.closeAllConnections()
       if (isAlive) server.close()
--- a/packages/relay/test/test-relay.ts
+++ b/packages/relay/test/test-relay.ts
@@ -23,8 +23,13 @@
   return { ...checked.settings, listen: { ...checked.settings.listen, peers: vm } }
 }
 
-/** Creates the relay of one VM, whose targets are listed in the store as JSON. It is not started. */
-export function createStoreRelay (vm: string, store: RestoredStore, link: PeerLink): Relay {
+/**
+ * Creates the relay of one VM, whose targets are listed in the store as JSON. It is not started.
+ * @param addressOf the address at which this VM reaches a target; by default the listed one.
+ */
+export function createStoreRelay (
+  vm: string, store: RestoredStore, link: PeerLink, addressOf: (listed: string) => string = listed => listed
+): Relay {
   const era = createStoreEra(SILENT_RELAY_LOG)
   return createRelay(testRelaySettings(vm), {
     store: store.clientFor(vm, era.admit),
@@ -33,7 +38,10 @@
     link,
     keys: { configuration: 'configuration', targetPrefix: 'targets/' },
     decodeConfiguration: text => testConfiguration(Number(text)),
-    decodeTarget: (_id, text) => JSON.parse(text),
+    decodeTarget (_id, text) {
+      const target = JSON.parse(text)
+      return { ...target, address: addressOf(target.address) }
+    },
     log: SILENT_RELAY_LOG,
     nextFloat: () => 0.5
   })
