Do not take a VM's loss of the network for the loss of targets

Cause: a VM that could not reach a target told its peers that the target is lost, and they believed it, against their own open connections. A report of one VM is a statement about a link. Class: a failure of the observer taken for one of the observed.

- process/target-reach.ts: a VM that could not reach a target tries others of the same service, one first and then up to five more.
If hardly any answers, the VM is cut off: it tells nothing of what it observes, gives up the coordinator lease, tries one target every 300 ms, and drops its own suspicions once it reaches them again.
Reports are withheld while a check runs.
- process/peers.ts: a loss is told once another target has answered.
A peer's report of a target that this VM has heard from in the last 250 ms is verified by a connection of its own first.
Losses that a peer reported no longer make a VM send its own counts to 24 others.
- A plain service's target that refuses connections is told as lost, as a model's is.

Test changed: "a loss is gossiped at once" awaits the check's answer; the clock still stands still.

--- a/packages/relay/src/connection/engine-client.ts
+++ b/packages/relay/src/connection/engine-client.ts
@@ -17,6 +17,8 @@
   isAlive: (target: Target) => Promise<boolean>
   /** Checks whether a target accepts a new connection: a slow target does, one that is dead or partitioned does not. */
   isReachable: (target: Target) => Promise<boolean>
+  /** Checks by a new connection whether a target, or another one at its address, answers at all. */
+  isAnswering: (target: Target) => Promise<boolean>
   /**
    * Checks by a new connection whether a target has certainly ended: nothing listens at its address, or another target or incarnation
    * does. A target that is cut off from this VM may go on.
@@ -58,12 +60,15 @@
   Unreachable = 'unreachable',
   /** Nothing listens at the address. */
   Refused = 'refused',
+  /** A connection was established, but nothing answered in time. */
+  Silent = 'silent',
   /** Another target, or a later incarnation, has the address. */
   Replaced = 'replaced',
   Reachable = 'reachable'
 }
 
 const NO_CONNECTION: ReadonlySet<ProbeResult> = new Set([ProbeResult.Unreachable, ProbeResult.Refused])
+const ANSWERS: ReadonlySet<ProbeResult> = new Set([ProbeResult.Replaced, ProbeResult.Reachable])
 const PROOFS_OF_END: ReadonlySet<ProbeResult> = new Set([ProbeResult.Refused, ProbeResult.Replaced])
 
 /** Creates the client. */
@@ -113,7 +118,7 @@
         signal: abortController.signal
       })
       if (outcome.kind === SendResult.NotSent) return outcome.isRefused ? ProbeResult.Refused : ProbeResult.Unreachable
-      if (outcome.kind !== SendResult.Answered) return ProbeResult.Reachable
+      if (outcome.kind !== SendResult.Answered) return ProbeResult.Silent
       if (outcome.response.statusCode === MISDIRECTED_STATUS) return ProbeResult.Replaced
       const { bornAtMilliseconds } = dialect.readReport((await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)).toString())
       const isReplaced = bornAtMilliseconds > 0 && target.bornAtMilliseconds > 0 && bornAtMilliseconds !== target.bornAtMilliseconds
@@ -140,6 +145,7 @@
     async isAlive (target) {
       return await call('GET', target, dialect.reportPath, '', LIVENESS_TIMEOUT_MILLISECONDS) !== undefined
     },
+    isAnswering: async target => ANSWERS.has(await probe(target)),
     isReachable: async target => !NO_CONNECTION.has(await probe(target)),
     hasEnded: async target => PROOFS_OF_END.has(await probe(target)),
     async place (target, order) {
--- a/packages/relay/src/process/directory.ts
+++ b/packages/relay/src/process/directory.ts
@@ -64,8 +64,14 @@
   pause: (incarnation: string, milliseconds: number) => void
   /** @returns milliseconds for which this VM sends nothing to a target; 0 if it may send. */
   pauseRemaining: (incarnation: string) => number
+  /** Records that a target has just sent something to this VM. */
+  recordContact: (incarnation: string) => void
+  /** @returns milliseconds since a target last sent something to this VM; Infinity if it never did. */
+  millisecondsSinceContact: (incarnation: string) => number
   /** Keeps new work away from a target for a time. If it is already suspected, the later expiry wins. */
   suspect: (target: Target, milliseconds: number, reason: string, details?: SuspicionDetails) => void
+  /** Drops the suspicions that this process raised itself against targets of a service, because it was cut off from them. */
+  dropOwnSuspicions: (service: string) => void
   /** @returns suspicions that this process raised itself and that have not expired, for gossip to peers. */
   ownSuspicions: () => Suspicion[]
   /**
@@ -80,6 +86,8 @@
    * false, is suspected as lost.
    */
   onLost: (listener: (target: Target, isLeaving: boolean) => void) => void
+  /** Registers a listener that is called when this process itself starts to suspect a target as lost. */
+  onOwnLoss: (listener: (target: Target) => void) => void
 }
 
 /**
@@ -114,6 +122,9 @@
   /** Monotonic time at which each suspicion expires, milliseconds, by incarnation. */
   const suspectedUntil = new Map<string, number>()
   const listeners: Array<(target: Target, isLeaving: boolean) => void> = []
+  const ownLossListeners: Array<(target: Target) => void> = []
+  /** Monotonic time at which each target last sent something to this VM, milliseconds, by incarnation. */
+  const contactAt = new Map<string, number>()
   /** Incarnations that this process itself suspects, and whether it suspects them as lost. */
   const selfSuspected = new Map<string, boolean>()
   /** Monotonic time until which `isSuspectedLost` is true, milliseconds, by incarnation. */
@@ -216,14 +227,19 @@
     targets.delete(id)
     pausedUntil.delete(incarnationOf(target))
     inGracePeriod.delete(id)
-    suspectedUntil.delete(incarnationOf(target))
-    lostUntil.delete(incarnationOf(target))
-    lossSuspected.delete(incarnationOf(target))
+    contactAt.delete(incarnationOf(target))
+    clearSuspicion(incarnationOf(target))
     revision += 1
     log.info(RelayEvent.TargetGone, { target: id, service: target.service })
     for (const listener of listeners) listener(target, true)
   }
 
+  function clearSuspicion (incarnation: string): void {
+    suspectedUntil.delete(incarnation)
+    lostUntil.delete(incarnation)
+    lossSuspected.delete(incarnation)
+  }
+
   function remove (id: string): void {
     withheld.delete(id)
     if (!targets.has(id)) return
@@ -281,10 +297,14 @@
       revision += 1
     },
     pauseRemaining: incarnation => Math.max(0, (pausedUntil.get(incarnation) ?? 0) - performance.now()),
+    recordContact: incarnation => { contactAt.set(incarnation, performance.now()) },
+    millisecondsSinceContact: incarnation => performance.now() - (contactAt.get(incarnation) ?? -Infinity),
     suspect (target, milliseconds, reason, details = { isLoss: false }) {
       const until = performance.now() + milliseconds
       const incarnation = incarnationOf(target)
       const wasSuspected = isSuspected(target)
+      const isOwnLoss = details.isLoss && details.peerFailureDomain === undefined
+      const isNewOwnLoss = isOwnLoss && !(wasSuspected && selfSuspected.get(incarnation) === true)
       suspectedUntil.set(incarnation, Math.max(until, suspectedUntil.get(incarnation) ?? 0))
       if (details.peerFailureDomain === undefined) selfSuspected.set(incarnation, details.isLoss)
       if (details.isLoss && (details.peerFailureDomain ?? ownFailureDomain) === target.failureDomain) lostUntil.set(incarnation, until)
@@ -296,6 +316,14 @@
       }
       // A refusal only keeps new work away; requests in flight at the target continue.
       if (isNewLoss) for (const listener of listeners) listener(target, false)
+      if (isNewOwnLoss) for (const listener of ownLossListeners) listener(target)
+    },
+    dropOwnSuspicions (service) {
+      for (const target of targets.values()) {
+        const incarnation = incarnationOf(target)
+        if (target.service === service && selfSuspected.delete(incarnation)) clearSuspicion(incarnation)
+      }
+      revision += 1
     },
     ownSuspicions () {
       const now = performance.now()
@@ -306,6 +334,7 @@
     },
     isSuspectedLost: target => (lostUntil.get(incarnationOf(target)) ?? 0) > performance.now(),
     revision: () => revision,
-    onLost: listener => { listeners.push(listener) }
+    onLost: listener => { listeners.push(listener) },
+    onOwnLoss: listener => { ownLossListeners.push(listener) }
   }
 }
--- a/packages/relay/src/process/peers.ts
+++ b/packages/relay/src/process/peers.ts
@@ -4,6 +4,7 @@
 import { FailureKind, WriteResult, type PollableKeyValue } from '@wigeonlead/protocol'
 import { z } from 'zod'
 import type { PeerLink } from '../connection/peer-link.js'
+import type { Target } from '../version/target.js'
 import { repeatInBackground } from './background.js'
 import type { ConfigurationState } from './configuration-state.js'
 import type { Directory } from './directory.js'
@@ -11,6 +12,7 @@
 import type { RateLimits } from './rate-limits.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
 import type { StoreEra } from './store-era.js'
+import type { TargetReach } from './target-reach.js'
 
 /** Another process of the fleet. */
 export interface Peer {
@@ -48,6 +50,9 @@
   load: Load
   directory: Directory
   limits: RateLimits
+  reach: TargetReach
+  /** Checks a target that a peer could not reach, although this VM has just heard from it. */
+  verify: (target: Target) => void
   era: StoreEra
   configurationState: ConfigurationState
   log: RelayLog
@@ -68,6 +73,11 @@
 const CYCLES_BEFORE_SILENT = 2.5
 /** Number of peers that are informed of a lost target at once. The others learn of it through regular gossip. */
 const LOSS_FANOUT = 24
+/**
+ * A target that sent something within this time is not taken for lost on a peer's word, milliseconds: the peer may have lost its own
+ * connection to it. A target that fell silent is reported later than this after its last message.
+ */
+const RECENT_CONTACT_MILLISECONDS = 250
 /** Time to live of this VM's key, milliseconds. Until the key of a lost VM expires, every peer sends it a datagram in each cycle. */
 const KEY_TIME_TO_LIVE_MILLISECONDS = 12_000
 const KEY_RENEWAL_MILLISECONDS = 3500
@@ -90,7 +100,7 @@
 
 /** Creates the registry of peers of one process. */
 export function createPeers (dependencies: PeersDependencies): Peers {
-  const { self, store, link, load, directory, limits, era, configurationState, log } = dependencies
+  const { self, store, link, load, directory, limits, reach, era, configurationState, log } = dependencies
   const peers = new Map<string, Peer>()
   const key = dependencies.keyPrefix + self.vm
   let lease: { leaseId: string, era: number, keyRevision: number } | undefined
@@ -116,11 +126,17 @@
       if (target === undefined) continue
       // Seen from another failure domain, a network cut looks as if all stages behind it were lost.
       if (target.failureDomain === self.failureDomain && peerFailureDomain !== self.failureDomain) continue
+      if (isLoss && directory.millisecondsSinceContact(incarnation) < RECENT_CONTACT_MILLISECONDS) {
+        dependencies.verify(target)
+        continue
+      }
       directory.suspect(target, milliseconds, `reported by ${received.vm}`, { peerFailureDomain, isLoss })
     }
   })
 
-  directory.onLost((_target, isLeaving) => { if (!isLeaving) send(sample(LOSS_FANOUT)) })
+  directory.onOwnLoss(target => {
+    void reach.check(target).then(isCutOff => { if (!isCutOff) send(sample(LOSS_FANOUT)) })
+  })
 
   function gossipRound (): void {
     round += 1
@@ -146,8 +162,9 @@
       vm: self.vm,
       counts: load.ownCounts().map(({ incarnation, requests, tokens, firstStageRequests }) =>
         [incarnation, requests, Math.round(tokens), firstStageRequests]),
-      suspected: directory.ownSuspicions().map(({ incarnation, remainingMilliseconds, isLoss }) =>
-        [incarnation, Math.round(remainingMilliseconds), isLoss]),
+      suspected: directory.ownSuspicions()
+        .filter(({ incarnation }) => reach.mayReport(directory.findIncarnation(incarnation)?.service ?? ''))
+        .map(({ incarnation, remainingMilliseconds, isLoss }) => [incarnation, Math.round(remainingMilliseconds), isLoss]),
       leaving: directory.leavingIncarnations(),
       limits: statedLimits(),
       version: versionHeld(),
--- a/packages/relay/src/process/relay-log.ts
+++ b/packages/relay/src/process/relay-log.ts
@@ -21,6 +21,8 @@
   TargetLeaving = 'target-leaving',
   TargetGone = 'target-gone',
   TargetSuspected = 'target-suspected',
+  TargetsUnreachable = 'targets-unreachable',
+  TargetsReachable = 'targets-reachable',
   TargetPaused = 'target-paused',
   TargetPauseFaulty = 'target-pause-faulty',
   TargetLimited = 'target-limited',
--- a/packages/relay/src/process/target-answers.ts
+++ b/packages/relay/src/process/target-answers.ts
@@ -29,6 +29,7 @@
     pauseRemaining: directory.pauseRemaining,
     onSend: limits.recordSend,
     onAnswer (incarnation, status, terms) {
+      directory.recordContact(incarnation)
       limits.recordAnswer(incarnation, terms.requestsPerSecond)
       if (terms.isLeaving) directory.markLeaving(incarnation, 'its answer')
       if (status === UNAVAILABLE_STATUS && terms.pauseSeconds !== undefined) pause(incarnation, terms.pauseSeconds)
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -35,6 +35,7 @@
 import { createStreamWatch } from './stream-watch.js'
 import { createTargetStates } from './target-answers.js'
 import { createTargetEnds } from './target-ends.js'
+import { createTargetReach } from './target-reach.js'
 
 /** Dependencies of a process on its environment. */
 export interface RelayPorts {
@@ -114,6 +115,7 @@
   const targets = createTargetClient(dialect, createTargetStates(directory, limits, log))
   const engines = createEngineClient(dialect, targets)
   const watch = createStreamWatch(directory, engines, paths, log, stopped.signal)
+  const reach = createTargetReach(directory, engines, log, stopped.signal, ports.nextFloat)
   const peers = createPeers({
     self,
     keyPrefix: PEER_PREFIX,
@@ -122,6 +124,8 @@
     load,
     directory,
     limits,
+    reach,
+    verify: watch.verify,
     era,
     configurationState,
     log,
@@ -165,7 +169,8 @@
     vm: settings.node.vm,
     era,
     log,
-    mayAcquire: () => mirrorRelay.followsStore() || ports.nextFloat() < NON_FOLLOWER_ATTEMPT_PROBABILITY,
+    mayAcquire: () => reach.cutOffServices().length === 0 &&
+      (mirrorRelay.followsStore() || ports.nextFloat() < NON_FOLLOWER_ATTEMPT_PROBABILITY),
     timeToLiveMilliseconds: Math.max(COORDINATOR_LEASE_MILLISECONDS, settings.store.leastLeaseMilliseconds)
   })
   const planner = createPlanner({ configurationState, directory, engines, lease, log })
@@ -180,6 +185,7 @@
     engines,
     sendWait,
     targetEnds: createTargetEnds(directory, engines),
+    reach,
     contentQuarantine,
     repeats,
     watch,
@@ -193,6 +199,8 @@
   /** Configuration version that this process's copy of the store contains; undefined if it contains no valid one. */
   let shownVersion: number | undefined
   registerGauges()
+  // A VM that is cut off from targets can neither see nor order them; another one plans their placement.
+  reach.onChange((_service, isCutOff) => { if (isCutOff) void lease.release() })
   era.onRise(() => directory.startRestore())
   configurationState.onBehind(() => { void freshness.refresh() })
 
@@ -259,6 +267,7 @@
     for (const [name, kind] of Object.entries(QUARANTINE_GAUGES)) {
       metrics.gauge(name, () => contentQuarantine.quarantined().filter(quarantined => quarantined.kind === kind).length)
     }
+    metrics.gauge('services_cut_off', () => reach.cutOffServices().length)
     metrics.gauge('store_era', era.current)
     metrics.gauge('follows_store', () => Number(mirrorRelay.followsStore()))
     metrics.gauge('is_coordinator', () => Number(lease.isHeld()))
--- a/packages/relay/src/request/context.ts
+++ b/packages/relay/src/request/context.ts
@@ -15,6 +15,7 @@
 import type { Repeats } from '../process/repeat-loans.js'
 import type { StreamWatch } from '../process/stream-watch.js'
 import type { TargetEnds } from '../process/target-ends.js'
+import type { TargetReach } from '../process/target-reach.js'
 import type { Metrics } from 'wigeonlead'
 import type { Route, Service, Workspace } from '../version/configuration.js'
 
@@ -31,6 +32,7 @@
   /** @returns milliseconds until this VM may send a request to a target, by the pause and the rate that it asked for; 0 for now. */
   sendWait: (incarnation: string) => number
   targetEnds: TargetEnds
+  reach: TargetReach
   contentQuarantine: ContentQuarantine
   repeats: Repeats
   watch: StreamWatch
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -104,6 +104,7 @@
   })
   const recordProgress = (): void => {
     const now = performance.now()
+    dependencies.directory.recordContact(path.incarnations[0]!)
     if (progress.isHeadSent) state.usualEventInterval += (now - state.lastProgressAt - state.usualEventInterval) * INTERVAL_AVERAGE_WEIGHT
     state.lastProgressAt = now
   }
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -210,9 +210,12 @@
   dependencies.log.info(RelayEvent.SendFailed, {
     ...requestLogFields(request, dependencies), target: target.id, result, reason, content: request.contentDigest()
   })
-  if (result === SendResult.NotSent) dependencies.directory.suspect(target, UNREACHABLE_SUSPICION_MILLISECONDS, reason)
+  if (result === SendResult.NotSent) dependencies.directory.suspect(target, UNREACHABLE_SUSPICION_MILLISECONDS, reason, { isLoss: true })
+  if (result === SendResult.NotSent || !isAborted) return
   // The caller has not left, so a send that was aborted has timed out.
-  else if (isAborted && dependencies.load.recordTimeout(incarnationOf(target)) >= TIMEOUTS_BEFORE_SUSPICION) dependencies.directory.suspect(target, TIMEOUT_SUSPICION_MILLISECONDS, 'repeated timeouts')
+  void dependencies.reach.check(target)
+  if (dependencies.load.recordTimeout(incarnationOf(target)) < TIMEOUTS_BEFORE_SUSPICION) return
+  dependencies.directory.suspect(target, TIMEOUT_SUSPICION_MILLISECONDS, 'repeated timeouts')
 }
 
 function forwardAnswer (request: AdmittedRequest, dependencies: RequestDependencies, answer: BufferedAnswer, arrivals: number): void {
--- a/packages/relay/test/process/freshness.spec.ts
+++ b/packages/relay/test/process/freshness.spec.ts
@@ -10,6 +10,7 @@
   SILENT_RELAY_LOG, createConfigurationState, createDirectory, createFreshnessCheck, createLoad, createPeers, createStoreEra,
   presentInstant, type ConfigurationState, type PeerLink
 } from '@wigeonlead/relay'
+import { FULL_REACH } from '../test-target-reach.js'
 import { testRateLimits } from '../test-rate-limits.js'
 import { joinLinks } from '../joined-links.js'
 import { testConfiguration } from '../test-configuration.js'
@@ -44,6 +45,8 @@
     load: createLoad(),
     directory,
     limits: testRateLimits(vm),
+    reach: FULL_REACH,
+    verify () {},
     era,
     configurationState,
     log: SILENT_RELAY_LOG,
--- a/packages/relay/test/process/peers.spec.ts
+++ b/packages/relay/test/process/peers.spec.ts
@@ -5,7 +5,11 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { PollableKeyValue } from '@wigeonlead/protocol'
-import { SILENT_RELAY_LOG, createDirectory, createLoad, createPeers, createStoreEra, type Directory, type Load, type PeerLink } from '@wigeonlead/relay'
+import {
+  SILENT_RELAY_LOG, createDirectory, createLoad, createPeers, createStoreEra, incarnationOf, type Directory, type Load, type PeerLink,
+  type Target
+} from '@wigeonlead/relay'
+import { FULL_REACH } from '../test-target-reach.js'
 import { testRateLimits } from '../test-rate-limits.js'
 import { testConfigurationState } from '../test-configuration.js'
 import { testTarget } from '../test-engine.js'
@@ -17,13 +21,33 @@
   get: () => async () => ({ ok: false, failure: { kind: 'unavailable', reason: 'away' } })
 }) as PollableKeyValue
 
-/** One process, with the addresses to which it has sent datagrams. */
-interface Fleet { receivers: string[], directory: Directory, load: Load, stop: () => void }
+/** One process, with the datagrams that it has sent, their addresses, and the targets that it has verified. */
+interface Fleet {
+  receivers: string[]
+  sent: unknown[]
+  verified: Target[]
+  directory: Directory
+  load: Load
+  /** Delivers a peer's message with suspicions: incarnation, remaining milliseconds, whether it is a loss. */
+  report: (vm: string, suspected: Array<[string, number, boolean]>) => void
+  stop: () => void
+}
 
-function startFleet (localCount: number, remoteCount: number): Fleet {
+function startFleet (localCount: number, remoteCount: number, reach = FULL_REACH): Fleet {
   const receivers: string[] = []
+  const sent: unknown[] = []
+  const verified: Target[] = []
+  const handlers = new Map<string, (parameters: unknown) => void>()
   const load = createLoad()
-  const link: PeerLink = { notify: address => { receivers.push(address) }, on () {}, async open () {}, close () {} }
+  const link: PeerLink = {
+    notify (address, _method, parameters) {
+      receivers.push(address)
+      sent.push(parameters)
+    },
+    on: (method, handler) => { handlers.set(method, handler) },
+    async open () {},
+    close () {}
+  }
   const directory = createDirectory(SILENT_RELAY_LOG, 'a')
   const stopped = new AbortController()
   const peers = createPeers({
@@ -34,6 +58,8 @@
     load,
     directory,
     limits: testRateLimits('self'),
+    reach,
+    verify: target => { verified.push(target) },
     era: createStoreEra(SILENT_RELAY_LOG),
     configurationState: testConfigurationState(),
     log: SILENT_RELAY_LOG,
@@ -44,7 +70,15 @@
     peers.put(`vm-${index}`, JSON.stringify({ address: `vm-${index}:1`, failureDomain: index < localCount ? 'a' : 'b' }))
   }
   peers.start()
-  return { receivers, directory, load, stop: () => stopped.abort() }
+  return {
+    receivers,
+    sent,
+    verified,
+    directory,
+    load,
+    report: (vm, suspected) => handlers.get('load')!({ vm, counts: [], suspected, leaving: [] }),
+    stop: () => stopped.abort()
+  }
 }
 
 const fleets = suite('peers')
@@ -88,15 +122,56 @@
   })
 }
 
-fleets('a loss is gossiped at once', () => {
+fleets('a loss is gossiped at once', async () => {
   const clock = install({ toFake: ['setInterval', 'clearInterval', 'performance', 'Date'] })
   const { receivers, directory, stop } = startFleet(25, 53)
   const target = testTarget('card-1', { from: 0, to: 10 }, { failureDomain: 'a' })
   directory.put(target)
   directory.suspect(target, 1000, 'unreachable', { isLoss: true })
+  // The clock stands still: only the answer of the check, which is at hand, is awaited.
+  await new Promise(resolve => { setImmediate(resolve) })
   assert.is(receivers.length, 24)
   stop()
   clock.uninstall()
 })
 
+const REPORTS: Array<{ name: string, contactAgo?: number, isLoss: boolean, isVerified: boolean, isUsable: boolean }> = [
+  { name: 'of a target that this VM has not heard from: believed', isLoss: true, isVerified: false, isUsable: false },
+  { name: 'of a target that fell silent a while ago: believed', contactAgo: 300, isLoss: true, isVerified: false, isUsable: false },
+  { name: 'of a target that this VM has just heard from: verified first', contactAgo: 20, isLoss: true, isVerified: true, isUsable: true },
+  { name: 'that a target refuses work, although it answers: believed', contactAgo: 20, isLoss: false, isVerified: false, isUsable: false }
+]
+for (const { name, contactAgo, isLoss, isVerified, isUsable } of REPORTS) {
+  fleets(`a peer's report ${name}`, () => {
+    const clock = install({ toFake: ['setInterval', 'clearInterval', 'performance', 'Date'] })
+    const { directory, verified, report, stop } = startFleet(25, 53)
+    const target = testTarget('card-1', { from: 0, to: 10 }, { failureDomain: 'a' })
+    directory.put(target)
+    if (contactAgo !== undefined) directory.recordContact(incarnationOf(target))
+    clock.tick(contactAgo ?? 0)
+    report('vm-0', [[incarnationOf(target), 2500, isLoss]])
+    assert.is(verified.length, isVerified ? 1 : 0)
+    assert.is(directory.isUsable(target), isUsable)
+    stop()
+    clock.uninstall()
+  })
+}
+
+for (const { name, mayReport, suspicions } of [
+  { name: 'reaches other targets: tells of it', mayReport: true, suspicions: 1 },
+  { name: 'is cut off from all targets: tells of none', mayReport: false, suspicions: 0 }
+]) {
+  fleets(`a VM that has lost a target and ${name}`, () => {
+    const clock = install({ toFake: ['setInterval', 'clearInterval', 'performance', 'Date'] })
+    const { directory, sent, stop } = startFleet(25, 53, { ...FULL_REACH, mayReport: () => mayReport, check: async () => !mayReport })
+    const target = testTarget('card-1', { from: 0, to: 10 }, { failureDomain: 'a' })
+    directory.put(target)
+    directory.suspect(target, 2000, 'unreachable', { isLoss: true })
+    clock.tick(200)
+    assert.is((sent.at(-1) as { suspected: unknown[] }).suspected.length, suspicions)
+    stop()
+    clock.uninstall()
+  })
+}
+
 fleets.run()
--- a/packages/relay/test/process/repeat-loans.spec.ts
+++ b/packages/relay/test/process/repeat-loans.spec.ts
@@ -8,6 +8,7 @@
 import {
   SILENT_RELAY_LOG, createDirectory, createLoad, createPeers, createRepeatBudget, createRepeatLoans, createStoreEra, type Repeats
 } from '@wigeonlead/relay'
+import { FULL_REACH } from '../test-target-reach.js'
 import { testRateLimits } from '../test-rate-limits.js'
 import { joinLinks } from '../joined-links.js'
 import { testConfigurationState } from '../test-configuration.js'
@@ -30,6 +31,8 @@
       load: createLoad(),
       directory: createDirectory(SILENT_RELAY_LOG, 'east'),
       limits: testRateLimits(name),
+      reach: FULL_REACH,
+      verify () {},
       era: createStoreEra(SILENT_RELAY_LOG),
       configurationState: testConfigurationState(),
       log: SILENT_RELAY_LOG,
--- /dev/null
+++ b/packages/relay/test/process/target-reach.spec.ts
@@ -0,0 +1,110 @@
+/**
+ * Guards against a VM that takes its own loss of the network for the loss of targets, and against one that takes the loss of some targets
+ * for its own. Each case is a pattern of targets that answer, on a paused clock.
+ */
+import { install } from '@sinonjs/fake-timers'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { SILENT_RELAY_LOG, createDirectory, createTargetReach, type Directory, type Target, type TargetReach } from '@wigeonlead/relay'
+import { createSeededRandom } from 'wigeonlead'
+import { testTarget } from '../test-engine.js'
+
+interface Vm {
+  reach: TargetReach
+  directory: Directory
+  targets: Target[]
+  /** Ids of the targets that answer this VM. */
+  answering: Set<string>
+  /** Number of targets that were tried. */
+  tries: () => number
+  changes: boolean[]
+}
+
+function createVm (targetCount: number, seed: number, signal: AbortSignal): Vm {
+  const directory = createDirectory(SILENT_RELAY_LOG, 'east')
+  const targets = Array.from({ length: targetCount }, (_, index) => testTarget(`t${index}`, { from: 0, to: 80 }))
+  for (const target of targets) directory.put(target)
+  const answering = new Set(targets.map(({ id }) => id))
+  const random = createSeededRandom(seed)
+  const changes: boolean[] = []
+  let tries = 0
+  const engines = {
+    async isAnswering ({ id }: Target) {
+      tries += 1
+      return answering.has(id)
+    }
+  }
+  const reach = createTargetReach(directory, engines, SILENT_RELAY_LOG, signal, () => random.nextFloat())
+  reach.onChange((_service, isCutOff) => { changes.push(isCutOff) })
+  return { reach, directory, targets, answering, tries: () => tries, changes }
+}
+
+/** A pattern of targets that do not answer. */
+interface Case {
+  name: string
+  targets: number
+  unreachable: number
+  isCutOff: boolean
+  /** Of a hundred VMs with other random choices, how many at most may decide otherwise. */
+  maximumErrors?: number
+}
+
+const CASES: Case[] = [
+  { name: 'one target of 33 has ended', targets: 33, unreachable: 1, isCutOff: false },
+  { name: 'a failure domain with a third of 33 targets has ended', targets: 33, unreachable: 11, isCutOff: false, maximumErrors: 5 },
+  { name: 'no target of 33 answers', targets: 33, unreachable: 33, isCutOff: true },
+  { name: 'one target of 33 still answers', targets: 33, unreachable: 32, isCutOff: true, maximumErrors: 15 },
+  { name: 'two of three targets have ended', targets: 3, unreachable: 2, isCutOff: false },
+  { name: 'no target of three answers', targets: 3, unreachable: 3, isCutOff: true },
+  { name: 'the only target has ended', targets: 1, unreachable: 1, isCutOff: false }
+]
+
+const reaches = suite('reach of targets')
+
+for (const { name, targets: count, unreachable, isCutOff, maximumErrors = 0 } of CASES) {
+  reaches(`${name}: the VM is ${isCutOff ? '' : 'not '}cut off`, async () => {
+    let errors = 0
+    for (let seed = 0; seed < 100; seed++) {
+      const stopped = new AbortController()
+      const { reach, targets, answering } = createVm(count, seed, stopped.signal)
+      for (const { id } of targets.slice(0, unreachable)) answering.delete(id)
+      if (await reach.check(targets[0]!) !== isCutOff) errors += 1
+      stopped.abort()
+    }
+    assert.ok(errors <= maximumErrors, `${errors} of 100 decided otherwise`)
+  })
+}
+
+reaches('a loss where others answer costs one try, and several losses at once share it', async () => {
+  const stopped = new AbortController()
+  const { reach, targets, tries } = createVm(33, 1, stopped.signal)
+  const checks = targets.slice(0, 5).map(async target => await reach.check(target))
+  assert.not(reach.mayReport('model'))
+  assert.equal(await Promise.all(checks), [false, false, false, false, false])
+  assert.ok(reach.mayReport('model'))
+  assert.is(tries(), 1)
+  stopped.abort()
+})
+
+reaches('a VM that is cut off tries one target now and then, reaches them again within a second, and drops its own suspicions', async () => {
+  const clock = install({ toFake: ['setInterval', 'clearInterval', 'setTimeout', 'clearTimeout', 'performance', 'Date'] })
+  const stopped = new AbortController()
+  const { reach, directory, targets, answering, tries, changes } = createVm(33, 1, stopped.signal)
+  answering.clear()
+  directory.suspect(targets[0]!, 60_000, 'unreachable', { isLoss: true })
+  await clock.tickAsync(10)
+  assert.ok(reach.isCutOff('model'))
+  assert.not(reach.mayReport('model'))
+  const triesBefore = tries()
+  await clock.tickAsync(3000)
+  assert.ok(tries() - triesBefore <= 10, `${tries() - triesBefore} tries in 3 s`)
+  for (const { id } of targets) answering.add(id)
+  await clock.tickAsync(1000)
+  assert.not(reach.isCutOff('model'))
+  assert.ok(directory.isUsable(targets[0]!))
+  assert.equal(changes, [true, false])
+  stopped.abort()
+  clock.uninstall()
+})
+
+reaches.run()
