Let peers handle the requests of a VM that is cut off from the targets

Cause: a VM handled each request by itself or not at all. Class: a single link whose loss nothing goes round.

- request/hand-over.ts: while a VM is cut off from a service, a peer handles its callers' requests like its own callers', with the time and events that are left, and hands them over to no one else.
The attempt ledger goes on across the hop: a peer's refusal counts as "not run", a broken answer as "may have run"; streams continue at another peer after the last event.
A caller's close reaches the target.
- process/peer-choice.ts: local peers, while a third of the failure domain's VMs reaches the targets, else all; of two the one with fewer requests in hand.
- What a cut costs: a connection that is not established after 100 ms starts the check, connections that are being established are given up once the VM counts as cut off, silent streams are ended so that a peer continues them.
- Peers take handed-over requests by TCP at listen.peers (UDP as before).

Tests changed: their fleets have a repeat budget of 200, since a budget of 20 over four VMs allows no repeat at all in the first window; targets, gates and peer listeners use loopback addresses of their own, because a port at 127.0.0.1 was taken between its end and its next start (EADDRINUSE once, seen in the whole run).

--- a/packages/relay/src/connection/callers.ts
+++ b/packages/relay/src/connection/callers.ts
@@ -16,6 +16,8 @@
   rawHeaders: string[]
   body: Buffer
   arrivedAt: Instant
+  /** Whether a peer handed the request over, because it is cut off from the targets. */
+  isHandedOver: boolean
   /** Aborts when the caller's connection closes before its answer has ended. */
   callerLeft: AbortSignal
   response: ServerResponse
@@ -52,8 +54,9 @@
 /**
  * Creates the listener; it does not listen yet.
  * @param onFault called with errors that the handler throws.
+ * @param isHandedOver whether its callers are peers that hand requests over.
  */
-export function createCallerListener (handle: ExchangeHandler, onFault: (error: unknown) => void): CallerListener {
+export function createCallerListener (handle: ExchangeHandler, onFault: (error: unknown) => void, isHandedOver = false): CallerListener {
   let limits = DEFAULT_LIMITS
   let isClosing = false
   let isRefusing = false
@@ -91,6 +94,7 @@
       rawHeaders: incoming.rawHeaders,
       body,
       arrivedAt: presentInstant(),
+      isHandedOver,
       callerLeft: callerLeft.signal,
       response
     })
--- a/packages/relay/src/connection/dialect.ts
+++ b/packages/relay/src/connection/dialect.ts
@@ -118,6 +118,11 @@
    * @returns headers for the target as flat name-value pairs: the caller's, without those meant only for the relay, plus the relay's own.
    */
   writeHeaders: (rawHeaders: readonly string[], terms: RelayTerms, hidesKey: boolean) => string[]
+  /**
+   * @param terms the time that is left, milliseconds, and the last event that the caller has received.
+   * @returns headers for a peer that handles the request, as flat name-value pairs: the caller's, with the given terms.
+   */
+  writeHandOverHeaders: (rawHeaders: readonly string[], terms: Pick<RelayTerms, 'waitMilliseconds' | 'lastEvent'>) => string[]
   readAnswer: (headers: IncomingHttpHeaders) => AnswerTerms
   /** @returns the answer's headers as flat name-value pairs, without the hop-by-hop headers. */
   answerHeaders: (rawHeaders: readonly string[]) => string[]
--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -54,6 +54,8 @@
 export interface TargetStates {
   /** @returns milliseconds for which nothing may be sent to a target; 0 if sends are allowed. */
   pauseRemaining: (incarnation: string) => number
+  /** Called where a connection is not established within `SLOW_CONNECT_MILLISECONDS`. */
+  onSlowConnect: (incarnation: string) => void
   /** Called for each request that is handed to a connection. */
   onSend: (incarnation: string) => void
   /**
@@ -66,12 +68,16 @@
 /** Sends requests to targets. */
 export interface TargetClient {
   send: (call: TargetCall) => Promise<SendOutcome>
+  /** Gives up the connections that are being established to certain targets, by their incarnations. */
+  abandonConnects: (isAffected: (incarnation: string) => boolean) => void
   /** Closes all pooled connections. */
   close: () => void
 }
 
 /** Timeout for establishing a connection, milliseconds: about a hundred times the longest transit and handshake. */
 const CONNECT_TIMEOUT_MILLISECONDS = 400
+/** Time after which a connection that is not established is unusual, milliseconds: tens of times the usual handshake. */
+const SLOW_CONNECT_MILLISECONDS = 100
 /** Idle time after which pooled connections are probed with TCP keep-alive, milliseconds. */
 const PROBE_AFTER_MILLISECONDS = 1000
 /** Share of the idle time announced by the target after which a pooled connection is no longer reused. */
@@ -89,6 +95,8 @@
 /** Creates a client. */
 export function createTargetClient (dialect: Dialect, states: TargetStates): TargetClient {
   const pooledAgent = createPooledAgent()
+  /** Requests whose connections are being established, with the incarnations of their targets. */
+  const connecting = new Map<ClientRequest, string>()
 
   function send (call: TargetCall): Promise<SendOutcome> {
     return new Promise(resolve => {
@@ -104,6 +112,7 @@
         : call.headers
       let isConnected = false
       let connectTimer: NodeJS.Timeout | undefined
+      let slowConnectTimer: NodeJS.Timeout | undefined
       const outgoing = request({
         host,
         port,
@@ -120,16 +129,24 @@
         resolve(isConnected ? { kind: SendResult.Unknown, reason } : { kind: SendResult.NotSent, reason, isRefused })
       }
 
+      function stopConnecting (): void {
+        connecting.delete(outgoing)
+        clearTimeout(connectTimer)
+        clearTimeout(slowConnectTimer)
+      }
+
       outgoing.on('socket', socket => {
         if (!socket.connecting) {
           isConnected = true
           return
         }
         socket.setNoDelay(true)
+        connecting.set(outgoing, call.incarnation)
+        slowConnectTimer = setTimeout(() => states.onSlowConnect(call.incarnation), SLOW_CONNECT_MILLISECONDS)
         connectTimer = setTimeout(() => outgoing.destroy(new Error('connect timeout')), CONNECT_TIMEOUT_MILLISECONDS)
         socket.once('connect', () => {
           isConnected = true
-          clearTimeout(connectTimer)
+          stopConnecting()
         })
       })
       let informationalAnswers = 0
@@ -158,7 +175,7 @@
         fail(error.message, (error as NodeJS.ErrnoException).code === CONNECTION_REFUSED)
       })
       outgoing.on('close', () => {
-        clearTimeout(connectTimer)
+        stopConnecting()
         call.signal.removeEventListener('abort', onAbort)
         fail('closed without an answer')
       })
@@ -166,7 +183,13 @@
     })
   }
 
-  return { send, close: () => pooledAgent.destroy() }
+  return {
+    send,
+    abandonConnects (isAffected) {
+      for (const [outgoing, incarnation] of connecting) if (isAffected(incarnation)) outgoing.destroy(new Error('the target is out of reach'))
+    },
+    close: () => pooledAgent.destroy()
+  }
 }
 
 /** @returns whether an answer declares where its body ends; otherwise the body ends with the connection. */
--- a/packages/relay/src/process/index.ts
+++ b/packages/relay/src/process/index.ts
@@ -19,6 +19,7 @@
 export { serveRelay, type RunningRelay } from './serve.js'
 export { createStreamWatch, type StreamWatch, type WatchedRun } from './stream-watch.js'
 export { checkRelaySettings, relaySettingsSchema, type RelaySettings, type RelaySettingsCheck } from './settings.js'
+export { createPeerChoice, type PeerChoice } from './peer-choice.js'
 export { createPeers, type Peer, type Peers, type PeersDependencies } from './peers.js'
 export {
   SubjectKind, Verdict, judge, judgeRequest, lossKey, mergeEvidence, openLosses, type ContentEvidence, type TargetLoss
--- a/packages/relay/src/process/load.ts
+++ b/packages/relay/src/process/load.ts
@@ -54,6 +54,17 @@
 const PEER_COUNTS_EXPIRY_MILLISECONDS = 6000
 const NO_WORK: Count = { requests: 0, tokens: 0, firstStageRequests: 0 }
 
+/** @returns a reservation whose first release calls the function. */
+export function releaseOnce (release: () => void): Reservation {
+  let isReleased = false
+  return {
+    release () {
+      if (!isReleased) release()
+      isReleased = true
+    }
+  }
+}
+
 /** Creates empty counts. */
 export function createLoad (): Load {
   const ownByIncarnation = new Map<string, Count>()
@@ -98,16 +109,6 @@
     for (const [vm, { receivedAt }] of peers) if (performance.now() - receivedAt > PEER_COUNTS_EXPIRY_MILLISECONDS) dropPeer(vm)
   }
 
-  function releaseOnce (release: () => void): Reservation {
-    let isReleased = false
-    return {
-      release () {
-        if (!isReleased) release()
-        isReleased = true
-      }
-    }
-  }
-
   return {
     requests: incarnation => sum(incarnation, count => count.requests),
     firstStageRequests: incarnation => sum(incarnation, count => count.firstStageRequests),
--- /dev/null
+++ b/packages/relay/src/process/peer-choice.ts
@@ -0,0 +1,51 @@
+/**
+ * Chooses the peer that handles a request in place of this VM, which is cut off from the request's targets.
+ */
+import { releaseOnce, type Reservation } from './load.js'
+import type { Peer, Peers } from './peers.js'
+
+/** Chooses peers, and counts the requests that were handed over to each. */
+export interface PeerChoice {
+  /** @returns a peer that reaches the targets of a service; undefined if there is none besides the excluded VMs. */
+  choose: (service: string, excluded: ReadonlySet<string>) => Peer | undefined
+  /** Counts a request that a peer handles. */
+  reserve: (vm: string) => Reservation
+}
+
+/**
+ * Share of the VMs of this VM's failure domain that must reach the targets, so that only they are chosen. With fewer, all requests of a
+ * failure domain would fall on one or two VMs.
+ */
+const MINIMUM_LOCAL_SHARE = 1 / 3
+
+/** Creates a choice without requests in flight. */
+export function createPeerChoice (peers: Pick<Peers, 'known' | 'reaching'>, ownFailureDomain: string, nextFloat: () => number): PeerChoice {
+  const inFlight = new Map<string, number>()
+
+  function draw (candidates: readonly Peer[]): Peer | undefined {
+    return candidates[Math.floor(nextFloat() * candidates.length)]
+  }
+
+  return {
+    choose (service, excluded) {
+      const isLocal = ({ failureDomain }: Peer): boolean => failureDomain === ownFailureDomain
+      const reaching = peers.reaching(service)
+      const local = reaching.filter(isLocal)
+      const localVms = peers.known().filter(isLocal).length + 1
+      const preferred = local.length >= localVms * MINIMUM_LOCAL_SHARE ? local : reaching
+      const isAllowed = ({ vm }: Peer): boolean => !excluded.has(vm)
+      const candidates = preferred.some(isAllowed) ? preferred.filter(isAllowed) : reaching.filter(isAllowed)
+      const [first, second] = [draw(candidates), draw(candidates)]
+      if (first === undefined || second === undefined) return undefined
+      return (inFlight.get(second.vm) ?? 0) < (inFlight.get(first.vm) ?? 0) ? second : first
+    },
+    reserve (vm) {
+      inFlight.set(vm, (inFlight.get(vm) ?? 0) + 1)
+      return releaseOnce(() => {
+        const left = inFlight.get(vm)! - 1
+        if (left === 0) inFlight.delete(vm)
+        else inFlight.set(vm, left)
+      })
+    }
+  }
+}
--- a/packages/relay/src/process/peers.ts
+++ b/packages/relay/src/process/peers.ts
@@ -26,6 +26,8 @@
   /** @returns all peers that are listed in this process's copy of the store. */
   known: () => Peer[]
   find: (vm: string) => Peer | undefined
+  /** @returns the peers that have recently said, by their messages, that they are not cut off from the targets of a service. */
+  reaching: (service: string) => Peer[]
   /** @returns a random sample of at most `count` peers. */
   sample: (count: number) => Peer[]
   /**
@@ -78,6 +80,8 @@
  * connection to it. A target that fell silent is reported later than this after its last message.
  */
 const RECENT_CONTACT_MILLISECONDS = 250
+/** A peer handles requests of others only if it was heard within this time, milliseconds: a few gossip cycles of a large failure domain. */
+const HEARD_MILLISECONDS = 3000
 /** Time to live of this VM's key, milliseconds. Until the key of a lost VM expires, every peer sends it a datagram in each cycle. */
 const KEY_TIME_TO_LIVE_MILLISECONDS = 12_000
 const KEY_RENEWAL_MILLISECONDS = 3500
@@ -90,6 +94,8 @@
   counts: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
   suspected: z.array(z.tuple([z.string(), z.number(), z.boolean()])),
   leaving: z.array(z.string()),
+  /** Services whose targets the sender is cut off from. */
+  cutOff: z.array(z.string()).optional(),
   /** Rates that targets have named: incarnation, requests a second (null if the limit has ended), age in milliseconds. */
   limits: z.array(z.tuple([z.string(), z.number().nullable(), z.number()])).optional(),
   /** Newest configuration version of the sender, and for how long at least it has had it, milliseconds. */
@@ -108,6 +114,8 @@
   let isLeaving = false
   let round = 0
   let peakFleetSize = 1
+  /** Services whose targets each peer is cut off from. */
+  const cutOffPeers = new Map<string, ReadonlySet<string>>()
 
   link.on(LOAD_METHOD, parameters => {
     const received = loadSchema.parse(parameters)
@@ -115,6 +123,7 @@
     if (peerFailureDomain === undefined) return
     load.setPeer(received.vm, received.counts.map(([incarnation, requests, tokens, firstStageRequests]) =>
       ({ incarnation, requests, tokens, firstStageRequests })))
+    cutOffPeers.set(received.vm, new Set(received.cutOff))
     if (received.era !== undefined) era.learn(...received.era, received.vm)
     if (received.version !== undefined) configurationState.learn(...received.version, received.vm)
     for (const [incarnation, requestsPerSecond, ageMilliseconds] of received.limits ?? []) {
@@ -138,6 +147,8 @@
     void reach.check(target).then(isCutOff => { if (!isCutOff) send(sample(LOSS_FANOUT)) })
   })
 
+  reach.onChange(() => send(sample(LOSS_FANOUT)))
+
   function gossipRound (): void {
     round += 1
     const local = [...peers.values()].filter(peer => peer.failureDomain === self.failureDomain)
@@ -166,6 +177,7 @@
         .filter(({ incarnation }) => reach.mayReport(directory.findIncarnation(incarnation)?.service ?? ''))
         .map(({ incarnation, remainingMilliseconds, isLoss }) => [incarnation, Math.round(remainingMilliseconds), isLoss]),
       leaving: directory.leavingIncarnations(),
+      cutOff: statedCutOff(),
       limits: statedLimits(),
       version: versionHeld(),
       era: era.current() === 0 ? undefined : [era.current(), Math.floor(era.ageMilliseconds())]
@@ -173,6 +185,11 @@
     for (const peer of receivers) link.notify(peer.address, LOAD_METHOD, message)
   }
 
+  function statedCutOff (): string[] | undefined {
+    const services = reach.cutOffServices()
+    return services.length === 0 ? undefined : services
+  }
+
   function statedLimits (): Array<[incarnation: string, requestsPerSecond: number | null, ageMilliseconds: number]> | undefined {
     const statements = limits.statements()
     if (statements.length === 0) return undefined
@@ -216,6 +233,8 @@
   return {
     known: () => [...peers.values()],
     find: vm => peers.get(vm),
+    reaching: service => [...peers.values()].filter(({ vm }) =>
+      (load.millisecondsSinceCounts(vm) ?? Infinity) < HEARD_MILLISECONDS && cutOffPeers.get(vm)?.has(service) !== true),
     sample,
     peakFleetSize: () => peakFleetSize,
     put (vm, text) {
@@ -232,6 +251,7 @@
     remove (vm) {
       if (!peers.delete(vm)) return
       load.dropPeer(vm)
+      cutOffPeers.delete(vm)
       log.info(RelayEvent.PeerGone, { peer: vm })
     },
     start () {
--- a/packages/relay/src/process/relay-log.ts
+++ b/packages/relay/src/process/relay-log.ts
@@ -51,6 +51,8 @@
   RequestAnswered = 'request-answered',
   RequestRefused = 'request-refused',
   RequestFailed = 'request-failed',
+  RequestHandedOver = 'request-handed-over',
+  HandOverFailed = 'hand-over-failed',
   RequestLeft = 'request-left-by-caller',
   SendFailed = 'send-failed',
   StreamResumed = 'stream-resumed',
--- a/packages/relay/src/process/serve.ts
+++ b/packages/relay/src/process/serve.ts
@@ -27,6 +27,8 @@
 /** Part of the grace period that is reserved for the exit of the process, milliseconds. */
 const EXIT_MARGIN_MILLISECONDS = 500
 const DRAIN_CHECK_MILLISECONDS = 50
+/** Headers that a peer adds to a request that it hands over, bytes at most. */
+const ADDED_HEADER_BYTES = 256
 const READY_STATUS = 200
 const NOT_READY_STATUS = 503
 
@@ -35,15 +37,22 @@
   const { log } = ports
   const link = createPeerLink((peer, reason) => log.warn(RelayEvent.PeerRefused, { peer, reason }))
   const relay = createRelay(settings, { ...ports, link })
-  const callers = createCallerListener(relay.handle, error => {
+  const reportFault = (error: unknown): void => {
     log.warn(RelayEvent.InternalFault, { reason: (error as Error).stack?.slice(0, 500) ?? String(error) })
+  }
+  const callers = createCallerListener(relay.handle, reportFault)
+  const handedOver = createCallerListener(relay.handle, reportFault, true)
+  const listeners = [callers, handedOver]
+  relay.configurationState.onChange(({ configuration: { limits } }) => {
+    callers.setLimits(limits)
+    handedOver.setLimits({ ...limits, headerBytes: limits.headerBytes + ADDED_HEADER_BYTES })
   })
-  relay.configurationState.onChange(version => callers.setLimits(version.configuration.limits))
   const readiness = createStatusListener(ports.dialect.readinessPath, () => relay.isReady() ? READY_STATUS : NOT_READY_STATUS)
   const metrics = createOperatorsListener(relay)
   await Promise.all([
     link.open(settings.listen.peers),
     listen(callers.server, settings.listen.callers),
+    listen(handedOver.server, settings.listen.peers),
     listen(readiness, settings.listen.readiness),
     listen(metrics, settings.listen.metrics)
   ])
@@ -58,19 +67,22 @@
     isStopping = true
     const startedAt = performance.now()
     const endsAt = startedAt + settings.bounds.graceSeconds * 1000 - EXIT_MARGIN_MILLISECONDS
-    log.info(RelayEvent.Stopping, { underWay: callers.inFlightRequests() })
-    callers.announceClose()
+    const inFlightRequests = (): number => listeners.reduce((sum, listener) => sum + listener.inFlightRequests(), 0)
+    log.info(RelayEvent.Stopping, { underWay: inFlightRequests() })
+    for (const listener of listeners) listener.announceClose()
     void relay.leave()
     await pauseInBackground(Math.min(BALANCER_LAG_MILLISECONDS, Math.max(0, endsAt - performance.now())))
-    callers.refuseNew()
-    callers.server.close()
-    while (callers.inFlightRequests() > 0 && performance.now() < endsAt) {
-      callers.closeIdle()
+    for (const listener of listeners) {
+      listener.refuseNew()
+      listener.server.close()
+    }
+    while (inFlightRequests() > 0 && performance.now() < endsAt) {
+      for (const listener of listeners) listener.closeIdle()
       await pauseInBackground(DRAIN_CHECK_MILLISECONDS)
     }
-    log.info(RelayEvent.Stopped, { cutOff: callers.inFlightRequests(), milliseconds: Math.round(performance.now() - startedAt) })
+    log.info(RelayEvent.Stopped, { cutOff: inFlightRequests(), milliseconds: Math.round(performance.now() - startedAt) })
     relay.stop()
-    for (const server of [callers.server, readiness, metrics]) server.closeAllConnections()
+    for (const server of [...listeners.map(listener => listener.server), readiness, metrics]) server.closeAllConnections()
     markStopped()
   }
 
--- a/packages/relay/src/process/stream-watch.ts
+++ b/packages/relay/src/process/stream-watch.ts
@@ -9,6 +9,7 @@
 import type { Directory } from './directory.js'
 import type { PathFinder } from './path-finder.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
+import type { TargetReach } from './target-reach.js'
 
 /** One stream in flight, as the watch sees it. */
 export interface WatchedRun {
@@ -85,9 +86,14 @@
   healthyPolls: number
 }
 
-/** Creates a watch that stops when the signal aborts. */
+/**
+ * Creates a watch that stops when the signal aborts.
+ * @param reach tells whether this VM is cut off from the targets of a service; silent streams are then ended, so that a peer continues
+ * them.
+ */
 export function createStreamWatch (
-  directory: Directory, engines: EngineClient, paths: PathFinder, log: RelayLog, signal: AbortSignal
+  directory: Directory, engines: EngineClient, paths: PathFinder, log: RelayLog, signal: AbortSignal,
+  reach: Pick<TargetReach, 'isCutOff' | 'check'>
 ): StreamWatch {
   const runs = new Set<WatchedRun>()
   const verifications = new Map<string, PollHistory>()
@@ -96,7 +102,11 @@
   repeatInBackground(TICK_MILLISECONDS, signal, () => {
     const now = performance.now()
     const silent = new Map<string, Target>()
-    for (const run of runs) if (now - run.lastProgressAt() > run.expectedSilence()) silent.set(incarnationOf(run.first), run.first)
+    for (const run of [...runs]) {
+      if (!isSilent(run)) continue
+      if (reach.isCutOff(run.first.service)) run.onFirstStageLost()
+      else silent.set(incarnationOf(run.first), run.first)
+    }
     for (const first of silent.values()) void pollFirstStage(first, now)
     for (const group of groupsByPath().values()) verifyPath(group, now)
   })
@@ -137,6 +147,7 @@
     const report = await engines.report(first, REPORT_TIMEOUT_MILLISECONDS)
     if (report === undefined) {
       if (directory.pauseRemaining(incarnation) > 0) return
+      void reach.check(first)
       history.missedReports += 1
       if (history.missedReports < MISSED_REPORTS_BEFORE_LOST) return
       history.missedReports = 0
--- a/packages/relay/src/process/target-answers.ts
+++ b/packages/relay/src/process/target-answers.ts
@@ -3,6 +3,7 @@
  * requests a second they take.
  */
 import type { TargetStates } from '../connection/target-client.js'
+import type { Target } from '../version/target.js'
 import type { Directory } from './directory.js'
 import type { RateLimits } from './rate-limits.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
@@ -13,8 +14,13 @@
 const MAX_PAUSE_SECONDS = 600
 const MILLISECONDS_PER_SECOND = 1000
 
-/** Creates the states that the target client reads before each send and updates with each answer. */
-export function createTargetStates (directory: Directory, limits: RateLimits, log: RelayLog): TargetStates {
+/**
+ * Creates the states that the target client reads before each send and updates with each answer.
+ * @param onSlowConnect called with a target to which a connection is slow to be established.
+ */
+export function createTargetStates (
+  directory: Directory, limits: RateLimits, log: RelayLog, onSlowConnect: (target: Target) => void = () => {}
+): TargetStates {
   function pause (incarnation: string, statedSeconds: number): void {
     if (!(statedSeconds >= 0) || statedSeconds > MAX_PAUSE_SECONDS) {
       log.warn(RelayEvent.TargetPauseFaulty, { incarnation, statedSeconds, maximumSeconds: MAX_PAUSE_SECONDS })
@@ -27,6 +33,10 @@
 
   return {
     pauseRemaining: directory.pauseRemaining,
+    onSlowConnect (incarnation) {
+      const target = directory.findIncarnation(incarnation)
+      if (target !== undefined) onSlowConnect(target)
+    },
     onSend: limits.recordSend,
     onAnswer (incarnation, status, terms) {
       directory.recordContact(incarnation)
--- a/packages/relay/src/process/target-reach.ts
+++ b/packages/relay/src/process/target-reach.ts
@@ -33,6 +33,8 @@
 const MAXIMUM_ANSWERS_IN_FULL_SAMPLE = 1
 /** How long the result of a check is used, milliseconds: losses of several targets are often noticed together. */
 const RESULT_MILLISECONDS = 100
+/** A try that takes longer, milliseconds, did not end by its own timeout in time: the process itself is late. */
+const MAXIMUM_TRY_MILLISECONDS = 200
 /** Interval at which a VM that is cut off tries one target, milliseconds. */
 const RETRY_INTERVAL_MILLISECONDS = 300
 
@@ -49,13 +51,19 @@
       .map(target => ({ target, rank: nextFloat() })).sort((a, b) => a.rank - b.rank).map(({ target }) => target)
   }
 
+  /** Whether a target answers, or this process was too busy to tell. */
+  async function mayAnswer (target: Target): Promise<boolean> {
+    const startedAt = performance.now()
+    return await engines.isAnswering(target) || performance.now() - startedAt > MAXIMUM_TRY_MILLISECONDS
+  }
+
   async function sample (service: string, unreachable?: Target): Promise<boolean> {
     const targets = shuffledTargets(service, unreachable).slice(0, SAMPLE_SIZE)
     if (targets.length === 0) return cutOff.has(service)
     let answers = 0
     for (const [index, size] of SAMPLE_STEPS.entries()) {
       const step = targets.slice(sumOf(SAMPLE_STEPS.slice(0, index)), sumOf(SAMPLE_STEPS.slice(0, index + 1)))
-      const results = await Promise.all(step.map(async target => await engines.isAnswering(target)))
+      const results = await Promise.all(step.map(mayAnswer))
       answers += results.filter(isAnswering => isAnswering).length
       if (answers > (index === SAMPLE_STEPS.length - 1 && step.length === size ? MAXIMUM_ANSWERS_IN_FULL_SAMPLE : 0)) return false
     }
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -7,7 +7,7 @@
 import type { Dialect } from '../connection/dialect.js'
 import { createEngineClient } from '../connection/engine-client.js'
 import type { PeerLink } from '../connection/peer-link.js'
-import { createTargetClient } from '../connection/target-client.js'
+import { createTargetClient, type TargetStates } from '../connection/target-client.js'
 import type { RequestDependencies } from '../request/context.js'
 import { handleExchange } from '../request/handle.js'
 import type { RelayConfiguration } from '../version/configuration.js'
@@ -22,6 +22,7 @@
 import { createCoordinatorLease } from './placement/lease.js'
 import { createPlanner } from './placement/planner.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
+import { createPeerChoice } from './peer-choice.js'
 import { createPeers, type Peer } from './peers.js'
 import { SubjectKind } from './content-evidence.js'
 import { createContentQuarantine, type ContentQuarantine } from './content-quarantine.js'
@@ -35,7 +36,7 @@
 import { createStreamWatch } from './stream-watch.js'
 import { createTargetStates } from './target-answers.js'
 import { createTargetEnds } from './target-ends.js'
-import { createTargetReach } from './target-reach.js'
+import { createTargetReach, type TargetReach } from './target-reach.js'
 
 /** Dependencies of a process on its environment. */
 export interface RelayPorts {
@@ -94,6 +95,8 @@
 /** Assumed number of running VMs per listed VM: a process whose calls the store rejects may not have listed new VMs yet. */
 const RUNNING_VMS_PER_LISTED_VM = 4 / 3
 
+/** Peers name no pauses and no limits for the requests that are handed over to them. */
+const STATELESS: TargetStates = { pauseRemaining: () => 0, onSlowConnect () {}, onSend () {}, onAnswer () {} }
 const QUARANTINE_GAUGES = { prompt_parts_quarantined: SubjectKind.PromptPart, requests_quarantined: SubjectKind.Request }
 
 /** Builds a relay process. */
@@ -112,10 +115,11 @@
   const limits = createRateLimits({ ownVm: self.vm, sendersTo, log })
   const sendWait = (incarnation: string): number => Math.max(directory.pauseRemaining(incarnation), limits.waitFor(incarnation))
   const paths = createPathFinder(directory, load, ports.nextFloat, sendWait)
-  const targets = createTargetClient(dialect, createTargetStates(directory, limits, log))
+  const targets = createTargetClient(dialect, createTargetStates(directory, limits, log, target => { void reach.check(target) }))
   const engines = createEngineClient(dialect, targets)
-  const watch = createStreamWatch(directory, engines, paths, log, stopped.signal)
-  const reach = createTargetReach(directory, engines, log, stopped.signal, ports.nextFloat)
+  const peerRequests = createTargetClient(dialect, STATELESS)
+  const reach: TargetReach = createTargetReach(directory, engines, log, stopped.signal, ports.nextFloat)
+  const watch = createStreamWatch(directory, engines, paths, log, stopped.signal, reach)
   const peers = createPeers({
     self,
     keyPrefix: PEER_PREFIX,
@@ -186,6 +190,8 @@
     sendWait,
     targetEnds: createTargetEnds(directory, engines),
     reach,
+    peerChoice: createPeerChoice(peers, settings.node.failureDomain, ports.nextFloat),
+    peerRequests,
     contentQuarantine,
     repeats,
     watch,
@@ -200,7 +206,11 @@
   let shownVersion: number | undefined
   registerGauges()
   // A VM that is cut off from targets can neither see nor order them; another one plans their placement.
-  reach.onChange((_service, isCutOff) => { if (isCutOff) void lease.release() })
+  reach.onChange((service, isCutOff) => {
+    if (!isCutOff) return
+    void lease.release()
+    targets.abandonConnects(incarnation => directory.findIncarnation(incarnation)?.service === service)
+  })
   era.onRise(() => directory.startRestore())
   configurationState.onBehind(() => { void freshness.refresh() })
 
@@ -295,6 +305,7 @@
     stop () {
       stopped.abort()
       targets.close()
+      peerRequests.close()
       ports.link.close()
     }
   }
--- a/packages/relay/src/request/context.ts
+++ b/packages/relay/src/request/context.ts
@@ -11,6 +11,7 @@
 import type { Load } from '../process/load.js'
 import type { PathFinder } from '../process/path-finder.js'
 import type { ContentQuarantine, RequestContent } from '../process/content-quarantine.js'
+import type { PeerChoice } from '../process/peer-choice.js'
 import type { RelayLog } from '../process/relay-log.js'
 import type { Repeats } from '../process/repeat-loans.js'
 import type { StreamWatch } from '../process/stream-watch.js'
@@ -33,6 +34,9 @@
   sendWait: (incarnation: string) => number
   targetEnds: TargetEnds
   reach: TargetReach
+  peerChoice: PeerChoice
+  /** Sends requests to peers that handle them in place of this VM. */
+  peerRequests: Pick<TargetClient, 'send'>
   contentQuarantine: ContentQuarantine
   repeats: Repeats
   watch: StreamWatch
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -33,6 +33,8 @@
   /** HTTP status of the answer; 0 if none arrived. */
   status: number
   reason: string
+  /** The target to which no connection was established. */
+  unreachable?: Target
   /** Whether this relay itself ended the run, and not the target or the caller. */
   isAborted?: boolean
   /** Address of the stage that caused the end of the run. */
@@ -57,7 +59,8 @@
   isHeadSent: boolean
 }
 
-type AnsweredSend = Extract<SendOutcome, { kind: SendResult.Answered }>
+/** A send whose answer has begun. */
+export type AnsweredSend = Extract<SendOutcome, { kind: SendResult.Answered }>
 
 /** Size limit of answers that are not event streams: these are errors and refusals, which are short. */
 const NON_STREAM_ANSWER_BYTES_LIMIT = 1_048_576
@@ -136,7 +139,8 @@
         dependencies.directory.suspect(firstTarget, UNREACHABLE_SUSPICION_MILLISECONDS, outcome.reason, { isLoss: true })
       }
       const end = outcome.kind === SendResult.Unknown ? RunEnd.Broken : RunEnd.NotSent
-      return { end, status: 0, reason: state.reason || outcome.reason, isAborted: state.reason !== '' }
+      const unreachable = outcome.kind === SendResult.NotSent ? firstTarget : undefined
+      return { end, status: 0, reason: state.reason || outcome.reason, unreachable, isAborted: state.reason !== '' }
     }
     const { response, terms } = outcome
     if (response.statusCode !== SUCCESS_STATUS || !terms.isEventStream || !terms.isSealed) {
@@ -144,7 +148,11 @@
     }
     send.state = SendState.MayHaveRun
     progress.presentRun = AnswerProgress.Head
-    const run = await forwardEvents(request, firstTarget, outcome, progress, dependencies, recordProgress, () => state.reason)
+    const run = await forwardEvents(request, outcome, progress, dependencies, {
+      onProgress: recordProgress,
+      abortReason: () => state.reason,
+      isSenderAlive: async () => await dependencies.engines.isAlive(firstTarget)
+    })
     return { ...run, isAborted: state.reason !== '' }
   } finally {
     clearTimeout(timer)
@@ -188,9 +196,19 @@
   return { end: RunEnd.Refused, status, reason, faultyAddress: terms.faultyAddress }
 }
 
-function forwardEvents (
-  request: AdmittedRequest, firstTarget: Target, answer: AnsweredSend, progress: EventsProgress, dependencies: RequestDependencies,
-  onProgress: () => void, abortReason: () => string
+/** How a run follows the forwarding of its events. */
+export interface EventForwarding {
+  onProgress: () => void
+  /** @returns why the run was aborted; empty if it was not. */
+  abortReason: () => string
+  /** Whether the sender of an answer without a length still runs, so that the end of its connection is the end of the answer. */
+  isSenderAlive: () => Promise<boolean>
+}
+
+/** Forwards the events of an answer to the caller as they arrive, until the answer ends. */
+export function forwardEvents (
+  request: AdmittedRequest, answer: AnsweredSend, progress: EventsProgress, dependencies: RequestDependencies,
+  { onProgress, abortReason, isSenderAlive }: EventForwarding
 ): Promise<RunOutcome> {
   const caller = request.exchange.response
   const { response } = answer
@@ -232,7 +250,7 @@
       if (isFinished) return
       if (!response.complete || splitter.hasRemainder()) return finish(RunEnd.Broken, 'the answer ended within an event')
       if (hasLength(response)) return finishComplete()
-      void Promise.all([answer.isEndConfirmed(), dependencies.engines.isAlive(firstTarget)]).then(([isConfirmed, isAlive]) => {
+      void Promise.all([answer.isEndConfirmed(), isSenderAlive()]).then(([isConfirmed, isAlive]) => {
         if (isFinished) return
         if (isConfirmed && isAlive) finishComplete()
         else finish(RunEnd.Broken, 'the connection was reset, or the target no longer answers: the answer may be incomplete')
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -10,6 +10,7 @@
 import { Refusal } from './refusal.js'
 import { ANSWER_TRANSIT_MILLISECONDS, contentOf, remainingTime, type AdmittedRequest, type RequestDependencies } from './context.js'
 import { AnswerProgress, RunEnd, runEvents, type EventsProgress, type RunOutcome } from './event-run.js'
+import { handOverEvents } from './hand-over.js'
 import { createAttemptLedger } from './ledger.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields } from './outcome.js'
 import { commonPause } from './pauses.js'
@@ -48,6 +49,11 @@
     if (exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies, { arrivals: ledger.possibleArrivals(), detail })
     if (remainingTime(request) <= ANSWER_TRANSIT_MILLISECONDS) return refuse(request, dependencies, ledger, Refusal.TimedOut, detail)
     if (!ledger.maySendAgain()) break
+    if (dependencies.reach.isCutOff(request.service.name)) {
+      if (await handOverEvents(request, dependencies, ledger, progress)) return
+      await pause(NO_PATH_PAUSE_MILLISECONDS)
+      continue
+    }
     const quarantine = progress.isHeadSent ? undefined : dependencies.contentQuarantine.find(contentOf(request))
     if (quarantine !== undefined) return refuseQuarantined(request, dependencies, ledger, quarantine)
     const path = findPath(
@@ -97,6 +103,7 @@
     recordBrokenRun(request, dependencies, path, outcome, progress)
     avoidFaultyStage(outcome, path, avoided, avoidedFirstStages)
     if (outcome.end === RunEnd.Failed) break
+    if (outcome.end === RunEnd.NotSent && outcome.unreachable !== undefined) await dependencies.reach.check(outcome.unreachable)
     if (outcome.end !== RunEnd.Broken || outcome.isAborted === true || progress.presentRun === AnswerProgress.Events) continue
     const lost = { incarnation: path.incarnations[0]!, sentAt, hasHead: progress.presentRun === AnswerProgress.Head }
     if (!await mayRepeatAfterLoss(request, dependencies, lost) && !progress.isHeadSent) break
--- a/packages/relay/src/request/handle.ts
+++ b/packages/relay/src/request/handle.ts
@@ -39,7 +39,8 @@
     })
     return
   }
-  dependencies.repeats.recordRequest(admitted.service.name)
+  // The VM that the caller sent the request to has counted it.
+  if (!exchange.isHandedOver) dependencies.repeats.recordRequest(admitted.service.name)
   await RELAY_BY_FORM[admitted.route.form](admitted, dependencies)
 }
 
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -9,10 +9,12 @@
 import { incarnationOf, type Target } from '../version/target.js'
 import { Refusal } from './refusal.js'
 import { ANSWER_TRANSIT_MILLISECONDS, contentOf, remainingTime, type AdmittedRequest, type RequestDependencies } from './context.js'
+import { handOverSingleBody } from './hand-over.js'
 import { mayRepeatAfterLoss, rankForSuspect, refuseQuarantined } from './lost-target.js'
 import { SendState, createAttemptLedger, type Send } from './ledger.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields } from './outcome.js'
 import { commonPause } from './pauses.js'
+import { writeBody } from './write-body.js'
 
 /**
  * Share of the remaining time given to a send of an idempotent request, so that another target can still answer. It applies while no
@@ -61,16 +63,24 @@
   const isIdempotent = request.route.repeat === RepeatRule.Idempotent
   const ledger = createAttemptLedger(isIdempotent, request.route.maximumTargets)
   let firstServerError: BufferedAnswer | undefined
+  let unreachable: Target | undefined
   let detail = 'no target'
   for (;;) {
     if (request.exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies)
     if (remainingTime(request) <= MINIMUM_SEND_MILLISECONDS) return refuse(request, dependencies, ledger, Refusal.TimedOut, detail)
+    if (dependencies.reach.isCutOff(request.service.name)) {
+      if (firstServerError !== undefined) return forwardAnswer(request, dependencies, firstServerError, ledger.possibleArrivals())
+      return await handOverSingleBody(request, dependencies, ledger)
+    }
     // `allowedTargets` returns a set only if the limit of targets is reached. All targets in that set have been tried.
     if (!ledger.maySendAgain() || ledger.allowedTargets(() => false) !== undefined) break
     const quarantine = dependencies.contentQuarantine.find(contentOf(request))
     if (quarantine !== undefined) return refuseQuarantined(request, dependencies, ledger, quarantine)
     const target = chooseTarget(request, dependencies, ledger.targetIncarnations())
-    if (target === undefined) break
+    if (target === undefined) {
+      if (unreachable !== undefined && await dependencies.reach.check(unreachable)) continue
+      break
+    }
     if (ledger.possibleArrivals() > 0 && !await dependencies.repeats.take(request.service.name)) {
       detail += '; the repeat budget is used up'
       break
@@ -82,6 +92,7 @@
     )
     if ('reason' in answerOrFailure) {
       detail = answerOrFailure.reason
+      if (send.state === SendState.NotSent) unreachable = target
       if (send.state !== SendState.MayHaveRun || answerOrFailure.isAborted) continue
       if (!await mayRepeatAfterLoss(request, dependencies, { incarnation: send.targetIncarnation, sentAt, hasHead: false })) break
       continue
@@ -222,11 +233,6 @@
   const { response } = request.exchange
   const status = answer.response.statusCode ?? 502
   if (response.destroyed) return recordCallerLeft(request, dependencies)
-  const hasNoBody = status === 204 || status === 304
-  const headers = dependencies.dialect.answerHeaders(answer.response.rawHeaders)
-  if (!hasNoBody) headers.push('Content-Length', String(answer.body.length))
-  if (response.hasHeader('Connection')) headers.push('Connection', 'close')
-  response.writeHead(status, headers as unknown as Record<string, string>)
-  response.end(answer.body)
+  writeBody(request, dependencies, answer.response, answer.body)
   recordAnswered(request, dependencies, { status, target: answer.target.id, arrivals })
 }
--- a/packages/relay/test/connection/endless-answers.spec.ts
+++ b/packages/relay/test/connection/endless-answers.spec.ts
@@ -59,7 +59,7 @@
 for (const { name, start, repeated } of CASES) {
   endless(`${name}: closed at a bound, and no answer`, async () => {
     const { server, address, sentBytes } = await listen(start, repeated)
-    const client = createTargetClient(PLAIN_DIALECT, { pauseRemaining: () => 0, onSend () {}, onAnswer () {} })
+    const client = createTargetClient(PLAIN_DIALECT, { pauseRemaining: () => 0, onSlowConnect () {}, onSend () {}, onAnswer () {} })
     const deadline = new AbortController()
     const timer = setTimeout(() => deadline.abort(), 5000)
     const outcome = await client.send({
--- a/packages/relay/test/connection/target-client.spec.ts
+++ b/packages/relay/test/connection/target-client.spec.ts
@@ -62,7 +62,7 @@
 }
 
 /** States of targets that want everything, and whose answers change nothing. */
-const UNPAUSED: TargetStates = { pauseRemaining: () => 0, onSend () {}, onAnswer () {} }
+const UNPAUSED: TargetStates = { pauseRemaining: () => 0, onSlowConnect () {}, onSend () {}, onAnswer () {} }
 
 const sends = suite('sends to a target')
 
@@ -132,6 +132,7 @@
     const statements: unknown[] = []
     const client = createTargetClient(PLAIN_DIALECT, {
       pauseRemaining: () => 0,
+      onSlowConnect () {},
       onSend () {},
       onAnswer: (incarnation, answerStatus, terms) => { statements.push([incarnation, answerStatus, terms.isLeaving, terms.pauseSeconds]) }
     })
@@ -146,7 +147,7 @@
   let connections = 0
   const { server, address } = await listen(() => {})
   server.on('connection', () => { connections += 1 })
-  const client = createTargetClient(PLAIN_DIALECT, { pauseRemaining: () => 700, onSend () {}, onAnswer () {} })
+  const client = createTargetClient(PLAIN_DIALECT, { pauseRemaining: () => 700, onSlowConnect () {}, onSend () {}, onAnswer () {} })
   assert.is((await client.send(createCall(address))).kind, SendResult.Withheld)
   assert.is(connections, 0)
   client.close()
--- a/packages/relay/test/fleet.ts
+++ b/packages/relay/test/fleet.ts
@@ -4,9 +4,10 @@
  */
 import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { createCallerListener, incarnationOf, type CallerListener, type Relay, type Target } from '@wigeonlead/relay'
+import { createCallerListener, incarnationOf, splitAddress, type CallerListener, type Relay, type Target } from '@wigeonlead/relay'
 import { createTargetGates, type CutForm, type TargetGates } from './target-gates.js'
 import { joinLinks } from './joined-links.js'
+import { LoopbackUse, loopbackHost } from './loopback.js'
 import { createRestoredStore, type RestoredStore } from './properties/restored-store.js'
 import { testTarget } from './test-engine.js'
 import { createStoreRelay } from './test-relay.js'
@@ -49,14 +50,27 @@
 interface VmProcess {
   relay: Relay
   callers: CallerListener
+  /** Takes requests that peers hand over. */
+  handedOver: CallerListener
   address: string
 }
 
 const REPORT = '{"stalled":[],"slowness":1,"bornAtMilliseconds":1,"ordersAccepted":0}'
 
-async function listen (server: Server, port = 0): Promise<string> {
-  await new Promise<void>(resolve => { server.listen(port, '127.0.0.1', resolve) })
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+async function listen (server: Server, host: string, port = 0): Promise<string> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  return `${host}:${(server.address() as AddressInfo).port}`
+}
+
+/** @returns different addresses for the peer listeners, whose ports are free. */
+async function drawPeerAddresses (count: number): Promise<string[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  const addresses = await Promise.all(servers.map(async server => await listen(server, loopbackHost(LoopbackUse.Peers))))
+  await Promise.all(servers.map(async server => await new Promise(resolve => { server.close(resolve) })))
+  return addresses
 }
 
 async function until (condition: () => boolean): Promise<void> {
@@ -74,7 +88,8 @@
 ): Promise<void> {
   const store = createRestoredStore()
   const names = Array.from({ length: vmCount }, (_, index) => `vm-${index}`)
-  const links = joinLinks(names)
+  const peerAddresses = await drawPeerAddresses(vmCount)
+  const links = joinLinks(peerAddresses)
   store.put('configuration', '1')
   const targets: TargetProcess[] = []
   for (let index = 0; index < targetCount; index++) {
@@ -86,7 +101,7 @@
       })
     })
     const layers = service === 'model' ? { from: 0, to: 80 } : undefined
-    const target = testTarget(`t${index}`, layers, { service, address: await listen(server), acceleratorKind: undefined })
+    const target = testTarget(`t${index}`, layers, { service, address: await listen(server, loopbackHost(LoopbackUse.Targets)), acceleratorKind: undefined })
     targets.push({ index, server, target, isAlive: true })
     publish(targets[index]!)
   }
@@ -115,17 +130,22 @@
   }
 
   async function startVm (name: string): Promise<VmProcess> {
-    const relay = createStoreRelay(name, store, links.get(name)!, gates.get(name)?.through)
-    const callers = createCallerListener(relay.handle, error => { throw error })
-    const address = await listen(callers.server)
+    const peerAddress = peerAddresses[names.indexOf(name)]!
+    const relay = createStoreRelay(name, store, links.get(peerAddress)!, { peerAddress, addressOf: gates.get(name)?.through })
+    const onFault = (error: unknown): never => { throw error }
+    const [callers, handedOver] = [createCallerListener(relay.handle, onFault), createCallerListener(relay.handle, onFault, true)]
+    const address = await listen(callers.server, '127.0.0.1')
+    await listen(handedOver.server, ...splitAddress(peerAddress))
     relay.start()
-    return { relay, callers, address }
+    return { relay, callers, handedOver, address }
   }
 
-  function stopVm ({ relay, callers }: VmProcess): void {
+  function stopVm ({ relay, callers, handedOver }: VmProcess): void {
     relay.stop()
-    callers.server.closeAllConnections()
-    callers.server.close()
+    for (const { server } of [callers, handedOver]) {
+      server.closeAllConnections()
+      server.close()
+    }
   }
 
   let nextRequest = 1
@@ -166,8 +186,7 @@
     },
     async reviveTargets () {
       for (const process of targets.filter(({ isAlive }) => !isAlive)) {
-        const port = Number(process.target.address.split(':')[1])
-        await listen(process.server, port)
+        await listen(process.server, ...splitAddress(process.target.address))
         process.isAlive = true
         process.target = { ...process.target, bornAtMilliseconds: process.target.bornAtMilliseconds + 1 }
         publish(process)
--- a/packages/relay/test/known-red/partitioned-vms.ts
+++ b/packages/relay/test/partitioned-vms.spec.ts
@@ -5,8 +5,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { withFleet, type Fleet, type FleetAnswer } from '../fleet.js'
-import { CutForm } from '../target-gates.js'
+import { withFleet, type Fleet, type FleetAnswer } from './fleet.js'
+import { CutForm } from './target-gates.js'
 
 const VMS = 4
 const TARGETS = 6
--- a/packages/relay/test/plain-dialect.ts
+++ b/packages/relay/test/plain-dialect.ts
@@ -5,6 +5,8 @@
 
 const CONNECTION_HEADERS = /^(content-length|transfer-encoding|connection)$/i
 
+const TERMS_HEADERS = /^(content-length|transfer-encoding|connection|x-wait|last-event-id)$/i
+
 /** Reads and writes only the fields that the tests check. */
 export const PLAIN_DIALECT: Dialect = {
   readCaller: headers => ({
@@ -20,6 +22,11 @@
     ...withoutConnectionHeaders(rawHeaders), 'X-Target', terms.targetId, 'X-Wait', String(terms.waitMilliseconds),
     ...(terms.lastEvent === undefined ? [] : ['X-Last', String(terms.lastEvent)])
   ],
+  writeHandOverHeaders: (rawHeaders, terms) => [
+    ...rawHeaders.filter((_, index) => !TERMS_HEADERS.test(rawHeaders[index - index % 2]!)),
+    'X-Wait', String(terms.waitMilliseconds),
+    ...(terms.lastEvent === undefined ? [] : ['Last-Event-Id', String(terms.lastEvent)])
+  ],
   readAnswer: headers => ({
     requestId: headers['x-request'] as string | undefined,
     isSealed: headers['x-seal'] !== undefined,
--- a/packages/relay/test/process/stream-watch.spec.ts
+++ b/packages/relay/test/process/stream-watch.spec.ts
@@ -10,6 +10,7 @@
   type Target, type TargetReport, type WatchedRun
 } from '@wigeonlead/relay'
 import { testTarget } from '../test-engine.js'
+import { FULL_REACH } from '../test-target-reach.js'
 
 const TARGETS = [testTarget('t1', { from: 0, to: 30 }), testTarget('t2', { from: 30, to: 60 }), testTarget('t3', { from: 60, to: 80 })]
 
@@ -60,7 +61,8 @@
     },
     isReachable: async (target: Target) => fixture.slow.has(target.id)
   } as unknown as EngineClient
-  const watch = createStreamWatch(directory, engines, createPathFinder(directory, createLoad(), () => 0.5), SILENT_RELAY_LOG, stop.signal)
+  const paths = createPathFinder(directory, createLoad(), () => 0.5)
+  const watch = createStreamWatch(directory, engines, paths, SILENT_RELAY_LOG, stop.signal, FULL_REACH)
   fixture.add = (count, lastProgress, first = TARGETS[0]!) => {
     for (let index = 0; index < count; index++) {
       const run: WatchedRun = {
--- a/packages/relay/test/process/target-ends.spec.ts
+++ b/packages/relay/test/process/target-ends.spec.ts
@@ -38,7 +38,9 @@
     const directory = createDirectory(SILENT_RELAY_LOG, 'east')
     const target = testTarget('t1', { from: 0, to: 80 }, { address, bornAtMilliseconds: BORN })
     directory.put(target)
-    const client = createTargetClient(PLAIN_DIALECT, { pauseRemaining: () => pauseMilliseconds, onSend () {}, onAnswer () {} })
+    const client = createTargetClient(PLAIN_DIALECT, {
+      pauseRemaining: () => pauseMilliseconds, onSlowConnect () {}, onSend () {}, onAnswer () {}
+    })
     const targetEnds = createTargetEnds(directory, createEngineClient(PLAIN_DIALECT, client))
     try {
       const [first, second] = await Promise.all([targetEnds.hasEnded(target), targetEnds.hasEnded(target)])
--- a/packages/relay/test/target-gates.ts
+++ b/packages/relay/test/target-gates.ts
@@ -3,6 +3,7 @@
  */
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { splitAddress } from '@wigeonlead/relay'
+import { LoopbackUse, loopbackHost } from './loopback.js'
 
 /** What a cut does to connections. */
 export enum CutForm {
@@ -39,7 +40,7 @@
   function serve (gate: Gate): Promise<void> {
     return new Promise(resolve => {
       gate.server = createServer(socket => { accept(gate, socket) })
-      gate.server.listen(gate.port, '127.0.0.1', () => {
+      gate.server.listen(gate.port, loopbackHost(LoopbackUse.Gates), () => {
         gate.port = (gate.server.address() as AddressInfo).port
         resolve()
       })
@@ -63,7 +64,7 @@
   }
 
   return {
-    through: address => `127.0.0.1:${gates.get(address)!.port}`,
+    through: address => `${loopbackHost(LoopbackUse.Gates)}:${gates.get(address)!.port}`,
     async open (targets) {
       for (const target of targets) {
         if (gates.has(target)) continue
--- a/packages/relay/test/test-relay.ts
+++ b/packages/relay/test/test-relay.ts
@@ -17,6 +17,7 @@
     node: { vm, failureDomain: 'east', ip: '127.0.0.1' },
     listen: { callers: '127.0.0.1:1', readiness: '127.0.0.1:1', peers: '127.0.0.1:1', metrics: '127.0.0.1:1' },
     store: { address: '127.0.0.1:1' },
+    bounds: { repeatExtra: 200 },
     failureDomains: ['east']
   }, 'test')
   if (!checked.ok) throw new Error(checked.faults.join())
@@ -25,13 +26,16 @@
 
 /**
  * Creates the relay of one VM, whose targets are listed in the store as JSON. It is not started.
- * @param addressOf the address at which this VM reaches a target; by default the listed one.
+ * @param options.peerAddress address of its peer link; by default its name.
+ * @param options.addressOf the address at which this VM reaches a target; by default the listed one.
  */
 export function createStoreRelay (
-  vm: string, store: RestoredStore, link: PeerLink, addressOf: (listed: string) => string = listed => listed
+  vm: string, store: RestoredStore, link: PeerLink,
+  { peerAddress = vm, addressOf = listed => listed }: { peerAddress?: string, addressOf?: (listed: string) => string } = {}
 ): Relay {
   const era = createStoreEra(SILENT_RELAY_LOG)
-  return createRelay(testRelaySettings(vm), {
+  const settings = testRelaySettings(vm)
+  return createRelay({ ...settings, listen: { ...settings.listen, peers: peerAddress } }, {
     store: store.clientFor(vm, era.admit),
     era,
     dialect: PLAIN_DIALECT,
