Try targets of several failure domains before a VM counts as cut off

A sample drawn from all targets alike takes the loss of the own network to other failure domains for a cut from all targets in one case of five (a third of the targets answers; three tries fail with a chance of 0.3, and five of six with 0.2). Tries now take the failure domains in turn, the own one first. target-reach.spec has the cases: own domain ended, another ended, the own one cut off from the others, one target in three ended.

--- a/packages/relay/src/process/target-reach.ts
+++ b/packages/relay/src/process/target-reach.ts
@@ -38,17 +38,37 @@
 /** Interval at which a VM that is cut off tries one target, milliseconds. */
 const RETRY_INTERVAL_MILLISECONDS = 300
 
+/** Dependencies of the reach. */
+export interface TargetReachDependencies {
+  ownFailureDomain: string
+  directory: Directory
+  engines: Pick<EngineClient, 'isAnswering'>
+  log: RelayLog
+  signal: AbortSignal
+  nextFloat: () => number
+}
+
 /** Creates the state of a VM that reaches all targets. */
 export function createTargetReach (
-  directory: Directory, engines: Pick<EngineClient, 'isAnswering'>, log: RelayLog, signal: AbortSignal, nextFloat: () => number
+  { ownFailureDomain, directory, engines, log, signal, nextFloat }: TargetReachDependencies
 ): TargetReach {
   const cutOff = new Set<string>()
   const checks = new Map<string, { result: Promise<boolean>, isRunning: boolean }>()
   const listeners: Array<(service: string, isCutOff: boolean) => void> = []
 
-  function shuffledTargets (service: string, excluded?: Target): Target[] {
+  /**
+   * @returns targets in random order, one of each failure domain in turn, the own one first: where a failure domain is lost, or all others
+   * are, the first few still include one that answers.
+   */
+  function drawTargets (service: string, excluded?: Target): Target[] {
+    const counts = new Map<string, number>()
     return directory.listed(service).filter(target => !target.isLeaving && target.id !== excluded?.id)
-      .map(target => ({ target, rank: nextFloat() })).sort((a, b) => a.rank - b.rank).map(({ target }) => target)
+      .map(target => ({ target, rank: nextFloat() })).sort((a, b) => a.rank - b.rank)
+      .map(({ target, rank }) => {
+        const round = counts.get(target.failureDomain) ?? 0
+        counts.set(target.failureDomain, round + 1)
+        return { target, rank: round + (target.failureDomain === ownFailureDomain ? 0 : rank) }
+      }).sort((a, b) => a.rank - b.rank).map(({ target }) => target)
   }
 
   /** Whether a target answers, or this process was too busy to tell. */
@@ -58,7 +78,7 @@
   }
 
   async function sample (service: string, unreachable?: Target): Promise<boolean> {
-    const targets = shuffledTargets(service, unreachable).slice(0, SAMPLE_SIZE)
+    const targets = drawTargets(service, unreachable).slice(0, SAMPLE_SIZE)
     if (targets.length === 0) return cutOff.has(service)
     let answers = 0
     for (const [index, size] of SAMPLE_STEPS.entries()) {
@@ -101,7 +121,8 @@
   }
 
   async function retry (service: string): Promise<void> {
-    const [target] = shuffledTargets(service)
+    const targets = directory.listed(service)
+    const target = targets[Math.floor(nextFloat() * targets.length)]
     if (target !== undefined && await engines.isAnswering(target)) await startCheck(service)
   }
 
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -118,7 +118,9 @@
   const targets = createTargetClient(dialect, createTargetStates(directory, limits, log, target => { void reach.check(target) }))
   const engines = createEngineClient(dialect, targets)
   const peerRequests = createTargetClient(dialect, STATELESS)
-  const reach: TargetReach = createTargetReach(directory, engines, log, stopped.signal, ports.nextFloat)
+  const reach: TargetReach = createTargetReach({
+    ownFailureDomain: settings.node.failureDomain, directory, engines, log, signal: stopped.signal, nextFloat: ports.nextFloat
+  })
   const watch = createStreamWatch(directory, engines, paths, log, stopped.signal, reach)
   const peers = createPeers({
     self,
--- a/packages/relay/test/process/target-reach.spec.ts
+++ b/packages/relay/test/process/target-reach.spec.ts
@@ -20,9 +20,14 @@
   changes: boolean[]
 }
 
+const DOMAINS = ['east', 'north', 'west']
+
+/** Creates a VM in the failure domain `east`, and targets in all three. */
 function createVm (targetCount: number, seed: number, signal: AbortSignal): Vm {
   const directory = createDirectory(SILENT_RELAY_LOG, 'east')
-  const targets = Array.from({ length: targetCount }, (_, index) => testTarget(`t${index}`, { from: 0, to: 80 }))
+  const targets = Array.from({ length: targetCount }, (_, index) => testTarget(`t${index}`, { from: 0, to: 80 }, {
+    failureDomain: DOMAINS[index % DOMAINS.length]!
+  }))
   for (const target of targets) directory.put(target)
   const answering = new Set(targets.map(({ id }) => id))
   const random = createSeededRandom(seed)
@@ -34,7 +39,9 @@
       return answering.has(id)
     }
   }
-  const reach = createTargetReach(directory, engines, SILENT_RELAY_LOG, signal, () => random.nextFloat())
+  const reach = createTargetReach({
+    ownFailureDomain: 'east', directory, engines, log: SILENT_RELAY_LOG, signal, nextFloat: () => random.nextFloat()
+  })
   reach.onChange((_service, isCutOff) => { changes.push(isCutOff) })
   return { reach, directory, targets, answering, tries: () => tries, changes }
 }
@@ -43,32 +50,37 @@
 interface Case {
   name: string
   targets: number
-  unreachable: number
+  /** Whether the target of this number and failure domain answers. */
+  answers: (index: number, failureDomain: string) => boolean
   isCutOff: boolean
   /** Of a hundred VMs with other random choices, how many at most may decide otherwise. */
   maximumErrors?: number
 }
 
 const CASES: Case[] = [
-  { name: 'one target of 33 has ended', targets: 33, unreachable: 1, isCutOff: false },
-  { name: 'a failure domain with a third of 33 targets has ended', targets: 33, unreachable: 11, isCutOff: false, maximumErrors: 5 },
-  { name: 'no target of 33 answers', targets: 33, unreachable: 33, isCutOff: true },
-  { name: 'one target of 33 still answers', targets: 33, unreachable: 32, isCutOff: true, maximumErrors: 15 },
-  { name: 'two of three targets have ended', targets: 3, unreachable: 2, isCutOff: false },
-  { name: 'no target of three answers', targets: 3, unreachable: 3, isCutOff: true },
-  { name: 'the only target has ended', targets: 1, unreachable: 1, isCutOff: false }
+  { name: 'one target of 33 has ended', targets: 33, answers: index => index > 0, isCutOff: false },
+  { name: 'its own failure domain has ended', targets: 33, answers: (_, domain) => domain !== 'east', isCutOff: false },
+  { name: 'another failure domain has ended', targets: 33, answers: (_, domain) => domain !== 'west', isCutOff: false },
+  { name: 'its failure domain is cut off from the others', targets: 33, answers: (_, domain) => domain === 'east', isCutOff: false },
+  { name: 'every third target has ended', targets: 33, answers: index => index % 9 > 2, isCutOff: false, maximumErrors: 5 },
+  { name: 'no target of 33 answers', targets: 33, answers: () => false, isCutOff: true },
+  { name: 'one target of 33 still answers', targets: 33, answers: index => index === 7, isCutOff: true, maximumErrors: 15 },
+  { name: 'two of three targets have ended', targets: 3, answers: index => index === 2, isCutOff: false },
+  { name: 'no target of three answers', targets: 3, answers: () => false, isCutOff: true },
+  { name: 'the only target has ended', targets: 1, answers: () => false, isCutOff: false }
 ]
 
 const reaches = suite('reach of targets')
 
-for (const { name, targets: count, unreachable, isCutOff, maximumErrors = 0 } of CASES) {
+for (const { name, targets: count, answers, isCutOff, maximumErrors = 0 } of CASES) {
   reaches(`${name}: the VM is ${isCutOff ? '' : 'not '}cut off`, async () => {
     let errors = 0
     for (let seed = 0; seed < 100; seed++) {
       const stopped = new AbortController()
       const { reach, targets, answering } = createVm(count, seed, stopped.signal)
-      for (const { id } of targets.slice(0, unreachable)) answering.delete(id)
-      if (await reach.check(targets[0]!) !== isCutOff) errors += 1
+      for (const [index, { id, failureDomain }] of targets.entries()) if (!answers(index, failureDomain)) answering.delete(id)
+      const unreachable = targets.find(({ id }) => !answering.has(id))!
+      if (await reach.check(unreachable) !== isCutOff) errors += 1
       stopped.abort()
     }
     assert.ok(errors <= maximumErrors, `${errors} of 100 decided otherwise`)
