Report losses of targets only while most targets answer

One answer, of the one target left, had ended the check of a first loss, and its result was used for the losses that followed.

From three losses on, a check tries six targets whatever the first answer is, and losses are told only if half of them answer, or all of the own failure domain (then a whole domain sees the cut). A result for a single loss is not used for several. target-reach.spec: a VM that loses all targets but one, one after the other, reports none with any of 100 seeds; a VM whose domain is cut off from the others still tells its peers there.

--- a/packages/relay/src/process/directory.ts
+++ b/packages/relay/src/process/directory.ts
@@ -70,6 +70,8 @@
   millisecondsSinceContact: (incarnation: string) => number
   /** Keeps new work away from a target for a time. If it is already suspected, the later expiry wins. */
   suspect: (target: Target, milliseconds: number, reason: string, details?: SuspicionDetails) => void
+  /** @returns the number of targets of a service that this process itself suspects as lost. */
+  ownLosses: (service: string) => number
   /** Drops the suspicions that this process raised itself against targets of a service, because it was cut off from them. */
   dropOwnSuspicions: (service: string) => void
   /** @returns suspicions that this process raised itself and that have not expired, for gossip to peers. */
@@ -318,6 +320,8 @@
       if (isNewLoss) for (const listener of listeners) listener(target, false)
       if (isNewOwnLoss) for (const listener of ownLossListeners) listener(target)
     },
+    ownLosses: service => [...targets.values()].filter(target =>
+      target.service === service && selfSuspected.get(incarnationOf(target)) === true && isSuspected(target)).length,
     dropOwnSuspicions (service) {
       for (const target of targets.values()) {
         const incarnation = incarnationOf(target)
--- a/packages/relay/src/process/peers.ts
+++ b/packages/relay/src/process/peers.ts
@@ -144,7 +144,7 @@
   })
 
   directory.onOwnLoss(target => {
-    void reach.check(target).then(isCutOff => { if (!isCutOff) send(sample(LOSS_FANOUT)) })
+    void reach.check(target).then(() => { if (reach.mayReport(target.service)) send(sample(LOSS_FANOUT)) })
   })
 
   reach.onChange(() => send(sample(LOSS_FANOUT)))
--- a/packages/relay/src/process/target-reach.ts
+++ b/packages/relay/src/process/target-reach.ts
@@ -17,7 +17,7 @@
    * @returns whether this VM is cut off.
    */
   check: (unreachable: Target) => Promise<boolean>
-  /** Whether what this VM observes of a target may be told to peers: it is not cut off, and no check is running. */
+  /** Whether what this VM observes of targets may be told to peers: it reaches most of them, and no check is running. */
   mayReport: (service: string) => boolean
   /** @returns the services whose targets this VM is cut off from. */
   cutOffServices: () => string[]
@@ -25,12 +25,25 @@
   onChange: (listener: (service: string, isCutOff: boolean) => void) => void
 }
 
-/** Numbers of targets that are tried together, one step after the other. A check ends with the first target that answers. */
+/** What a check found. */
+enum Finding {
+  /** There is no other target to try. */
+  Unknown = 'unknown',
+  /** Most targets answer, or all of the own failure domain do: those that do not are lost, or behind a cut that the whole domain sees. */
+  Reached = 'reached',
+  /** Some targets answer. */
+  PartlyReached = 'partly-reached',
+  CutOff = 'cut-off'
+}
+
+/** Numbers of targets that are tried together, one step after the other. */
 const SAMPLE_STEPS = [1, 2, 3]
 /** Size of a full sample. */
 const SAMPLE_SIZE = 6
 /** Number of targets of a full sample that may answer although this VM is cut off from the others. */
 const MAXIMUM_ANSWERS_IN_FULL_SAMPLE = 1
+/** If this VM takes this number of targets of a service for lost, one that answers does not prove that the VM reaches the others. */
+const LOSSES_IN_DOUBT = 3
 /** How long the result of a check is used, milliseconds: losses of several targets are often noticed together. */
 const RESULT_MILLISECONDS = 100
 /** A try that takes longer, milliseconds, did not end by its own timeout in time: the process itself is late. */
@@ -48,12 +61,22 @@
   nextFloat: () => number
 }
 
+/** A check of one service, and its result: whether this VM is cut off. */
+interface Check {
+  /** Whether it ended with the first target that answered. */
+  isSingleLoss: boolean
+  isRunning: boolean
+  result: Promise<boolean>
+}
+
 /** Creates the state of a VM that reaches all targets. */
 export function createTargetReach (
   { ownFailureDomain, directory, engines, log, signal, nextFloat }: TargetReachDependencies
 ): TargetReach {
   const cutOff = new Set<string>()
-  const checks = new Map<string, { result: Promise<boolean>, isRunning: boolean }>()
+  /** Services of which this VM reaches some targets only, so that it cannot tell which of the others are lost. */
+  const doubtful = new Set<string>()
+  const checks = new Map<string, Check>()
   const listeners: Array<(service: string, isCutOff: boolean) => void> = []
 
   /**
@@ -77,21 +100,24 @@
     return await engines.isAnswering(target) || performance.now() - startedAt > MAXIMUM_TRY_MILLISECONDS
   }
 
-  async function sample (service: string, unreachable?: Target): Promise<boolean> {
+  /** Tries targets until it is clear whether this VM is cut off. A single loss is explained by the first target that answers. */
+  async function sample (service: string, isSingleLoss: boolean, unreachable?: Target): Promise<Finding> {
     const targets = drawTargets(service, unreachable).slice(0, SAMPLE_SIZE)
-    if (targets.length === 0) return cutOff.has(service)
-    let answers = 0
-    for (const [index, size] of SAMPLE_STEPS.entries()) {
-      const step = targets.slice(sumOf(SAMPLE_STEPS.slice(0, index)), sumOf(SAMPLE_STEPS.slice(0, index + 1)))
-      const results = await Promise.all(step.map(mayAnswer))
-      answers += results.filter(isAnswering => isAnswering).length
-      if (answers > (index === SAMPLE_STEPS.length - 1 && step.length === size ? MAXIMUM_ANSWERS_IN_FULL_SAMPLE : 0)) return false
+    const results = new Map<Target, boolean>()
+    for (const size of SAMPLE_STEPS) {
+      const step = targets.slice(results.size, results.size + size)
+      await Promise.all(step.map(async target => { results.set(target, await mayAnswer(target)) }))
+      if (isSingleLoss && results.size < SAMPLE_SIZE && [...results.values()].some(isAnswering => isAnswering)) return Finding.Reached
     }
-    return true
+    return interpret(results, ownFailureDomain)
   }
 
-  async function runCheck (service: string, unreachable?: Target): Promise<boolean> {
-    const isCutOff = await sample(service, unreachable)
+  async function runCheck (service: string, isSingleLoss: boolean, unreachable?: Target): Promise<boolean> {
+    const finding = await sample(service, isSingleLoss, unreachable)
+    if (finding === Finding.Unknown) return cutOff.has(service)
+    if (finding === Finding.PartlyReached) doubtful.add(service)
+    else doubtful.delete(service)
+    const isCutOff = finding === Finding.CutOff
     if (isCutOff !== cutOff.has(service)) change(service, isCutOff)
     return isCutOff
   }
@@ -109,13 +135,17 @@
   }
 
   function startCheck (service: string, unreachable?: Target): Promise<boolean> {
+    const isSingleLoss = directory.ownLosses(service) < LOSSES_IN_DOUBT
     const known = checks.get(service)
-    if (known !== undefined) return known.result
-    const started = { result: runCheck(service, unreachable), isRunning: true }
+    if (known !== undefined && (isSingleLoss || !known.isSingleLoss)) return known.result
+    const earlier = known?.isRunning === true ? known.result : Promise.resolve(false)
+    const started: Check = {
+      isSingleLoss, isRunning: true, result: earlier.then(async () => await runCheck(service, isSingleLoss, unreachable))
+    }
     checks.set(service, started)
     void started.result.finally(() => {
       started.isRunning = false
-      setTimeout(() => checks.delete(service), RESULT_MILLISECONDS).unref()
+      setTimeout(() => { if (checks.get(service) === started) checks.delete(service) }, RESULT_MILLISECONDS).unref()
     })
     return started.result
   }
@@ -132,12 +162,18 @@
   return {
     isCutOff: service => cutOff.has(service),
     check: async unreachable => cutOff.has(unreachable.service) || await startCheck(unreachable.service, unreachable),
-    mayReport: service => !cutOff.has(service) && checks.get(service)?.isRunning !== true,
+    mayReport: service => !cutOff.has(service) && !doubtful.has(service) && checks.get(service)?.isRunning !== true,
     cutOffServices: () => [...cutOff],
     onChange: listener => { listeners.push(listener) }
   }
 }
 
-function sumOf (numbers: readonly number[]): number {
-  return numbers.reduce((sum, number) => sum + number, 0)
+/** @returns what a sample of targets, with whether each has answered, tells about this VM. */
+function interpret (results: ReadonlyMap<Target, boolean>, ownFailureDomain: string): Finding {
+  if (results.size === 0) return Finding.Unknown
+  const answers = [...results.values()].filter(isAnswering => isAnswering).length
+  if (answers <= (results.size === SAMPLE_SIZE ? MAXIMUM_ANSWERS_IN_FULL_SAMPLE : 0)) return Finding.CutOff
+  const local = [...results].filter(([{ failureDomain }]) => failureDomain === ownFailureDomain)
+  const reachesOwnDomain = local.length > 0 && local.every(([, isAnswering]) => isAnswering)
+  return answers * 2 >= results.size || reachesOwnDomain ? Finding.Reached : Finding.PartlyReached
 }
--- a/packages/relay/test/process/target-reach.spec.ts
+++ b/packages/relay/test/process/target-reach.spec.ts
@@ -87,6 +87,36 @@
   })
 }
 
+reaches('a VM loses all targets but one, one after the other: whatever the first check found, it reports none', async () => {
+  const clock = install({ toFake: ['setInterval', 'clearInterval', 'setTimeout', 'clearTimeout', 'performance', 'Date'] })
+  for (let seed = 0; seed < 100; seed++) {
+    const stopped = new AbortController()
+    const { reach, directory, targets, answering } = createVm(33, seed, stopped.signal)
+    answering.clear()
+    answering.add('t32')
+    for (const target of targets.slice(0, 20)) {
+      directory.suspect(target, 60_000, 'unreachable', { isLoss: true })
+      await clock.tickAsync(1)
+    }
+    assert.ok(!reach.mayReport('model'), `seed ${seed}`)
+    stopped.abort()
+  }
+  clock.uninstall()
+})
+
+reaches('a VM whose failure domain is cut off from the others tells its peers there of the losses', async () => {
+  const clock = install({ toFake: ['setInterval', 'clearInterval', 'setTimeout', 'clearTimeout', 'performance', 'Date'] })
+  const stopped = new AbortController()
+  const { reach, directory, targets, answering } = createVm(33, 1, stopped.signal)
+  for (const { id, failureDomain } of targets) if (failureDomain !== 'east') answering.delete(id)
+  for (const target of targets.filter(({ id }) => !answering.has(id))) directory.suspect(target, 60_000, 'unreachable', { isLoss: true })
+  await clock.tickAsync(10)
+  assert.not(reach.isCutOff('model'))
+  assert.ok(reach.mayReport('model'))
+  stopped.abort()
+  clock.uninstall()
+})
+
 reaches('a loss where others answer costs one try, and several losses at once share it', async () => {
   const stopped = new AbortController()
   const { reach, targets, tries } = createVm(33, 1, stopped.signal)
