Count a target that has asked for a pause as one that answers

The check whether a VM is cut off took targets that had just answered 503 with Retry-After, to which nothing may be sent, for unreachable ones: a plain service whose targets all ask for a pause would have been handed over to peers.

--- a/packages/relay/src/connection/engine-client.ts
+++ b/packages/relay/src/connection/engine-client.ts
@@ -118,6 +118,8 @@
         signal: abortController.signal
       })
       if (outcome.kind === SendResult.NotSent) return outcome.isRefused ? ProbeResult.Refused : ProbeResult.Unreachable
+      // A target that has asked for a pause has just answered.
+      if (outcome.kind === SendResult.Withheld) return ProbeResult.Reachable
       if (outcome.kind !== SendResult.Answered) return ProbeResult.Silent
       if (outcome.response.statusCode === MISDIRECTED_STATUS) return ProbeResult.Replaced
       const { bornAtMilliseconds } = dialect.readReport((await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)).toString())
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -49,6 +49,8 @@
   reason: string
   /** Whether this relay itself ended the send, and not the target. */
   isAborted: boolean
+  /** Whether no connection to the target was established. */
+  isUnreachable: boolean
 }
 
 interface BufferedAnswer {
@@ -92,7 +94,7 @@
     )
     if ('reason' in answerOrFailure) {
       detail = answerOrFailure.reason
-      if (send.state === SendState.NotSent) unreachable = target
+      if (answerOrFailure.isUnreachable) unreachable = target
       if (send.state !== SendState.MayHaveRun || answerOrFailure.isAborted) continue
       if (!await mayRepeatAfterLoss(request, dependencies, { incarnation: send.targetIncarnation, sentAt, hasHead: false })) break
       continue
@@ -187,7 +189,9 @@
       send.state = outcome.kind === SendResult.Unknown ? SendState.MayHaveRun : SendState.NotSent
       handleFailedSend(request, dependencies, target, outcome.kind, outcome.reason, abortController.signal.aborted)
       return {
-        reason: `result "${outcome.kind}" of the send to target ${target.id}: ${outcome.reason}`, isAborted: abortController.signal.aborted
+        reason: `result "${outcome.kind}" of the send to target ${target.id}: ${outcome.reason}`,
+        isAborted: abortController.signal.aborted,
+        isUnreachable: outcome.kind === SendResult.NotSent
       }
     }
     const { response, terms } = outcome
@@ -203,7 +207,9 @@
     send.state = SendState.MayHaveRun
     handleFailedSend(request, dependencies, target, SendResult.Unknown, (error as Error).message, abortController.signal.aborted)
     return {
-      reason: `no complete valid answer from target ${target.id}: ${(error as Error).message}`, isAborted: abortController.signal.aborted
+      reason: `no complete valid answer from target ${target.id}: ${(error as Error).message}`,
+      isAborted: abortController.signal.aborted,
+      isUnreachable: false
     }
   } finally {
     clearTimeout(timer)
--- a/packages/relay/test/process/target-ends.spec.ts
+++ b/packages/relay/test/process/target-ends.spec.ts
@@ -12,15 +12,29 @@
 
 const BORN = 7
 
-const CASES: Array<{ name: string, answer?: (response: ServerResponse) => void, pauseMilliseconds?: number, hasEnded: boolean }> = [
-  { name: 'nothing listens at its address', hasEnded: true },
-  { name: 'it reports', answer: response => response.end(JSON.stringify({ bornAtMilliseconds: BORN })), hasEnded: false },
-  { name: 'its next incarnation reports', answer: response => response.end(JSON.stringify({ bornAtMilliseconds: BORN + 1 })), hasEnded: true },
-  { name: 'another target answers', answer: response => { response.writeHead(421); response.end() }, hasEnded: true },
-  { name: 'it is too busy to report', answer: response => { response.writeHead(503); response.end() }, hasEnded: false },
-  { name: 'it takes the connection and sends nothing', answer: () => {}, hasEnded: false },
-  { name: 'its report cannot be read', answer: response => response.end('nothing'), hasEnded: false },
-  { name: 'it has asked for a pause', pauseMilliseconds: 500, hasEnded: false }
+interface Case {
+  name: string
+  answer?: (response: ServerResponse) => void
+  pauseMilliseconds?: number
+  hasEnded: boolean
+  /** Whether it counts as a target that this VM reaches. */
+  isAnswering: boolean
+}
+
+const CASES: Case[] = [
+  { name: 'nothing listens at its address', hasEnded: true, isAnswering: false },
+  { name: 'it reports', answer: response => response.end(JSON.stringify({ bornAtMilliseconds: BORN })), hasEnded: false, isAnswering: true },
+  {
+    name: 'its next incarnation reports',
+    answer: response => response.end(JSON.stringify({ bornAtMilliseconds: BORN + 1 })),
+    hasEnded: true,
+    isAnswering: true
+  },
+  { name: 'another target answers', answer: response => { response.writeHead(421); response.end() }, hasEnded: true, isAnswering: true },
+  { name: 'it is too busy to report', answer: response => { response.writeHead(503); response.end() }, hasEnded: false, isAnswering: true },
+  { name: 'it takes the connection and sends nothing', answer: () => {}, hasEnded: false, isAnswering: false },
+  { name: 'its report cannot be read', answer: response => response.end('nothing'), hasEnded: false, isAnswering: true },
+  { name: 'it has asked for a pause', pauseMilliseconds: 500, hasEnded: false, isAnswering: true }
 ]
 
 async function listen (answer: (response: ServerResponse) => void): Promise<Server> {
@@ -30,7 +44,7 @@
 }
 
 const ends = suite('ends of targets')
-for (const { name, answer, pauseMilliseconds = 0, hasEnded } of CASES) {
+for (const { name, answer, pauseMilliseconds = 0, hasEnded, isAnswering } of CASES) {
   ends(`${name}: ${hasEnded ? 'ended, and suspected as lost' : 'not ended'}`, async () => {
     const server = await listen(answer ?? (() => {}))
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
@@ -41,12 +55,14 @@
     const client = createTargetClient(PLAIN_DIALECT, {
       pauseRemaining: () => pauseMilliseconds, onSlowConnect () {}, onSend () {}, onAnswer () {}
     })
-    const targetEnds = createTargetEnds(directory, createEngineClient(PLAIN_DIALECT, client))
+    const engines = createEngineClient(PLAIN_DIALECT, client)
+    const targetEnds = createTargetEnds(directory, engines)
     try {
       const [first, second] = await Promise.all([targetEnds.hasEnded(target), targetEnds.hasEnded(target)])
       assert.is(first, hasEnded)
       assert.is(second, hasEnded)
       assert.is(directory.isSuspectedLost(target), hasEnded)
+      assert.is(await engines.isAnswering(target), isAnswering)
     } finally {
       client.close()
       server.closeAllConnections()
