Log how many targets a request reached, and whether a peer handed it over

The logs of one VM could not tell a request that had reached its limit at a peer from one that had reached it at the VM itself: arrivals count sends, and at the VM that hands over they count peers.

--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -16,7 +16,7 @@
 import { AnswerProgress, RunEnd, isInTime, runEvents, type EventsProgress, type RunOutcome } from './event-run.js'
 import { handOverEvents } from './hand-over.js'
 import { createAttemptLedger, type AttemptLedger } from './ledger.js'
-import { recordAnswered, recordCallerLeft, refuse, requestLogFields } from './outcome.js'
+import { recordAnswered, recordCallerLeft, refuse, requestLogFields, sendLogFields } from './outcome.js'
 import { commonPause } from './pauses.js'
 import { mayRepeatAfterLoss, rankForSuspect, refuseQuarantined } from './lost-target.js'
 import { estimateSize, estimateTokens, type SizedRequest } from './tokens.js'
@@ -43,7 +43,7 @@
   const entry: AdmissionEntry = { hasEntered: false }
   let detail = 'no path'
   for (let sends = 0; sends < MAXIMUM_SENDS;) {
-    if (exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies, { arrivals: ledger.possibleArrivals(), detail })
+    if (exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies, { ...sendLogFields(ledger), detail })
     if (remainingTime(request) <= ANSWER_TRANSIT_MILLISECONDS) return refuse(request, dependencies, ledger, Refusal.TimedOut, detail)
     if (!ledger.maySendAgain()) break
     if (dependencies.reach.isCutOff(request.service.name)) {
@@ -95,7 +95,7 @@
       return recordAnswered(request, dependencies, {
         status: outcome.status,
         target: start.path.stages[0]!.targetId,
-        arrivals: ledger.possibleArrivals(),
+        ...sendLogFields(ledger),
         events: progress.lastEvent,
         firstEventMilliseconds: Math.round((progress.firstEventAt ?? 0) - exchange.arrivedAt.monotonic),
         longestPauseMilliseconds: Math.round(progress.longestPauseMilliseconds ?? 0),
@@ -104,7 +104,7 @@
     }
     if (outcome.end === RunEnd.CallerLeft) {
       return recordCallerLeft(request, dependencies, {
-        path: describePath(start.path), lastEvent: progress.lastEvent, arrivals: ledger.possibleArrivals(), detail
+        path: describePath(start.path), lastEvent: progress.lastEvent, ...sendLogFields(ledger), detail
       })
     }
     detail = `${outcome.end} at ${start.path.stages[0]!.targetId}: ${outcome.reason}`
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -11,7 +11,7 @@
 import { ANSWER_TRANSIT_MILLISECONDS, remainingTime, type AdmittedRequest, type RequestDependencies } from './context.js'
 import { RunEnd, forwardEvents, isInTime, type AnsweredSend, type EventsProgress, type RunOutcome } from './event-run.js'
 import { SendState, type AttemptLedger, type Send } from './ledger.js'
-import { recordAnswered, recordCallerLeft, refuse, requestLogFields } from './outcome.js'
+import { recordAnswered, recordCallerLeft, refuse, requestLogFields, sendLogFields } from './outcome.js'
 import { Refusal } from './refusal.js'
 import { writeBody } from './write-body.js'
 
@@ -52,7 +52,7 @@
     if (request.exchange.response.destroyed) return recordCallerLeft(request, dependencies)
     writeBody(request, dependencies, answer.response, answer.body)
     return recordAnswered(request, dependencies, {
-      status: answer.response.statusCode!, target: `peer ${peer.vm}`, arrivals: ledger.possibleArrivals()
+      status: answer.response.statusCode!, target: `peer ${peer.vm}`, ...sendLogFields(ledger)
     })
   }
 }
@@ -67,7 +67,7 @@
   const handOver = startHandOver()
   for (;;) {
     if (request.exchange.callerLeft.aborted) {
-      recordCallerLeft(request, dependencies, { arrivals: ledger.possibleArrivals(), detail: handOver.detail })
+      recordCallerLeft(request, dependencies, { ...sendLogFields(ledger), detail: handOver.detail })
       return true
     }
     const peer = await nextPeer(request, dependencies, ledger, handOver)
@@ -78,7 +78,7 @@
     }
     const outcome = await runThroughPeer(request, dependencies, peer, ledger, progress, handOver)
     if (outcome.end === RunEnd.Complete) {
-      const fields = { status: outcome.status, target: `peer ${peer.vm}`, arrivals: ledger.possibleArrivals() }
+      const fields = { status: outcome.status, target: `peer ${peer.vm}`, ...sendLogFields(ledger) }
       recordAnswered(request, dependencies, fields, isInTime(request, progress))
       return true
     }
@@ -104,7 +104,9 @@
   if (ledger.possibleArrivals() > 0 && !await dependencies.repeats.take(request.service.name)) return undefined
   triedVms.add(peer.vm)
   dependencies.metrics.count('requests_handed_over_total', { service: request.service.name })
-  dependencies.log.info(RelayEvent.RequestHandedOver, { ...requestLogFields(request, dependencies), peer: peer.vm })
+  dependencies.log.info(RelayEvent.RequestHandedOver, {
+    ...requestLogFields(request, dependencies), peer: peer.vm, ...sendLogFields(ledger)
+  })
   return peer
 }
 
--- a/packages/relay/src/request/ledger.ts
+++ b/packages/relay/src/request/ledger.ts
@@ -36,6 +36,8 @@
   isCertainlyNotRun: () => boolean
   /** Number of sends that reached, or may have reached, a target. */
   possibleArrivals: () => number
+  /** Number of different targets that the request reached, or may have reached. */
+  reachedTargets: () => number
   /** Incarnations of all targets for which a send was begun. */
   targetIncarnations: () => Set<string>
 }
@@ -68,6 +70,7 @@
     },
     isCertainlyNotRun: () => sends.every(send => NOT_RUN_STATES.has(send.state)),
     possibleArrivals: () => sendsThatReachedTarget().length,
+    reachedTargets: () => new Set(sendsThatReachedTarget().map(send => send.targetIncarnation)).size,
     targetIncarnations: () => new Set(sends.map(send => send.targetIncarnation))
   }
 }
--- a/packages/relay/src/request/outcome.ts
+++ b/packages/relay/src/request/outcome.ts
@@ -1,7 +1,7 @@
 /**
  * Reports how requests end to metrics and the log.
  */
-import { RelayEvent } from '../process/relay-log.js'
+import { RelayEvent, type RelayLogFields } from '../process/relay-log.js'
 import { Refusal, endWithRefusal, RETRYABLE_STATUS } from './refusal.js'
 import { urgencyOf, type AdmittedRequest, type RequestDependencies } from './context.js'
 import type { AttemptLedger } from './ledger.js'
@@ -20,12 +20,12 @@
   if (ledger.possibleArrivals() > 0) recordUnfinished(request, dependencies)
   dependencies.metrics.count('requests_refused_total', { reason: refusal, route: request.route.name })
   dependencies.log.info(event, {
-    ...requestLogFields(request, dependencies), reason: refusal, detail, status, arrivals: ledger.possibleArrivals(), retryAfterMilliseconds
+    ...requestLogFields(request, dependencies), reason: refusal, detail, status, ...sendLogFields(ledger), retryAfterMilliseconds
   })
 }
 
 /** Log fields of an answer; further ones tell how an answer in events went. */
-type AnsweredFields = { status: number, target: string, arrivals: number } & Record<string, string | number | undefined>
+type AnsweredFields = { status: number, target: string, arrivals: number, targets: number } & Record<string, string | number | undefined>
 
 /**
  * Records that a caller has received its answer.
@@ -64,13 +64,22 @@
   dependencies.level.recordEnd(request.service.name, urgencyOf(request), false)
 }
 
-/** @returns the log fields that identify a request, its configuration version and the age of the configuration. */
-export function requestLogFields (request: AdmittedRequest, dependencies: RequestDependencies): Record<string, string | number> {
+/** @returns the log fields that tell how often, and to how many targets, a request was sent. */
+export function sendLogFields (ledger: AttemptLedger): { arrivals: number, targets: number } {
+  return { arrivals: ledger.possibleArrivals(), targets: ledger.reachedTargets() }
+}
+
+/**
+ * @returns the log fields that identify a request, its configuration version and the age of the configuration, and tell whether a peer
+ * handed it over.
+ */
+export function requestLogFields (request: AdmittedRequest, dependencies: RequestDependencies): RelayLogFields {
   return {
     request: request.requestId,
     route: request.route.name,
     service: request.service.name,
     version: request.version,
+    ...(request.exchange.isHandedOver ? { isHandedOver: true } : {}),
     beliefAgeMilliseconds: Math.round(dependencies.configurationState.age())
   }
 }
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -14,8 +14,8 @@
 import { domainPenalty, type DrawnRequest } from './domain-choice.js'
 import { handOverSingleBody } from './hand-over.js'
 import { mayRepeatAfterLoss, rankForSuspect, refuseQuarantined } from './lost-target.js'
-import { SendState, createAttemptLedger, type Send } from './ledger.js'
-import { recordAnswered, recordCallerLeft, refuse, requestLogFields } from './outcome.js'
+import { SendState, createAttemptLedger, type AttemptLedger, type Send } from './ledger.js'
+import { recordAnswered, recordCallerLeft, refuse, requestLogFields, sendLogFields } from './outcome.js'
 import { commonPause } from './pauses.js'
 import { waitEndOf } from './wait-end.js'
 import { writeBody } from './write-body.js'
@@ -69,10 +69,10 @@
   let hasStarted = false
   let detail = 'no target'
   for (;;) {
-    if (request.exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies, { arrivals: ledger.possibleArrivals() })
+    if (request.exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies, sendLogFields(ledger))
     if (remainingTime(request) <= MINIMUM_SEND_MILLISECONDS) return refuse(request, dependencies, ledger, Refusal.TimedOut, detail)
     if (dependencies.reach.isCutOff(request.service.name)) {
-      if (firstServerError !== undefined) return forwardAnswer(request, dependencies, firstServerError, ledger.possibleArrivals())
+      if (firstServerError !== undefined) return forwardAnswer(request, dependencies, firstServerError, ledger)
       return await handOverSingleBody(request, dependencies, ledger)
     }
     // `allowedTargets` returns a set only if the limit of targets is reached. All targets in that set have been tried.
@@ -129,9 +129,9 @@
       firstServerError = answerOrFailure
       continue
     }
-    return forwardAnswer(request, dependencies, answerOrFailure, ledger.possibleArrivals())
+    return forwardAnswer(request, dependencies, answerOrFailure, ledger)
   }
-  if (firstServerError !== undefined) return forwardAnswer(request, dependencies, firstServerError, ledger.possibleArrivals())
+  if (firstServerError !== undefined) return forwardAnswer(request, dependencies, firstServerError, ledger)
   refuse(
     request, dependencies, ledger, ledger.possibleArrivals() === 0 ? Refusal.NoTarget : Refusal.TargetsRefused, detail,
     Math.max(
@@ -317,10 +317,10 @@
   dependencies.directory.suspect(target, TIMEOUT_SUSPICION_MILLISECONDS, 'repeated timeouts')
 }
 
-function forwardAnswer (request: AdmittedRequest, dependencies: RequestDependencies, answer: BufferedAnswer, arrivals: number): void {
+function forwardAnswer (request: AdmittedRequest, dependencies: RequestDependencies, answer: BufferedAnswer, ledger: AttemptLedger): void {
   const { response } = request.exchange
   const status = answer.response.statusCode ?? 502
-  if (response.destroyed) return recordCallerLeft(request, dependencies, { arrivals })
+  if (response.destroyed) return recordCallerLeft(request, dependencies, sendLogFields(ledger))
   writeBody(request, dependencies, answer.response, answer.body)
-  recordAnswered(request, dependencies, { status, target: answer.target.id, arrivals })
+  recordAnswered(request, dependencies, { status, target: answer.target.id, ...sendLogFields(ledger) })
 }
