--- a/packages/relay/test/fleet.ts
+++ b/packages/relay/test/fleet.ts
@@ -5,6 +5,7 @@
 import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { createCallerListener, incarnationOf, splitAddress, type CallerListener, type Relay, type Target } from '@wigeonlead/relay'
+import { createSeededRandom } from 'wigeonlead'
 import { createTargetGates, type CutForm, type TargetGates } from './target-gates.js'
 import { joinLinks } from './joined-links.js'
 import { LoopbackUse, loopbackHost } from './loopback.js'
@@ -81,12 +82,13 @@
  * Runs a test against a fleet of `vmCount` relays before `targetCount` targets.
  * @param options.service `model`, each target of which holds the whole model, or the plain service `desk`.
  * @param options.hasGates whether VMs can be cut off from the targets.
+ * @param options.seed of the random numbers of each VM, so that VMs prefer different targets; by default these numbers are constant.
  * @param options.onNotify called with each datagram that a VM sends.
  */
 export async function withFleet (
   vmCount: number, targetCount: number, behaviour: TargetBehaviour, use: (fleet: Fleet) => Promise<void>,
-  { service = 'model', hasGates = false, onNotify }: {
-    service?: 'model' | 'desk', hasGates?: boolean, onNotify?: (method: string, parameters: unknown) => void
+  { service = 'model', hasGates = false, seed, onNotify }: {
+    service?: 'model' | 'desk', hasGates?: boolean, seed?: number, onNotify?: (method: string, parameters: unknown) => void
   } = {}
 ): Promise<void> {
   const store = createRestoredStore()
@@ -134,7 +136,11 @@
 
   async function startVm (name: string): Promise<VmProcess> {
     const peerAddress = peerAddresses[names.indexOf(name)]!
-    const relay = createStoreRelay(name, store, links.get(peerAddress)!, { peerAddress, addressOf: gates.get(name)?.through })
+    const relay = createStoreRelay(name, store, links.get(peerAddress)!, {
+      peerAddress,
+      addressOf: gates.get(name)?.through,
+      nextFloat: seed === undefined ? undefined : createSeededRandom(seed + names.indexOf(name)).nextFloat
+    })
     const onFault = (error: unknown): never => { throw error }
     const [callers, handedOver] = [createCallerListener(relay.handle, onFault), createCallerListener(relay.handle, onFault, true)]
     const address = await listen(callers.server, '127.0.0.1')
--- /dev/null
+++ b/packages/relay/test/handed-over-requests.spec.ts
@@ -0,0 +1,104 @@
+/**
+ * Guards against a request that is handed over from VM to VM and thereby reaches more targets than its route allows.
+ */
+import type { ServerResponse } from 'node:http'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { withFleet, type Fleet, type TargetBehaviour } from './fleet.js'
+import { CutForm } from './target-gates.js'
+import { testRoute } from './test-configuration.js'
+
+const VMS = 5
+const TARGETS = 6
+const SEED = 40
+/** The VM that is cut off, the peers that end during a request, and requests that are counted: one after the other. */
+const CUT_VM = 0
+const ENDING_PEERS = [1, 2, 3]
+const REQUESTS = 3
+const MAXIMUM_TARGETS = testRoute('any').maximumTargets
+/** Time in which a VM that is cut off notices it, milliseconds. */
+const SETTLING_MILLISECONDS = 1000
+/** How long callers wait for the answer of a request that is counted, milliseconds. */
+const WAIT_MILLISECONDS = 1000
+const EVENTS_BEFORE_END = 3
+const STREAM_HEAD = { 'X-Seal': 's', 'Content-Type': 'text/event-stream' }
+
+/** What a target does with a request that is counted. `arrival` counts from 1 over all targets. */
+type Behaviour = (response: ServerResponse, arrival: { arrival: number, lastEvent: number, requestId: string }, fleet: Fleet) => void
+
+const answerWithError: Behaviour = response => {
+  response.writeHead(500)
+  response.end('fault')
+}
+
+const breakOffAnswer: Behaviour = (response, { lastEvent, requestId }) => {
+  response.writeHead(200, { ...STREAM_HEAD, 'X-Request': requestId })
+  for (let event = lastEvent + 1; event <= lastEvent + EVENTS_BEFORE_END; event++) response.write(`id: ${event}\ndata: x\n\n`)
+  setTimeout(() => response.destroy(), 20)
+}
+
+const endPeers: Behaviour = (_response, { arrival }, fleet) => {
+  if (arrival === MAXIMUM_TARGETS) fleet.kill(ENDING_PEERS)
+}
+
+/** The VM that received the request is cut off once it has sent it to a target itself. */
+const cutOffSender = (then: Behaviour): Behaviour => (response, arrival, fleet) => {
+  if (arrival.arrival === 1) void fleet.cut([CUT_VM], CutForm.Reset)
+  else then(response, arrival, fleet)
+}
+
+const PATHS = { model: '/write/1', desk: '/look/1' }
+
+interface Case {
+  name: string
+  service: keyof typeof PATHS
+  behaviour: Behaviour
+  isCutBefore: boolean
+  requests: number
+}
+
+const CASES: Case[] = [
+  { name: 'a stream, targets answer with an error', service: 'model', behaviour: answerWithError, isCutBefore: true, requests: REQUESTS },
+  { name: 'a stream, targets break it off', service: 'model', behaviour: breakOffAnswer, isCutBefore: true, requests: REQUESTS },
+  { name: 'a stream, cut off after an own send', service: 'model', behaviour: cutOffSender(answerWithError), isCutBefore: false, requests: 1 },
+  { name: 'an idempotent request, cut off after an own send', service: 'desk', behaviour: cutOffSender(answerWithError), isCutBefore: false, requests: 1 },
+  { name: 'an idempotent request, its peer ends', service: 'desk', behaviour: endPeers, isCutBefore: true, requests: 1 }
+]
+
+const handedOver = suite('requests that are handed over')
+
+for (const { name, service, behaviour, isCutBefore, requests } of CASES) {
+  handedOver(`${name}: at most ${MAXIMUM_TARGETS} targets for each request`, async () => {
+    const reachedTargets = new Set<number>()
+    let arrivals = 0
+    let fleet: Fleet | undefined
+    const target: TargetBehaviour = (incoming, response) => {
+      const requestId = String(incoming.headers['x-request'])
+      if (incoming.headers['x-counted'] === undefined) {
+        response.writeHead(200, { ...STREAM_HEAD, 'X-Request': requestId })
+        response.end('id: 1\ndata: x\n\n')
+        return
+      }
+      arrivals += 1
+      reachedTargets.add(incoming.socket.localPort!)
+      behaviour(response, { arrival: arrivals, requestId, lastEvent: Number(incoming.headers['x-last'] ?? 0) }, fleet!)
+    }
+    await withFleet(VMS, TARGETS, target, async present => {
+      fleet = present
+      const path = PATHS[service]
+      if (isCutBefore) await fleet.cut([CUT_VM], CutForm.Reset)
+      const settledAt = performance.now() + (isCutBefore ? SETTLING_MILLISECONDS : 0)
+      while (performance.now() < settledAt) await fleet.call(CUT_VM, {}, { path })
+      const numbers: number[] = []
+      for (let request = 0; request < requests; request++) {
+        reachedTargets.clear()
+        await fleet.call(CUT_VM, { 'X-Counted': '1', 'X-Wait': String(WAIT_MILLISECONDS) }, { path })
+        numbers.push(reachedTargets.size)
+      }
+      assert.ok(Math.min(...numbers) >= 1, `a request reached no target: ${numbers}`)
+      assert.ok(Math.max(...numbers) <= MAXIMUM_TARGETS, `targets of each request: ${numbers}`)
+    }, { service, hasGates: true, seed: SEED })
+  })
+}
+
+handedOver.run()
