Keep a route's limit of targets over all VMs that a request passes through

Cause: the record of a request's sends lived in one VM. A VM that is cut off counted each peer as one target, and each peer opened an empty record; what the VM had sent itself before the cut was not counted either. Class: a limit of a request that is kept by each process alone.

A hand-over now states which targets the request has reached and how many others the peer may send it to, and the peer's answer states which it has reached in all and how often it has sent. A peer that gives no answer counts as having used all that it was allowed; one that may go on with a stream after its answer began counts with what is left of that. At the limit a stream continues only at targets that it has reached, a single body ends. Earlier builds neither keep terms nor report: they get a request only while it has reached no target (a VM says in its gossip that it keeps the limit), and count with the whole limit afterwards. Repeats are charged by the sends that a peer tells of, not one for each peer.

--- a/packages/relay/src/connection/dialect.ts
+++ b/packages/relay/src/connection/dialect.ts
@@ -2,6 +2,7 @@
  * The interface that maps a deployment's headers, paths and bodies to the relay's types. The deployment's adapter implements it.
  */
 import type { IncomingHttpHeaders } from 'node:http'
+import type { HandOverTerms, ReachReport } from '../request/ledger.js'
 import type { LoadedLayers } from '../version/target.js'
 
 /** Terms that a caller states in the headers of its request. */
@@ -21,6 +22,8 @@
   answerTokensEstimate?: number
   /** Identifiers of the prompt's parts that other requests may contain too; absent where the caller states none. */
   sharedPromptParts?: readonly string[]
+  /** Terms of the VM that hands the request over. Callers can state them too, so they count only in what peers send. */
+  handOver?: HandOverTerms
 }
 
 /** One stage of a path: a target that runs the layers from `from` up to, but not including, `to`. */
@@ -68,6 +71,8 @@
   requestsPerSecond?: number
   /** Idle time after which the target closes the connection, milliseconds. */
   idleMilliseconds?: number
+  /** What a peer tells of the targets that it has reached; counts only in the answers of peers. */
+  reachReport?: ReachReport
 }
 
 /** State that a target reports about itself. */
@@ -119,12 +124,14 @@
    */
   writeHeaders: (rawHeaders: readonly string[], terms: RelayTerms, hidesKey: boolean) => string[]
   /**
-   * @param terms the time that is left, milliseconds, and the last event that the caller has received.
+   * @param terms the time that is left, milliseconds, the last event that the caller has received, and the targets that may be reached.
    * @returns headers for a peer that handles the request, as flat name-value pairs: the caller's, with the given terms.
    */
-  writeHandOverHeaders: (rawHeaders: readonly string[], terms: Pick<RelayTerms, 'waitMilliseconds' | 'lastEvent'>) => string[]
+  writeHandOverHeaders: (rawHeaders: readonly string[], terms: Pick<RelayTerms, 'waitMilliseconds' | 'lastEvent'> & HandOverTerms) => string[]
+  /** @returns headers for the VM that has handed a request over. */
+  writeReachReport: (report: ReachReport) => Record<string, string>
   readAnswer: (headers: IncomingHttpHeaders) => AnswerTerms
-  /** @returns the answer's headers as flat name-value pairs, without the hop-by-hop headers. */
+  /** @returns the answer's headers as flat name-value pairs, without the hop-by-hop headers and without a reach report. */
   answerHeaders: (rawHeaders: readonly string[]) => string[]
   reportPath: string
   /** @throws an error where the text is not a valid report. */
--- a/packages/relay/src/connection/index.ts
+++ b/packages/relay/src/connection/index.ts
@@ -5,6 +5,7 @@
 export {
   OrderResult, type AnswerTerms, type CallerTerms, type Dialect, type PlaceOrder, type RelayTerms, type PathStage, type TargetReport
 } from './dialect.js'
+export type { HandOverTerms, ReachReport } from '../request/ledger.js'
 export { createEngineClient, type EngineClient, type MoveAnswer } from './engine-client.js'
 export { SendResult, createTargetClient, type SendOutcome, type TargetCall, type TargetClient, type TargetStates } from './target-client.js'
 export { createPeerLink, type PeerLink } from './peer-link.js'
--- a/packages/relay/src/process/membership/peer-choice.ts
+++ b/packages/relay/src/process/membership/peer-choice.ts
@@ -6,8 +6,12 @@
 
 /** Chooses peers, and counts the requests that were handed over to each. */
 export interface PeerChoice {
-  /** @returns a peer that reaches the targets of a service; undefined if there is none besides the excluded VMs. */
-  choose: (service: string, excluded: ReadonlySet<string>) => Peer | undefined
+  /**
+   * @param needs.keepsLimit whether the peer must keep the limit of targets that a hand-over states; peers of earlier builds do not. Not
+   * needed by default.
+   * @returns a peer that reaches the targets of a service; undefined if there is none besides the excluded VMs.
+   */
+  choose: (service: string, excluded: ReadonlySet<string>, needs?: { keepsLimit: boolean }) => Peer | undefined
   /** Counts a request that a peer handles. */
   reserve: (vm: string) => Reservation
 }
@@ -19,7 +23,9 @@
 const MINIMUM_LOCAL_SHARE = 1 / 3
 
 /** Creates a choice without requests in flight. */
-export function createPeerChoice (peers: Pick<Peers, 'known' | 'reaching'>, ownFailureDomain: string, nextFloat: () => number): PeerChoice {
+export function createPeerChoice (
+  peers: Pick<Peers, 'known' | 'reaching' | 'keepsTargetLimit'>, ownFailureDomain: string, nextFloat: () => number
+): PeerChoice {
   const inFlight = new Map<string, number>()
 
   function draw (candidates: readonly Peer[]): Peer | undefined {
@@ -27,13 +33,13 @@
   }
 
   return {
-    choose (service, excluded) {
+    choose (service, excluded, { keepsLimit } = { keepsLimit: false }) {
       const isLocal = ({ failureDomain }: Peer): boolean => failureDomain === ownFailureDomain
       const reaching = peers.reaching(service)
       const local = reaching.filter(isLocal)
       const localVms = peers.known().filter(isLocal).length + 1
       const preferred = local.length >= localVms * MINIMUM_LOCAL_SHARE ? local : reaching
-      const isAllowed = ({ vm }: Peer): boolean => !excluded.has(vm)
+      const isAllowed = ({ vm }: Peer): boolean => !excluded.has(vm) && (!keepsLimit || peers.keepsTargetLimit(vm))
       const candidates = preferred.some(isAllowed) ? preferred.filter(isAllowed) : reaching.filter(isAllowed)
       const [first, second] = [draw(candidates), draw(candidates)]
       if (first === undefined || second === undefined) return undefined
--- a/packages/relay/src/process/membership/peers.ts
+++ b/packages/relay/src/process/membership/peers.ts
@@ -29,6 +29,8 @@
   find: (vm: string) => Peer | undefined
   /** @returns the peers that have recently said, by their messages, that they are not cut off from the targets of a service. */
   reaching: (service: string) => Peer[]
+  /** Whether a peer has said that it keeps the limit of targets that a hand-over states. */
+  keepsTargetLimit: (vm: string) => boolean
   /** @returns a random sample of at most `count` peers. */
   sample: (count: number) => Peer[]
   /**
@@ -109,6 +111,8 @@
   leaving: z.array(z.string()),
   /** Services whose targets the sender is cut off from. */
   cutOff: z.array(z.string()).optional(),
+  /** Whether the sender keeps the limit of targets that a hand-over states. */
+  keepsTargetLimit: z.boolean().optional(),
   /** Rates that targets have named: incarnation, requests a second (null if the limit has ended), age in milliseconds. */
   limits: z.array(z.tuple([z.string(), z.number().nullable(), z.number()])).optional(),
   /** Newest configuration version of the sender, and for how long at least it has had it, milliseconds. */
@@ -133,6 +137,7 @@
   let peakFleetSize = 1
   /** Services whose targets each peer is cut off from. */
   const cutOffPeers = new Map<string, ReadonlySet<string>>()
+  const limitKeepers = new Set<string>()
 
   link.on(LOAD_METHOD, parameters => {
     const received = loadSchema.parse(parameters)
@@ -141,6 +146,8 @@
     load.setPeer(received.vm, received.counts.map(([incarnation, requests, tokens, firstStageRequests]) =>
       ({ incarnation, requests, tokens, firstStageRequests })))
     cutOffPeers.set(received.vm, new Set(received.cutOff))
+    if (received.keepsTargetLimit === true) limitKeepers.add(received.vm)
+    else limitKeepers.delete(received.vm)
     if (received.demand !== undefined) demand?.setPeer(received.vm, peerFailureDomain, received.demand.map(readDemand))
     if (received.era !== undefined) era.learn(...received.era, received.vm)
     if (received.version !== undefined) configurationState.learn(...received.version, received.vm)
@@ -205,6 +212,7 @@
         .map(({ incarnation, remainingMilliseconds, isLoss }) => [incarnation, Math.round(remainingMilliseconds), isLoss]),
       leaving: directory.leavingIncarnations(),
       cutOff: statedCutOff(),
+      keepsTargetLimit: true,
       limits: statedLimits(),
       version: versionHeld(),
       era: era.current() === 0 ? undefined : [era.current(), Math.floor(era.ageMilliseconds())],
@@ -263,6 +271,7 @@
     find: vm => peers.get(vm),
     reaching: service => [...peers.values()].filter(({ vm }) =>
       (load.millisecondsSinceCounts(vm) ?? Infinity) < HEARD_MILLISECONDS && cutOffPeers.get(vm)?.has(service) !== true),
+    keepsTargetLimit: vm => limitKeepers.has(vm),
     sample,
     peakFleetSize: () => peakFleetSize,
     put (vm, text) {
@@ -281,6 +290,7 @@
       load.dropPeer(vm)
       demand?.dropPeer(vm)
       cutOffPeers.delete(vm)
+      limitKeepers.delete(vm)
       log.info(RelayEvent.PeerGone, { peer: vm })
     },
     start () {
--- a/packages/relay/src/request/context.ts
+++ b/packages/relay/src/request/context.ts
@@ -20,6 +20,7 @@
 import type { TargetEnds } from '../process/suspicion/target-ends.js'
 import type { TargetReach } from '../process/suspicion/target-reach.js'
 import type { Metrics } from 'wigeonlead'
+import type { HandOverTerms } from './ledger.js'
 import type { Route, Service, Workspace } from '../version/configuration.js'
 
 /** Components that handle requests; they exist for the lifetime of the process. */
@@ -60,6 +61,8 @@
   route: Route
   service: Service
   workspace?: Workspace
+  /** Which targets the VM that has handed the request over allows; absent if none has, or if it states no terms. */
+  handOver?: HandOverTerms
   /** @returns the digest of what the caller asks for: the same for all attempts with the same path, workspace and body. */
   contentDigest: () => string
   version: number
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -12,6 +12,7 @@
 import { createEventSplitter } from './event-splitter.js'
 import { createIntervalReports } from './interval-reports.js'
 import { SendState, type AttemptLedger, type Send } from './ledger.js'
+import { reportReach } from './outcome.js'
 import { createStreamMover } from './stream-move.js'
 
 /** How a run ended. */
@@ -178,6 +179,7 @@
     }
     send.state = SendState.MayHaveRun
     progress.presentRun = AnswerProgress.Head
+    reportReach(request, dependencies, ledger)
     const run = await forwardEvents(request, outcome, progress, dependencies, {
       onProgress: recordProgress,
       abortReason: () => state.reason,
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -18,7 +18,7 @@
 import { createAttemptLedger, type AttemptLedger } from './ledger.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields, sendLogFields } from './outcome.js'
 import { commonPause } from './pauses.js'
-import { mayRepeatAfterLoss, rankForSuspect, refuseQuarantined } from './lost-target.js'
+import { isIncarnationGone, mayRepeatAfterLoss, rankForSuspect, refuseQuarantined } from './lost-target.js'
 import { estimateSize, estimateTokens, type SizedRequest } from './tokens.js'
 import { waitEndOf } from './wait-end.js'
 
@@ -35,17 +35,19 @@
 export async function relayEvents (request: AdmittedRequest, dependencies: RequestDependencies): Promise<void> {
   const { route, exchange } = request
   const mayRunAgain = route.isResumable || route.repeat === RepeatRule.Idempotent
-  const ledger = createAttemptLedger(mayRunAgain, route.maximumTargets)
+  const ledger = createAttemptLedger(mayRunAgain, route.maximumTargets, request.handOver)
   const progress: EventsProgress = { lastEvent: request.terms.lastEvent, isHeadSent: false, presentRun: AnswerProgress.Nothing }
   const pathWaitEndsAt = performance.now() + Math.min(route.latencyObjectiveMilliseconds, remainingTime(request)) * PATH_WAIT_SHARE
   const avoided = new Set<string>()
-  const avoidedFirstStages = new Set<string>()
+  const isGone = (incarnation: string): boolean => isIncarnationGone(incarnation, dependencies)
+  // A VM that has handed the request over names the targets that have failed it; at the limit, only these are left.
+  const avoidedFirstStages = new Set(ledger.allowedTargets(isGone) === undefined ? request.handOver?.reachedTargets : [])
   const entry: AdmissionEntry = { hasEntered: false }
   let detail = 'no path'
   for (let sends = 0; sends < MAXIMUM_SENDS;) {
     if (exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies, { ...sendLogFields(ledger), detail })
     if (remainingTime(request) <= ANSWER_TRANSIT_MILLISECONDS) return refuse(request, dependencies, ledger, Refusal.TimedOut, detail)
-    if (!ledger.maySendAgain()) break
+    if (!ledger.maySendAgain() || ledger.allowedTargets(isGone)?.size === 0) break
     if (dependencies.reach.isCutOff(request.service.name)) {
       if (await handOverEvents(request, dependencies, ledger, progress)) return
       await pause(NO_PATH_PAUSE_MILLISECONDS)
@@ -55,7 +57,7 @@
     if (quarantine !== undefined) return refuseQuarantined(request, dependencies, ledger, quarantine)
     const search = (): FoundPath | undefined => findPath(
       request, dependencies, progress, avoided, avoidedFirstStages,
-      ledger.allowedTargets(incarnation => isIncarnationGone(incarnation, dependencies))
+      ledger.allowedTargets(isGone)
     )
     const path = search()
     if (path === undefined) {
@@ -249,11 +251,6 @@
   return undefined
 }
 
-/** Whether an incarnation of a target is gone; it then no longer counts against the limit of targets. */
-function isIncarnationGone (incarnation: string, dependencies: RequestDependencies): boolean {
-  return dependencies.directory.findIncarnation(incarnation) === undefined
-}
-
 function avoidFaultyStage (outcome: RunOutcome, path: FoundPath, avoided: Set<string>, avoidedFirstStages: Set<string>): void {
   const faultyIndex = path.stages.findIndex(stage => stage.address === outcome.faultyAddress)
   if (faultyIndex > 0) avoided.add(path.incarnations[faultyIndex]!)
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -7,10 +7,11 @@
 import { SendResult, type SendOutcome } from '../connection/target-client.js'
 import type { Peer } from '../process/membership/peers.js'
 import { RelayEvent } from '../process/relay-log.js'
-import { RepeatRule } from '../version/configuration.js'
+import { AnswerForm, RepeatRule } from '../version/configuration.js'
 import { ANSWER_TRANSIT_MILLISECONDS, remainingTime, type AdmittedRequest, type RequestDependencies } from './context.js'
 import { RunEnd, forwardEvents, isInTime, type AnsweredSend, type EventsProgress, type RunOutcome } from './event-run.js'
-import { SendState, type AttemptLedger, type Send } from './ledger.js'
+import { SendState, type AttemptLedger, type HandOverSend, type HandOverTerms } from './ledger.js'
+import { isIncarnationGone } from './lost-target.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields, sendLogFields } from './outcome.js'
 import { Refusal } from './refusal.js'
 import { writeBody } from './write-body.js'
@@ -45,14 +46,14 @@
   const handOver = startHandOver()
   for (;;) {
     if (request.exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies)
-    const peer = await nextPeer(request, dependencies, ledger, handOver)
-    if (peer === undefined) return refuseCutOff(request, dependencies, ledger, handOver)
-    const answer = await askForBody(request, dependencies, peer, ledger, handOver)
+    const start = await nextPeer(request, dependencies, ledger, handOver)
+    if (start === undefined) return refuseCutOff(request, dependencies, ledger, handOver)
+    const answer = await askForBody(request, dependencies, start, ledger, handOver)
     if (answer === undefined) continue
     if (request.exchange.response.destroyed) return recordCallerLeft(request, dependencies)
     writeBody(request, dependencies, answer.response, answer.body)
     return recordAnswered(request, dependencies, {
-      status: answer.response.statusCode!, target: `peer ${peer.vm}`, ...sendLogFields(ledger)
+      status: answer.response.statusCode!, target: `peer ${start.peer.vm}`, ...sendLogFields(ledger)
     })
   }
 }
@@ -70,13 +71,14 @@
       recordCallerLeft(request, dependencies, { ...sendLogFields(ledger), detail: handOver.detail })
       return true
     }
-    const peer = await nextPeer(request, dependencies, ledger, handOver)
-    if (peer === undefined) {
+    const start = await nextPeer(request, dependencies, ledger, handOver)
+    if (start === undefined) {
       if (progress.isHeadSent && ledger.maySendAgain() && remainingTime(request) > ANSWER_TRANSIT_MILLISECONDS) return false
       refuseCutOff(request, dependencies, ledger, handOver)
       return true
     }
-    const outcome = await runThroughPeer(request, dependencies, peer, ledger, progress, handOver)
+    const { peer } = start
+    const outcome = await runThroughPeer(request, dependencies, start, ledger, progress, handOver)
     if (outcome.end === RunEnd.Complete) {
       const fields = { status: outcome.status, target: `peer ${peer.vm}`, ...sendLogFields(ledger) }
       recordAnswered(request, dependencies, fields, isInTime(request, progress))
@@ -93,21 +95,35 @@
   return { triedVms: new Set(), detail: 'no peer reaches the targets', retryAfterMilliseconds: CUT_OFF_RETRY_MILLISECONDS }
 }
 
+/** A peer that the request goes to, and what it may do. */
+interface HandOverStart {
+  peer: Peer
+  terms: HandOverTerms
+}
+
 /** @returns the peer to try next; undefined if the request may not be sent again or no peer is left. */
 async function nextPeer (
-  request: AdmittedRequest, dependencies: RequestDependencies, ledger: AttemptLedger, { triedVms }: HandOver
-): Promise<Peer | undefined> {
+  request: AdmittedRequest, dependencies: RequestDependencies, ledger: AttemptLedger, handOver: HandOver
+): Promise<HandOverStart | undefined> {
+  const { triedVms } = handOver
   if (request.exchange.isHandedOver || triedVms.size >= MAXIMUM_PEERS) return undefined
   if (!ledger.maySendAgain() || remainingTime(request) <= ANSWER_TRANSIT_MILLISECONDS) return undefined
-  const peer = dependencies.peerChoice.choose(request.service.name, triedVms)
+  const terms = ledger.handOverTerms(incarnation => isIncarnationGone(incarnation, dependencies))
+  // Only a stream is sent to the same target twice.
+  const isLimitReached = terms.furtherTargets === 0 && (request.route.form === AnswerForm.SingleBody || terms.reachedTargets.length === 0)
+  if (isLimitReached) {
+    handOver.detail += '; the limit of targets is reached'
+    return undefined
+  }
+  const peer = dependencies.peerChoice.choose(request.service.name, triedVms, { keepsLimit: ledger.reachedTargets() > 0 })
   if (peer === undefined) return undefined
   if (ledger.possibleArrivals() > 0 && !await dependencies.repeats.take(request.service.name)) return undefined
   triedVms.add(peer.vm)
   dependencies.metrics.count('requests_handed_over_total', { service: request.service.name })
   dependencies.log.info(RelayEvent.RequestHandedOver, {
-    ...requestLogFields(request, dependencies), peer: peer.vm, ...sendLogFields(ledger)
+    ...requestLogFields(request, dependencies), peer: peer.vm, ...sendLogFields(ledger), furtherTargets: terms.furtherTargets
   })
-  return peer
+  return { peer, terms }
 }
 
 function refuseCutOff (request: AdmittedRequest, dependencies: RequestDependencies, ledger: AttemptLedger, handOver: HandOver): void {
@@ -123,7 +139,7 @@
 
 /** @returns the answer of a peer that handled the request; undefined if it refused it, or if no valid answer arrived. */
 async function askForBody (
-  request: AdmittedRequest, dependencies: RequestDependencies, peer: Peer, ledger: AttemptLedger, handOver: HandOver
+  request: AdmittedRequest, dependencies: RequestDependencies, { peer, terms }: HandOverStart, ledger: AttemptLedger, handOver: HandOver
 ): Promise<PeerBody | undefined> {
   const isFirstOfSeveral = request.route.repeat === RepeatRule.Idempotent && ledger.possibleArrivals() === 0
   const remaining = remainingTime(request) - ANSWER_TRANSIT_MILLISECONDS
@@ -133,9 +149,9 @@
   const abort = (): void => abortController.abort()
   request.exchange.callerLeft.addEventListener('abort', abort, { once: true })
   const timer = setTimeout(abort, waitMilliseconds)
-  const send = ledger.begin(`peer ${peer.vm}`)
+  const send = ledger.beginHandOver(terms)
   try {
-    const outcome = await sendToPeer(request, dependencies, peer, send, { waitMilliseconds }, abortController.signal)
+    const outcome = await sendToPeer(request, dependencies, peer, send, { ...terms, waitMilliseconds }, abortController.signal)
     if (outcome.kind !== SendResult.Answered) throw new Error(outcome.reason)
     const body = await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)
     if (isRefusal(outcome, send, handOver)) throw new Error(`status ${outcome.response.statusCode}`)
@@ -153,8 +169,8 @@
 }
 
 async function runThroughPeer (
-  request: AdmittedRequest, dependencies: RequestDependencies, peer: Peer, ledger: AttemptLedger, progress: EventsProgress,
-  handOver: HandOver
+  request: AdmittedRequest, dependencies: RequestDependencies, { peer, terms }: HandOverStart, ledger: AttemptLedger,
+  progress: EventsProgress, handOver: HandOver
 ): Promise<RunOutcome> {
   const reservation = dependencies.peerChoice.reserve(peer.vm)
   const abortController = new AbortController()
@@ -169,10 +185,12 @@
   const silenceTimer = setInterval(() => {
     if (performance.now() - state.lastProgressAt > PEER_SILENCE_MILLISECONDS) abort('the peer is silent')
   }, PEER_SILENCE_MILLISECONDS / 5)
-  const send = ledger.begin(`peer ${peer.vm}`)
+  const send = ledger.beginHandOver(terms)
   try {
-    const terms = { waitMilliseconds: remainingTime(request) - ANSWER_TRANSIT_MILLISECONDS, lastEvent: progress.lastEvent }
-    const outcome = await sendToPeer(request, dependencies, peer, send, terms, abortController.signal)
+    const waitMilliseconds = remainingTime(request) - ANSWER_TRANSIT_MILLISECONDS
+    const outcome = await sendToPeer(
+      request, dependencies, peer, send, { ...terms, waitMilliseconds, lastEvent: progress.lastEvent }, abortController.signal
+    )
     if (outcome.kind !== SendResult.Answered) return { end: RunEnd.Broken, status: 0, reason: state.reason || outcome.reason }
     if (outcome.response.statusCode !== SUCCESS_STATUS || !outcome.terms.isEventStream) {
       await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)
@@ -198,8 +216,8 @@
 }
 
 async function sendToPeer (
-  request: AdmittedRequest, dependencies: RequestDependencies, peer: Peer, send: Send,
-  terms: { waitMilliseconds: number, lastEvent?: number }, signal: AbortSignal
+  request: AdmittedRequest, dependencies: RequestDependencies, peer: Peer, send: HandOverSend,
+  terms: HandOverTerms & { waitMilliseconds: number, lastEvent?: number }, signal: AbortSignal
 ): Promise<SendOutcome> {
   const { exchange } = request
   send.state = SendState.Sent
@@ -214,11 +232,16 @@
     signal
   })
   send.state = outcome.kind === SendResult.NotSent ? SendState.NotSent : SendState.MayHaveRun
+  if (outcome.kind === SendResult.Answered) {
+    send.report = outcome.terms.reachReport
+    // A peer may continue a stream at another target, which it cannot tell any more.
+    send.isReportFinal = send.report !== undefined && !outcome.terms.isEventStream
+  }
   return outcome
 }
 
 /** Whether a peer has refused a request. Its promise that the request has not run counts as that of a target. */
-function isRefusal ({ response, terms }: AnsweredSend, send: Send, handOver: HandOver): boolean {
+function isRefusal ({ response, terms }: AnsweredSend, send: HandOverSend, handOver: HandOver): boolean {
   if (!NOT_RUN_STATUSES.has(response.statusCode ?? 0) || terms.isSealed) return false
   send.state = SendState.ReportedNotRun
   const { pauseSeconds = NaN } = terms
--- a/packages/relay/src/request/handle.ts
+++ b/packages/relay/src/request/handle.ts
@@ -66,6 +66,7 @@
     route,
     service,
     workspace,
+    handOver: exchange.isHandedOver ? terms.handOver : undefined,
     contentDigest: lazyContentDigest(exchange, workspace?.name),
     version: configuration.version,
     domainDraw: dependencies.nextFloat(),
--- a/packages/relay/src/request/lost-target.ts
+++ b/packages/relay/src/request/lost-target.ts
@@ -33,6 +33,11 @@
   return dependencies.contentQuarantine.mayRepeat(content)
 }
 
+/** Whether an incarnation of a target is gone; it then no longer counts against the limit of targets. */
+export function isIncarnationGone (incarnation: string, { directory }: Pick<RequestDependencies, 'directory'>): boolean {
+  return directory.findIncarnation(incarnation) === undefined
+}
+
 /**
  * Orders targets for a request under which a target has ended. Several such requests, of which one may be the cause, are spread over the
  * targets, so that the next end concerns as few of them as possible.
--- a/packages/relay/src/request/outcome.ts
+++ b/packages/relay/src/request/outcome.ts
@@ -15,6 +15,7 @@
   retryAfterMilliseconds?: number
 ): void {
   const refusal = ledger.isCertainlyNotRun() ? wanted : wanted === Refusal.TimedOut ? Refusal.TimedOut : Refusal.Failed
+  reportReach(request, dependencies, ledger)
   const status = endWithRefusal(request.exchange.response, refusal, retryAfterMilliseconds)
   const event = status === RETRYABLE_STATUS ? RelayEvent.RequestRefused : RelayEvent.RequestFailed
   if (ledger.possibleArrivals() > 0) recordUnfinished(request, dependencies)
@@ -24,6 +25,14 @@
   })
 }
 
+/** Adds to the answer which targets were reached, if the VM that has handed the request over limits them. */
+export function reportReach (
+  { exchange: { response }, handOver }: AdmittedRequest, { dialect }: RequestDependencies, ledger: AttemptLedger
+): void {
+  if (handOver === undefined || response.headersSent) return
+  for (const [name, value] of Object.entries(dialect.writeReachReport(ledger.report()))) response.setHeader(name, value)
+}
+
 /** Log fields of an answer; further ones tell how an answer in events went. */
 type AnsweredFields = { status: number, target: string, arrivals: number, targets: number } & Record<string, string | number | undefined>
 
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -15,7 +15,7 @@
 import { handOverSingleBody } from './hand-over.js'
 import { mayRepeatAfterLoss, rankForSuspect, refuseQuarantined } from './lost-target.js'
 import { SendState, createAttemptLedger, type AttemptLedger, type Send } from './ledger.js'
-import { recordAnswered, recordCallerLeft, refuse, requestLogFields, sendLogFields } from './outcome.js'
+import { recordAnswered, recordCallerLeft, refuse, reportReach, requestLogFields, sendLogFields } from './outcome.js'
 import { commonPause } from './pauses.js'
 import { waitEndOf } from './wait-end.js'
 import { writeBody } from './write-body.js'
@@ -62,7 +62,7 @@
 /** Relays one request until it is answered, refused or abandoned by its caller. */
 export async function relaySingleBody (request: AdmittedRequest, dependencies: RequestDependencies): Promise<void> {
   const isIdempotent = request.route.repeat === RepeatRule.Idempotent
-  const ledger = createAttemptLedger(isIdempotent, request.route.maximumTargets)
+  const ledger = createAttemptLedger(isIdempotent, request.route.maximumTargets, request.handOver)
   let firstServerError: BufferedAnswer | undefined
   let unreachable: Target | undefined
   let hasEntered = false
@@ -321,6 +321,7 @@
   const { response } = request.exchange
   const status = answer.response.statusCode ?? 502
   if (response.destroyed) return recordCallerLeft(request, dependencies, sendLogFields(ledger))
+  reportReach(request, dependencies, ledger)
   writeBody(request, dependencies, answer.response, answer.body)
   recordAnswered(request, dependencies, { status, target: answer.target.id, ...sendLogFields(ledger) })
 }
--- a/packages/relay/test/plain-dialect.ts
+++ b/packages/relay/test/plain-dialect.ts
@@ -3,9 +3,9 @@
  */
 import { OrderResult, type Dialect } from '@wigeonlead/relay'
 
-const CONNECTION_HEADERS = /^(content-length|transfer-encoding|connection)$/i
+const CONNECTION_HEADERS = /^(content-length|transfer-encoding|connection|x-reached|x-further|x-arrivals)$/i
 
-const TERMS_HEADERS = /^(content-length|transfer-encoding|connection|x-wait|last-event-id)$/i
+const TERMS_HEADERS = /^(content-length|transfer-encoding|connection|x-wait|last-event-id|x-reached|x-further)$/i
 
 /** Reads and writes only the fields that the tests check. */
 export const PLAIN_DIALECT: Dialect = {
@@ -16,6 +16,9 @@
     lastEvent: headers['last-event-id'] === undefined ? undefined : Number(headers['last-event-id']),
     promptTokens: 10,
     maximumAnswerTokens: 10,
+    handOver: headers['x-further'] === undefined
+      ? undefined
+      : { reachedTargets: readList(headers['x-reached']), furtherTargets: Number(headers['x-further']) },
     sharedPromptParts: headers['x-parts'] === undefined ? undefined : String(headers['x-parts']).split(',').slice(0, -1)
   }),
   writeHeaders: (rawHeaders, terms) => [
@@ -25,8 +28,10 @@
   writeHandOverHeaders: (rawHeaders, terms) => [
     ...rawHeaders.filter((_, index) => !TERMS_HEADERS.test(rawHeaders[index - index % 2]!)),
     'X-Wait', String(terms.waitMilliseconds),
+    'X-Reached', terms.reachedTargets.join(), 'X-Further', String(terms.furtherTargets),
     ...(terms.lastEvent === undefined ? [] : ['Last-Event-Id', String(terms.lastEvent)])
   ],
+  writeReachReport: ({ reachedTargets, arrivals }) => ({ 'X-Reached': reachedTargets.join(), 'X-Arrivals': String(arrivals) }),
   readAnswer: headers => ({
     requestId: headers['x-request'] as string | undefined,
     isSealed: headers['x-seal'] !== undefined,
@@ -34,7 +39,10 @@
     isLeaving: headers['x-leaving'] !== undefined,
     pauseSeconds: headers['retry-after'] === undefined ? undefined : Number(headers['retry-after']),
     requestsPerSecond: headers['x-limit'] === undefined ? undefined : Number(headers['x-limit']),
-    isEventStream: headers['content-type'] === 'text/event-stream'
+    isEventStream: headers['content-type'] === 'text/event-stream',
+    reachReport: headers['x-arrivals'] === undefined
+      ? undefined
+      : { reachedTargets: readList(headers['x-reached']), arrivals: Number(headers['x-arrivals']) }
   }),
   answerHeaders: withoutConnectionHeaders,
   reportPath: '/report',
@@ -49,6 +57,10 @@
   readinessPath: '/ready'
 }
 
+function readList (text: string | string[] | undefined): string[] {
+  return String(text ?? '').split(',').filter(element => element !== '')
+}
+
 function withoutConnectionHeaders (rawHeaders: readonly string[]): string[] {
   return rawHeaders.filter((_, index) => !CONNECTION_HEADERS.test(rawHeaders[index - index % 2]!))
 }
--- a/packages/relay/test/process/membership/peer-choice.spec.ts
+++ b/packages/relay/test/process/membership/peer-choice.spec.ts
@@ -38,13 +38,15 @@
   }
 ]
 
-function createChoice ({ local, localReaching, remote, remoteReaching }: Case): PeerChoice {
+function createChoice (
+  { local, localReaching, remote, remoteReaching }: Case, keepsTargetLimit = (_vm: string): boolean => false
+): PeerChoice {
   const create = (failureDomain: string, count: number): Peer[] =>
     Array.from({ length: count }, (_, index) => ({ vm: `${failureDomain}-${index}`, address: '', failureDomain }))
   const [locals, remotes] = [create('local', local), create('remote', remote)]
   const random = createSeededRandom(30)
   const reaching = [...locals.slice(0, localReaching), ...remotes.slice(0, remoteReaching)]
-  return createPeerChoice({ known: () => [...locals, ...remotes], reaching: () => reaching }, 'local', () => random.nextFloat())
+  return createPeerChoice({ known: () => [...locals, ...remotes], reaching: () => reaching, keepsTargetLimit }, 'local', () => random.nextFloat())
 }
 
 const choices = suite('choice of a peer')
@@ -82,4 +84,12 @@
   assert.is(choice.choose('model', new Set()), undefined)
 })
 
+choices('a request that has reached targets goes only to peers that keep the limit of targets', () => {
+  const fleet = { name: '', local: 4, localReaching: 4, remote: 4, remoteReaching: 4, maximumShare: 1, minimumLocalShare: 0 }
+  for (const keeper of ['local-2', 'remote-1', undefined]) {
+    const choice = createChoice(fleet, vm => vm === keeper)
+    assert.is(choice.choose('model', new Set(), { keepsLimit: true })?.vm, keeper)
+  }
+})
+
 choices.run()
