Carry the time that a request has waited over hand-overs

The hand-over states how long ago the first VM received the request, and waits, times to the first event and objectives count from there. A run that another VM may have begun counts when it is decided how long to wait, since a refusal is then a failure for the caller.

The new case of admission.spec fails without it (the request that had waited for 10 s was refused last).

--- a/packages/relay/src/connection/dialect.ts
+++ b/packages/relay/src/connection/dialect.ts
@@ -24,6 +24,14 @@
   sharedPromptParts?: readonly string[]
   /** Terms of the VM that hands the request over. Callers can state them too, so they count only in what peers send. */
   handOver?: HandOverTerms
+  /** How long ago the VM that hands the request over, or one before it, received it from its caller, milliseconds; as for `handOver`. */
+  waitedMilliseconds?: number
+}
+
+/** What a VM states when it hands a request over. */
+export interface HandOverHeaders extends HandOverTerms, Pick<RelayTerms, 'waitMilliseconds' | 'lastEvent'> {
+  /** Time since the caller's request was received, milliseconds. */
+  waitedMilliseconds: number
 }
 
 /** One stage of a path: a target that runs the layers from `from` up to, but not including, `to`. */
@@ -124,10 +132,9 @@
    */
   writeHeaders: (rawHeaders: readonly string[], terms: RelayTerms, hidesKey: boolean) => string[]
   /**
-   * @param terms the time that is left, milliseconds, the last event that the caller has received, and the targets that may be reached.
    * @returns headers for a peer that handles the request, as flat name-value pairs: the caller's, with the given terms.
    */
-  writeHandOverHeaders: (rawHeaders: readonly string[], terms: Pick<RelayTerms, 'waitMilliseconds' | 'lastEvent'> & HandOverTerms) => string[]
+  writeHandOverHeaders: (rawHeaders: readonly string[], terms: HandOverHeaders) => string[]
   /** @returns headers for the VM that has handed a request over. */
   writeReachReport: (report: ReachReport) => Record<string, string>
   readAnswer: (headers: IncomingHttpHeaders) => AnswerTerms
--- a/packages/relay/src/connection/index.ts
+++ b/packages/relay/src/connection/index.ts
@@ -3,7 +3,8 @@
  */
 export { splitAddress } from './address.js'
 export {
-  OrderResult, type AnswerTerms, type CallerTerms, type Dialect, type PlaceOrder, type RelayTerms, type PathStage, type TargetReport
+  OrderResult, type AnswerTerms, type CallerTerms, type Dialect, type HandOverHeaders, type PlaceOrder, type RelayTerms, type PathStage,
+  type TargetReport
 } from './dialect.js'
 export type { HandOverTerms, ReachReport } from '../request/ledger.js'
 export { createEngineClient, type EngineClient, type MoveAnswer } from './engine-client.js'
--- a/packages/relay/src/request/context.ts
+++ b/packages/relay/src/request/context.ts
@@ -68,6 +68,8 @@
   version: number
   /** Random number from 0 to 1 that decides which failure domain serves it, the same for all its searches. */
   domainDraw: number
+  /** Monotonic time at which the first VM received the request from its caller, milliseconds. */
+  arrivedAt: number
   /** Monotonic time by which the caller must have its answer, milliseconds. */
   deadline: number
 }
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -68,9 +68,9 @@
 }
 
 /** Whether an answer has met the objectives of its route so far. */
-export function isInTime ({ route, exchange }: AdmittedRequest, { firstEventAt, longestPauseMilliseconds = 0 }: EventsProgress): boolean {
+export function isInTime ({ route, arrivedAt }: AdmittedRequest, { firstEventAt, longestPauseMilliseconds = 0 }: EventsProgress): boolean {
   if (firstEventAt === undefined) return false
-  return firstEventAt - exchange.arrivedAt.monotonic <= route.latencyObjectiveMilliseconds &&
+  return firstEventAt - arrivedAt <= route.latencyObjectiveMilliseconds &&
     longestPauseMilliseconds <= (route.pauseObjectiveMilliseconds ?? Infinity)
 }
 
@@ -324,7 +324,7 @@
       const headers = dependencies.dialect.answerHeaders(response.rawHeaders)
       if (caller.hasHeader('Connection')) headers.push('Connection', 'close')
       caller.writeHead(SUCCESS_STATUS, headers as unknown as Record<string, string>)
-      dependencies.metrics.observe('first_event', performance.now() - request.exchange.arrivedAt.monotonic)
+      dependencies.metrics.observe('first_event', performance.now() - request.arrivedAt)
     }
   })
 }
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -37,7 +37,7 @@
   const mayRunAgain = route.isResumable || route.repeat === RepeatRule.Idempotent
   const ledger = createAttemptLedger(mayRunAgain, route.maximumTargets, request.handOver)
   const progress: EventsProgress = { lastEvent: request.terms.lastEvent, isHeadSent: false, presentRun: AnswerProgress.Nothing }
-  const pathWaitEndsAt = performance.now() + Math.min(route.latencyObjectiveMilliseconds, remainingTime(request)) * PATH_WAIT_SHARE
+  const pathWaitEndsAt = request.arrivedAt + Math.min(route.latencyObjectiveMilliseconds, remainingTime(request)) * PATH_WAIT_SHARE
   const avoided = new Set<string>()
   const isGone = (incarnation: string): boolean => isIncarnationGone(incarnation, dependencies)
   // A VM that has handed the request over names the targets that have failed it; at the limit, only these are left.
@@ -99,7 +99,7 @@
         target: start.path.stages[0]!.targetId,
         ...sendLogFields(ledger),
         events: progress.lastEvent,
-        firstEventMilliseconds: Math.round((progress.firstEventAt ?? 0) - exchange.arrivedAt.monotonic),
+        firstEventMilliseconds: Math.round((progress.firstEventAt ?? 0) - request.arrivedAt),
         longestPauseMilliseconds: Math.round(progress.longestPauseMilliseconds ?? 0),
         path: describePath(start.path)
       }, isInTime(request, progress))
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { readAnswer } from '@wigeonlead/protocol'
+import type { HandOverHeaders } from '../connection/dialect.js'
 import { SendResult, type SendOutcome } from '../connection/target-client.js'
 import type { Peer } from '../process/membership/peers.js'
 import { RelayEvent } from '../process/relay-log.js'
@@ -217,7 +218,7 @@
 
 async function sendToPeer (
   request: AdmittedRequest, dependencies: RequestDependencies, peer: Peer, send: HandOverSend,
-  terms: HandOverTerms & { waitMilliseconds: number, lastEvent?: number }, signal: AbortSignal
+  terms: Omit<HandOverHeaders, 'waitedMilliseconds'>, signal: AbortSignal
 ): Promise<SendOutcome> {
   const { exchange } = request
   send.state = SendState.Sent
@@ -226,7 +227,9 @@
     incarnation: peer.vm,
     method: exchange.method,
     path: exchange.path,
-    headers: dependencies.dialect.writeHandOverHeaders(exchange.rawHeaders, terms),
+    headers: dependencies.dialect.writeHandOverHeaders(exchange.rawHeaders, {
+      ...terms, waitedMilliseconds: performance.now() - request.arrivedAt
+    }),
     body: exchange.body,
     mayReuseConnection: true,
     signal
--- a/packages/relay/src/request/handle.ts
+++ b/packages/relay/src/request/handle.ts
@@ -70,6 +70,7 @@
     contentDigest: lazyContentDigest(exchange, workspace?.name),
     version: configuration.version,
     domainDraw: dependencies.nextFloat(),
+    arrivedAt: exchange.arrivedAt.monotonic - (exchange.isHandedOver ? terms.waitedMilliseconds ?? 0 : 0),
     deadline: exchange.arrivedAt.monotonic + wait
   }
 }
--- a/packages/relay/src/request/outcome.ts
+++ b/packages/relay/src/request/outcome.ts
@@ -44,7 +44,7 @@
   request: AdmittedRequest, dependencies: RequestDependencies, fields: AnsweredFields,
   isInTime?: boolean
 ): void {
-  const milliseconds = performance.now() - request.exchange.arrivedAt.monotonic
+  const milliseconds = performance.now() - request.arrivedAt
   dependencies.level.recordEnd(
     request.service.name, urgencyOf(request), isInTime ?? milliseconds <= request.route.latencyObjectiveMilliseconds
   )
@@ -62,7 +62,7 @@
 export function recordCallerLeft (
   request: AdmittedRequest, dependencies: RequestDependencies, fields: Record<string, string | number | undefined> = {}
 ): void {
-  const milliseconds = Math.round(performance.now() - request.exchange.arrivedAt.monotonic)
+  const milliseconds = Math.round(performance.now() - request.arrivedAt)
   if (Number(fields.arrivals ?? 0) > 0) recordUnfinished(request, dependencies)
   dependencies.metrics.count('requests_left_total', { route: request.route.name })
   dependencies.log.info(RelayEvent.RequestLeft, { ...requestLogFields(request, dependencies), ...fields, milliseconds })
--- a/packages/relay/src/request/wait-end.ts
+++ b/packages/relay/src/request/wait-end.ts
@@ -15,15 +15,18 @@
 const LEAST_PATIENCE_MILLISECONDS = 2000
 
 /**
- * @param mayHaveRun whether a run of the request may have begun at a target. A refusal would then be a failure for the caller, so the
- * request waits as long as its caller does, even if its answer will be late. Any other request is refused once its answer cannot be in
- * time: the caller then returns while its time lasts, and may meet another VM or free capacity.
+ * @param mayHaveRun whether this VM may have begun a run of the request at a target. After such a run, also one by a VM that has handed the
+ * request over, a refusal would be a failure for the caller, so the request waits as long as its caller does, even if its answer will be
+ * late. Any other request is refused once its answer cannot be in time: the caller then returns while its time lasts, and may meet another
+ * VM or free capacity.
  * @returns monotonic time at which a request stops waiting for capacity, milliseconds; it may have passed.
  */
 export function waitEndOf (request: AdmittedRequest, mayHaveRun: boolean): number {
-  const arrivedAt = request.exchange.arrivedAt.monotonic
+  const { arrivedAt } = request
   const objective = request.route.latencyObjectiveMilliseconds
   const halfway = performance.now() + remainingTime(request) * REMAINING_SHARE
-  if (mayHaveRun) return Math.min(halfway, arrivedAt + Math.max(LEAST_PATIENCE_MILLISECONDS, objective * PATIENCE_OBJECTIVES))
+  if (mayHaveRun || (request.handOver?.reachedTargets.length ?? 0) > 0) {
+    return Math.min(halfway, arrivedAt + Math.max(LEAST_PATIENCE_MILLISECONDS, objective * PATIENCE_OBJECTIVES))
+  }
   return Math.min(halfway, arrivedAt + objective * WAIT_SHARE)
 }
--- a/packages/relay/test/fleet.ts
+++ b/packages/relay/test/fleet.ts
@@ -26,8 +26,10 @@
 
 /** The fleet and its controls. */
 export interface Fleet {
-  /** Sends a request to one VM; by default one whose answer is a series of events. */
-  call: (vm: number, headers: Record<string, string>, options?: { path?: string, body?: string }) => Promise<FleetAnswer>
+  /** Sends a request to one VM, as a caller or as a peer that hands it over; by default one whose answer is a series of events. */
+  call: (
+    vm: number, headers: Record<string, string>, options?: { path?: string, body?: string, isHandedOver?: boolean }
+  ) => Promise<FleetAnswer>
   /** Restarts the given VMs at the same moment; they keep nothing. */
   restart: (vms: readonly number[]) => Promise<void>
   /** Starts targets that have ended, as new incarnations, and waits until every VM lists them. */
@@ -161,9 +163,9 @@
   const fleet: Fleet = {
     store,
     relays: new Proxy([], { get: (_, key) => Reflect.get(vms.map(({ relay }) => relay), key) }),
-    call (vm, headers, { path = '/write/1', body = '' } = {}) {
+    call (vm, headers, { path = '/write/1', body = '', isHandedOver = false } = {}) {
       return new Promise((resolve, reject) => {
-        const outgoing = request(`http://${vms[vm]!.address}${path}`, {
+        const outgoing = request(`http://${isHandedOver ? peerAddresses[vm] : vms[vm]!.address}${path}`, {
           method: 'POST',
           agent: false,
           headers: { Host: 'a.example', 'X-Request': `r-${nextRequest++}`, 'X-Wait': '3000', Authorization: 'key-1', ...headers }
--- a/packages/relay/test/plain-dialect.ts
+++ b/packages/relay/test/plain-dialect.ts
@@ -3,9 +3,9 @@
  */
 import { OrderResult, type Dialect } from '@wigeonlead/relay'
 
-const CONNECTION_HEADERS = /^(content-length|transfer-encoding|connection|x-reached|x-further|x-arrivals)$/i
+const CONNECTION_HEADERS = /^(content-length|transfer-encoding|connection|x-reached|x-further|x-waited|x-arrivals)$/i
 
-const TERMS_HEADERS = /^(content-length|transfer-encoding|connection|x-wait|last-event-id|x-reached|x-further)$/i
+const TERMS_HEADERS = /^(content-length|transfer-encoding|connection|x-wait|last-event-id|x-reached|x-further|x-waited)$/i
 
 /** Reads and writes only the fields that the tests check. */
 export const PLAIN_DIALECT: Dialect = {
@@ -16,6 +16,7 @@
     lastEvent: headers['last-event-id'] === undefined ? undefined : Number(headers['last-event-id']),
     promptTokens: 10,
     maximumAnswerTokens: 10,
+    waitedMilliseconds: headers['x-waited'] === undefined ? undefined : Number(headers['x-waited']),
     handOver: headers['x-further'] === undefined
       ? undefined
       : { reachedTargets: readList(headers['x-reached']), furtherTargets: Number(headers['x-further']) },
@@ -28,7 +29,7 @@
   writeHandOverHeaders: (rawHeaders, terms) => [
     ...rawHeaders.filter((_, index) => !TERMS_HEADERS.test(rawHeaders[index - index % 2]!)),
     'X-Wait', String(terms.waitMilliseconds),
-    'X-Reached', terms.reachedTargets.join(), 'X-Further', String(terms.furtherTargets),
+    'X-Reached', terms.reachedTargets.join(), 'X-Further', String(terms.furtherTargets), 'X-Waited', String(terms.waitedMilliseconds),
     ...(terms.lastEvent === undefined ? [] : ['Last-Event-Id', String(terms.lastEvent)])
   ],
   writeReachReport: ({ reachedTargets, arrivals }) => ({ 'X-Reached': reachedTargets.join(), 'X-Arrivals': String(arrivals) }),
--- a/packages/relay/test/request/admission.spec.ts
+++ b/packages/relay/test/request/admission.spec.ts
@@ -52,4 +52,27 @@
   })
 }
 
+// Guards against a request that waits for capacity at each VM that it is handed over to, as if it had just arrived.
+full('two requests are handed over: the one that has waited for long at other VMs is refused first', async () => {
+  const [{ path, capacity, headers, begin }] = CASES as [typeof CASES[0]]
+  const running: ServerResponse[] = []
+  await withFleet(1, 1, (incoming, response) => {
+    running.push(response)
+    response.writeHead(200, { 'X-Request': incoming.headers['x-request'], 'X-Seal': 's', ...headers })
+    response.write(begin)
+  }, async ({ call }) => {
+    const calls = Array.from({ length: capacity }, async () => await call(0, {}, { path }))
+    while (running.length < capacity) await new Promise(resolve => { setTimeout(resolve, 5) })
+    const refused: string[] = []
+    await Promise.all(['0', '10000'].map(async waited => {
+      const answer = await call(0, { 'X-Further': '2', 'X-Waited': waited }, { path, isHandedOver: true })
+      assert.is(JSON.parse(answer.body).title, 'no-room')
+      refused.push(waited)
+    }))
+    for (const response of running) response.end()
+    await Promise.all(calls)
+    assert.equal(refused, ['10000', '0'])
+  })
+})
+
 full.run()
