Hand requests over to a silent peer only now and then until it answers

Nothing that one request learnt of a peer was kept for the next.

A peer that sends nothing in time now gets two requests a second from each VM until it answers; where all peers are silent, none is withheld. A case of peer-choice.spec shows it at 100 requests a second.

--- a/packages/relay/src/process/membership/peer-choice.ts
+++ b/packages/relay/src/process/membership/peer-choice.ts
@@ -14,6 +14,9 @@
   choose: (service: string, excluded: ReadonlySet<string>, needs?: { keepsLimit: boolean }) => Peer | undefined
   /** Counts a request that a peer handles. */
   reserve: (vm: string) => Reservation
+  /** Records that a peer sent nothing in time. Others are preferred to it until it answers. */
+  recordSilence: (vm: string) => void
+  recordAnswer: (vm: string) => void
 }
 
 /**
@@ -21,12 +24,16 @@
  * failure domain would fall on one or two VMs.
  */
 const MINIMUM_LOCAL_SHARE = 1 / 3
+/** Interval at which a silent peer gets a request all the same, milliseconds, to find out whether it answers again. */
+const SILENT_PEER_INTERVAL_MILLISECONDS = 500
 
 /** Creates a choice without requests in flight. */
 export function createPeerChoice (
   peers: Pick<Peers, 'known' | 'reaching' | 'keepsTargetLimit'>, ownFailureDomain: string, nextFloat: () => number
 ): PeerChoice {
   const inFlight = new Map<string, number>()
+  /** Monotonic time at which each silent peer may get its next request, milliseconds. */
+  const silentUntil = new Map<string, number>()
 
   function draw (candidates: readonly Peer[]): Peer | undefined {
     return candidates[Math.floor(nextFloat() * candidates.length)]
@@ -35,16 +42,23 @@
   return {
     choose (service, excluded, { keepsLimit } = { keepsLimit: false }) {
       const isLocal = ({ failureDomain }: Peer): boolean => failureDomain === ownFailureDomain
-      const reaching = peers.reaching(service)
+      const isAllowed = ({ vm }: Peer): boolean => !excluded.has(vm) && (!keepsLimit || peers.keepsTargetLimit(vm))
+      const listed = peers.reaching(service)
+      const answering = listed.filter(({ vm }) => performance.now() >= (silentUntil.get(vm) ?? 0))
+      // Where every peer is silent, each is as good as the others.
+      const reaching = answering.some(isAllowed) ? answering : listed
       const local = reaching.filter(isLocal)
       const localVms = peers.known().filter(isLocal).length + 1
       const preferred = local.length >= localVms * MINIMUM_LOCAL_SHARE ? local : reaching
-      const isAllowed = ({ vm }: Peer): boolean => !excluded.has(vm) && (!keepsLimit || peers.keepsTargetLimit(vm))
       const candidates = preferred.some(isAllowed) ? preferred.filter(isAllowed) : reaching.filter(isAllowed)
       const [first, second] = [draw(candidates), draw(candidates)]
       if (first === undefined || second === undefined) return undefined
-      return (inFlight.get(second.vm) ?? 0) < (inFlight.get(first.vm) ?? 0) ? second : first
+      const chosen = (inFlight.get(second.vm) ?? 0) < (inFlight.get(first.vm) ?? 0) ? second : first
+      if (silentUntil.has(chosen.vm)) silentUntil.set(chosen.vm, performance.now() + SILENT_PEER_INTERVAL_MILLISECONDS)
+      return chosen
     },
+    recordSilence: vm => { silentUntil.set(vm, performance.now() + SILENT_PEER_INTERVAL_MILLISECONDS) },
+    recordAnswer: vm => { silentUntil.delete(vm) },
     reserve (vm) {
       inFlight.set(vm, (inFlight.get(vm) ?? 0) + 1)
       return releaseOnce(() => {
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -149,7 +149,10 @@
   const abortController = new AbortController()
   const abort = (): void => abortController.abort()
   request.exchange.callerLeft.addEventListener('abort', abort, { once: true })
-  const timer = setTimeout(abort, waitMilliseconds)
+  const timer = setTimeout(() => {
+    dependencies.peerChoice.recordSilence(peer.vm)
+    abort()
+  }, waitMilliseconds)
   const send = ledger.beginHandOver(terms)
   try {
     const outcome = await sendToPeer(request, dependencies, peer, send, { ...terms, waitMilliseconds }, abortController.signal)
@@ -184,7 +187,9 @@
   request.exchange.callerLeft.addEventListener('abort', onCallerLeft, { once: true })
   const deadlineTimer = setTimeout(() => abort('the deadline has passed'), Math.max(1, remainingTime(request) - ANSWER_TRANSIT_MILLISECONDS))
   const silenceTimer = setInterval(() => {
-    if (performance.now() - state.lastProgressAt > PEER_SILENCE_MILLISECONDS) abort('the peer is silent')
+    if (performance.now() - state.lastProgressAt <= PEER_SILENCE_MILLISECONDS) return
+    dependencies.peerChoice.recordSilence(peer.vm)
+    abort('the peer is silent')
   }, PEER_SILENCE_MILLISECONDS / 5)
   const send = ledger.beginHandOver(terms)
   try {
@@ -236,6 +241,7 @@
   })
   send.state = outcome.kind === SendResult.NotSent ? SendState.NotSent : SendState.MayHaveRun
   if (outcome.kind === SendResult.Answered) {
+    dependencies.peerChoice.recordAnswer(peer.vm)
     send.report = outcome.terms.reachReport
     // A peer may continue a stream at another target, which it cannot tell any more.
     send.isReportFinal = send.report !== undefined && !outcome.terms.isEventStream
--- a/packages/relay/test/process/membership/peer-choice.spec.ts
+++ b/packages/relay/test/process/membership/peer-choice.spec.ts
@@ -2,6 +2,7 @@
  * Which peer handles a request in place of a VM that is cut off: the work of a failure domain whose VMs are nearly all cut off must not
  * fall on the one that is not.
  */
+import { install } from '@sinonjs/fake-timers'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createPeerChoice, type Peer, type PeerChoice } from '@wigeonlead/relay'
@@ -92,4 +93,26 @@
   }
 })
 
+// Guards against a peer that is too busy to answer and gets all requests of its failure domain all the same. Load: 100 a second.
+choices('a silent peer gets two requests a second until it answers, and nothing is withheld where all peers are silent', () => {
+  const clock = install({ toFake: ['performance'] })
+  try {
+    const choice = createChoice({ name: '', local: 2, localReaching: 1, remote: 2, remoteReaching: 2, maximumShare: 1, minimumLocalShare: 0 })
+    const choicesInSecond = (): string[] => Array.from({ length: 100 }, () => {
+      clock.tick(10)
+      return choice.choose('model', new Set())!.vm
+    })
+    const isLocal = (vm: string): boolean => vm === 'local-0'
+    assert.is(choicesInSecond().filter(isLocal).length, 100)
+    choice.recordSilence('local-0')
+    assert.ok(choicesInSecond().filter(isLocal).length <= 2)
+    for (const vm of ['remote-0', 'remote-1']) choice.recordSilence(vm)
+    assert.is(choicesInSecond().length, 100)
+    choice.recordAnswer('local-0')
+    assert.ok(choicesInSecond().filter(isLocal).length >= 96)
+  } finally {
+    clock.uninstall()
+  }
+})
+
 choices.run()
