End the hand-over of a request where a peer's refusal holds at any VM

Callers of VMs that are cut off waited while peer after peer refused their request for want of capacity: all VMs send to the same targets.

Refusals for want of capacity and for quarantined content now end the hand-over and go to the caller with the peer's time to return; a VM that is cut off itself or stops still is no reason to give up.

The new case of admission.spec fails without it (title no-target after three peers, now no-room after one).

--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -14,7 +14,7 @@
 import { SendState, type AttemptLedger, type HandOverSend, type HandOverTerms } from './ledger.js'
 import { isIncarnationGone } from './lost-target.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields, sendLogFields } from './outcome.js'
-import { Refusal } from './refusal.js'
+import { Refusal, readRefusal } from './refusal.js'
 import { writeBody } from './write-body.js'
 
 /** Maximum number of peers that one request is handed over to. */
@@ -31,11 +31,15 @@
 /** Statuses with which a peer promises that the request has not run and will not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 const MILLISECONDS_PER_SECOND = 1000
+/** Refusals that the request would meet at any other VM too: the targets are the same. */
+const FLEET_WIDE_REFUSALS: ReadonlySet<unknown> = new Set([Refusal.NoCapacity, Refusal.PromptQuarantined, Refusal.RequestQuarantined])
 
 /** The peers that a request was handed over to, and what the last one answered. */
 interface HandOver {
   triedVms: Set<string>
   detail: string
+  /** Why a peer has refused the request, if any VM would. */
+  fleetWideRefusal?: Refusal
   /** When the caller may retry, as a peer that refused the request said, milliseconds. */
   retryAfterMilliseconds: number
 }
@@ -107,6 +111,7 @@
   request: AdmittedRequest, dependencies: RequestDependencies, ledger: AttemptLedger, handOver: HandOver
 ): Promise<HandOverStart | undefined> {
   const { triedVms } = handOver
+  if (handOver.fleetWideRefusal !== undefined) return undefined
   if (request.exchange.isHandedOver || triedVms.size >= MAXIMUM_PEERS) return undefined
   if (!ledger.maySendAgain() || remainingTime(request) <= ANSWER_TRANSIT_MILLISECONDS) return undefined
   const terms = ledger.handOverTerms(incarnation => isIncarnationGone(incarnation, dependencies))
@@ -128,7 +133,7 @@
 }
 
 function refuseCutOff (request: AdmittedRequest, dependencies: RequestDependencies, ledger: AttemptLedger, handOver: HandOver): void {
-  const refusal = remainingTime(request) <= ANSWER_TRANSIT_MILLISECONDS ? Refusal.TimedOut : Refusal.NoTarget
+  const refusal = remainingTime(request) <= ANSWER_TRANSIT_MILLISECONDS ? Refusal.TimedOut : handOver.fleetWideRefusal ?? Refusal.NoTarget
   const detail = `cut off from the targets of ${request.service.name}; ${handOver.detail}`
   refuse(request, dependencies, ledger, refusal, detail, handOver.retryAfterMilliseconds)
 }
@@ -158,7 +163,7 @@
     const outcome = await sendToPeer(request, dependencies, peer, send, { ...terms, waitMilliseconds }, abortController.signal)
     if (outcome.kind !== SendResult.Answered) throw new Error(outcome.reason)
     const body = await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)
-    if (isRefusal(outcome, send, handOver)) throw new Error(`status ${outcome.response.statusCode}`)
+    if (isRefusal(outcome, body, send, handOver)) throw new Error(`status ${outcome.response.statusCode}`)
     checkAnswer(request, outcome)
     return { response: outcome.response, body }
   } catch (error) {
@@ -199,8 +204,8 @@
     )
     if (outcome.kind !== SendResult.Answered) return { end: RunEnd.Broken, status: 0, reason: state.reason || outcome.reason }
     if (outcome.response.statusCode !== SUCCESS_STATUS || !outcome.terms.isEventStream) {
-      await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)
-      const end = isRefusal(outcome, send, handOver) ? RunEnd.Refused : RunEnd.Broken
+      const body = await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)
+      const end = isRefusal(outcome, body, send, handOver) ? RunEnd.Refused : RunEnd.Broken
       return { end, status: outcome.response.statusCode ?? 0, reason: `status ${outcome.response.statusCode}` }
     }
     checkAnswer(request, outcome)
@@ -250,9 +255,11 @@
 }
 
 /** Whether a peer has refused a request. Its promise that the request has not run counts as that of a target. */
-function isRefusal ({ response, terms }: AnsweredSend, send: HandOverSend, handOver: HandOver): boolean {
+function isRefusal ({ response, terms }: AnsweredSend, body: Buffer, send: HandOverSend, handOver: HandOver): boolean {
   if (!NOT_RUN_STATUSES.has(response.statusCode ?? 0) || terms.isSealed) return false
   send.state = SendState.ReportedNotRun
+  const refusal = readRefusal(body)
+  if (FLEET_WIDE_REFUSALS.has(refusal)) handOver.fleetWideRefusal = refusal
   const { pauseSeconds = NaN } = terms
   if (pauseSeconds >= 0) handOver.retryAfterMilliseconds = pauseSeconds * MILLISECONDS_PER_SECOND
   return true
--- a/packages/relay/src/request/refusal.ts
+++ b/packages/relay/src/request/refusal.ts
@@ -38,6 +38,17 @@
   [Refusal.TimedOut]: 504
 }
 
+/** @returns why a VM refused a request, from the body of its answer; undefined if it does not tell. */
+export function readRefusal (body: Buffer): Refusal | undefined {
+  try {
+    const { title } = JSON.parse(body.toString()) ?? {}
+    return Object.values(Refusal).find(refusal => refusal === title)
+  } catch {
+    // A VM that stops refuses with an empty body.
+    return undefined
+  }
+}
+
 /** Status of the refusals that a later retry, or a retry at another vm, may avoid. */
 export const RETRYABLE_STATUS = 503
 
--- a/packages/relay/test/request/admission.spec.ts
+++ b/packages/relay/test/request/admission.spec.ts
@@ -6,9 +6,12 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { withFleet, type FleetAnswer } from '../fleet.js'
+import { CutForm } from '../target-gates.js'
 
 const OVERFLOW = 6
 const DEADLINE_MILLISECONDS = 3000
+/** A few rounds of gossip, milliseconds. */
+const GOSSIP_MILLISECONDS = 800
 const CASES = [
   // As many streams as the engine profile of the tests runs at once.
   { service: 'model' as const, path: '/write/1', capacity: 134, headers: { 'Content-Type': 'text/event-stream' }, begin: 'id: 1\ndata: x\n\n' },
@@ -75,4 +78,33 @@
   })
 })
 
+// Guards against a request that is refused by one peer after the other, although all of them send to the same full targets.
+full('a VM is cut off and the targets are full: the first peer\'s refusal ends the hand-over', async () => {
+  const [{ path, capacity, headers, begin }] = CASES as [typeof CASES[0]]
+  const running: ServerResponse[] = []
+  let isFilling = false
+  await withFleet(4, 2, (incoming, response) => {
+    response.writeHead(200, { 'X-Request': incoming.headers['x-request'], 'X-Seal': 's', ...headers })
+    response.write(begin)
+    if (isFilling) running.push(response)
+    else response.end()
+  }, async ({ call, cut, relays }) => {
+    const handedOver = (): number => Number(/requests_handed_over_total\{[^}]*\} (\d+)/.exec(relays[0]!.metrics.render())?.[1] ?? 0)
+    await cut([0], CutForm.Reset)
+    while (handedOver() === 0) await call(0, {}, { path })
+    isFilling = true
+    const calls = Array.from({ length: 2 * capacity }, async () => await call(1, {}, { path }))
+    while (running.length < 2 * capacity) await new Promise(resolve => { setTimeout(resolve, 5) })
+    // The other VMs learn of the load by gossip.
+    await new Promise(resolve => { setTimeout(resolve, GOSSIP_MILLISECONDS) })
+    const before = handedOver()
+    const answer = await call(0, {}, { path })
+    assert.is(answer.status, 503)
+    assert.is(JSON.parse(answer.body).title, 'no-room')
+    assert.is(handedOver(), before + 1)
+    for (const response of running) response.end()
+    await Promise.all(calls)
+  }, { hasGates: true })
+})
+
 full.run()
