Property "restores of the store": calls to engines are answered in memory

Its clock is paused, but its targets had addresses outside this machine, to which the planner opened real connections: whether such a connection failed before the paused clock had passed 100 ms decided if targets were tried, and a VM that reaches none gives the coordinator lease up, as it must. So the sequences depended on real time, and the world broke the property's own assumption that targets answer.

A relay can now be given its calls to engines; in the property a target answers until it is gone.

--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -6,7 +6,7 @@
 import { createMetrics, type Metrics } from 'wigeonlead'
 import type { Exchange } from '../connection/callers.js'
 import type { Dialect } from '../connection/dialect.js'
-import { createEngineClient } from '../connection/engine-client.js'
+import { createEngineClient, type EngineClient } from '../connection/engine-client.js'
 import type { PeerLink } from '../connection/peer-link.js'
 import { createTargetClient, type TargetStates } from '../connection/target-client.js'
 import type { RequestDependencies } from '../request/context.js'
@@ -55,6 +55,8 @@
   keys: { configuration: string, targetPrefix: string }
   decodeConfiguration: (text: string) => RelayConfiguration
   decodeTarget: (id: string, text: string) => Target
+  /** Calls to engines; over the network by default. */
+  engines?: EngineClient
   log: RelayLog
   metrics?: Metrics
   nextFloat: () => number
@@ -127,7 +129,7 @@
   const sendWait = (incarnation: string): number => Math.max(directory.pauseRemaining(incarnation), limits.waitFor(incarnation))
   const paths = createPathFinder(directory, load, ports.nextFloat, sendWait)
   const targets = createTargetClient(dialect, createTargetStates(directory, limits, log, target => { void reach.check(target) }))
-  const engines = createEngineClient(dialect, targets)
+  const engines = ports.engines ?? createEngineClient(dialect, targets)
   const peerRequests = createTargetClient(dialect, STATELESS)
   const reach: TargetReach = createTargetReach({
     ownFailureDomain: settings.node.failureDomain, directory, engines, log, signal: stopped.signal, nextFloat: ports.nextFloat
--- a/packages/relay/test/properties/restore.ts
+++ b/packages/relay/test/properties/restore.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check'
 import { install, type Clock } from '@sinonjs/fake-timers'
 import * as assert from 'uvu/assert'
-import { incarnationOf, type Relay, type Target } from '@wigeonlead/relay'
+import { OrderResult, incarnationOf, type EngineClient, type Relay, type Target } from '@wigeonlead/relay'
 import { joinLinks } from '../joined-links.js'
 import { testTarget } from '../test-engine.js'
 import { createStoreRelay } from '../test-relay.js'
@@ -67,8 +67,22 @@
   if (!state.isGone) world.store.put(`targets/${id}`, JSON.stringify(state.target))
 }
 
+/** @returns calls to engines that are answered at once, on the paused clock: a target answers until it is gone. */
+function memoryEngines (world: World): EngineClient {
+  const isRunning = async ({ id }: Target): Promise<boolean> => world.targets.get(id)?.isGone === false
+  return {
+    report: async () => undefined,
+    isAlive: isRunning,
+    isReachable: isRunning,
+    isAnswering: isRunning,
+    hasEnded: async target => !await isRunning(target),
+    place: async () => OrderResult.Unknown,
+    moveRequest: async () => ({ isAccepted: false, status: 0, isUnknown: false })
+  }
+}
+
 function startVm (world: World, name: string, links: ReturnType<typeof joinLinks>): void {
-  const relay = createStoreRelay(name, world.store, links.get(name)!)
+  const relay = createStoreRelay(name, world.store, links.get(name)!, { engines: memoryEngines(world) })
   world.vms.set(name, { relay, highestVersion: -1, heardLeavingAt: new Map() })
   relay.start()
 }
--- a/packages/relay/test/test-relay.ts
+++ b/packages/relay/test/test-relay.ts
@@ -2,7 +2,8 @@
  * Relays without listeners on a store in memory.
  */
 import {
-  SILENT_RELAY_LOG, checkRelaySettings, createRelay, createStoreEra, type PeerLink, type Relay, type RelayLog, type RelaySettings
+  SILENT_RELAY_LOG, checkRelaySettings, createRelay, createStoreEra, type EngineClient, type PeerLink, type Relay, type RelayLog,
+  type RelaySettings
 } from '@wigeonlead/relay'
 import { PLAIN_DIALECT } from './plain-dialect.js'
 import type { RestoredStore } from './properties/restored-store.js'
@@ -27,12 +28,13 @@
 /**
  * Creates the relay of one VM, whose targets are listed in the store as JSON. It is not started.
  * @param options.peerAddress address of its peer link; by default its name.
+ * @param options.engines calls to engines; over the network by default.
  * @param options.addressOf the address at which this VM reaches a target; by default the listed one.
  */
 export function createStoreRelay (
   vm: string, store: RestoredStore, link: PeerLink,
-  { peerAddress = vm, addressOf = listed => listed, log = SILENT_RELAY_LOG, nextFloat = () => 0.5 }: {
-    peerAddress?: string, addressOf?: (listed: string) => string, log?: RelayLog, nextFloat?: () => number
+  { peerAddress = vm, addressOf = listed => listed, engines, log = SILENT_RELAY_LOG, nextFloat = () => 0.5 }: {
+    peerAddress?: string, addressOf?: (listed: string) => string, engines?: EngineClient, log?: RelayLog, nextFloat?: () => number
   } = {}
 ): Relay {
   const era = createStoreEra(SILENT_RELAY_LOG)
@@ -48,6 +50,7 @@
       const target = JSON.parse(text)
       return { ...target, address: addressOf(target.address) }
     },
+    engines,
     log,
     nextFloat
   })
