--- a/packages/relay/test/request/admission.spec.ts
+++ b/packages/relay/test/request/admission.spec.ts
@@ -5,7 +5,7 @@
 import type { ServerResponse } from 'node:http'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { withFleet, type FleetAnswer } from '../fleet.js'
+import { withFleet, type Fleet, type FleetAnswer } from '../fleet.js'
 import { CutForm } from '../target-gates.js'
 
 const OVERFLOW = 6
@@ -21,6 +21,10 @@
 
 const full = suite('a full target')
 
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => { setTimeout(resolve, 5) })
+}
+
 for (const { service, path, capacity, headers, begin } of CASES) {
   full(`${service}: ${capacity + OVERFLOW} requests at once, of which it takes ${capacity}`, async () => {
     const running: ServerResponse[] = []
@@ -31,9 +35,6 @@
       response.writeHead(200, { 'X-Request': incoming.headers['x-request'], 'X-Seal': 's', ...headers })
       if (begin !== '') response.write(begin)
     }, async ({ call }) => {
-      const until = async (condition: () => boolean): Promise<void> => {
-        while (!condition()) await new Promise(resolve => { setTimeout(resolve, 5) })
-      }
       const answers: FleetAnswer[] = []
       const calls = Array.from({ length: capacity + OVERFLOW }, async () => answers.push(await call(0, {}, { path })))
       await until(() => answers.length === OVERFLOW)
@@ -55,56 +56,65 @@
   })
 }
 
+interface StreamFleet extends Fleet {
+  /** Fills the targets by streams through one VM until the test ends. */
+  fill: (vm: number) => Promise<void>
+}
+
+const [STREAMS] = CASES
+
+/** Runs a test against targets whose streams end at once, or, when they fill the targets, not before the test ends. */
+async function withStreams (vms: number, targets: number, use: (fleet: StreamFleet) => Promise<void>): Promise<void> {
+  const running: ServerResponse[] = []
+  const calls: Array<Promise<FleetAnswer>> = []
+  await withFleet(vms, targets, (incoming, response) => {
+    response.writeHead(200, { 'X-Request': incoming.headers['x-request'], 'X-Seal': 's', ...STREAMS!.headers })
+    response.write(STREAMS!.begin)
+    if (calls.length > 0) running.push(response)
+    else response.end()
+  }, async fleet => {
+    await use({
+      ...fleet,
+      async fill (vm) {
+        const count = targets * STREAMS!.capacity
+        calls.push(...Array.from({ length: count }, async () => await fleet.call(vm, {})))
+        await until(() => running.length === count)
+      }
+    })
+    for (const response of running) response.end()
+    await Promise.all(calls)
+  }, { hasGates: true })
+}
+
 // Guards against a request that waits for capacity at each VM that it is handed over to, as if it had just arrived.
 full('two requests are handed over: the one that has waited for long at other VMs is refused first', async () => {
-  const [{ path, capacity, headers, begin }] = CASES as [typeof CASES[0]]
-  const running: ServerResponse[] = []
-  await withFleet(1, 1, (incoming, response) => {
-    running.push(response)
-    response.writeHead(200, { 'X-Request': incoming.headers['x-request'], 'X-Seal': 's', ...headers })
-    response.write(begin)
-  }, async ({ call }) => {
-    const calls = Array.from({ length: capacity }, async () => await call(0, {}, { path }))
-    while (running.length < capacity) await new Promise(resolve => { setTimeout(resolve, 5) })
+  await withStreams(1, 1, async ({ call, fill }) => {
+    await fill(0)
     const refused: string[] = []
     await Promise.all(['0', '10000'].map(async waited => {
-      const answer = await call(0, { 'X-Further': '2', 'X-Waited': waited }, { path, isHandedOver: true })
+      const answer = await call(0, { 'X-Further': '2', 'X-Waited': waited }, { isHandedOver: true })
       assert.is(JSON.parse(answer.body).title, 'no-room')
       refused.push(waited)
     }))
-    for (const response of running) response.end()
-    await Promise.all(calls)
     assert.equal(refused, ['10000', '0'])
   })
 })
 
 // Guards against a request that is refused by one peer after the other, although all of them send to the same full targets.
 full('a VM is cut off and the targets are full: the first peer\'s refusal ends the hand-over', async () => {
-  const [{ path, capacity, headers, begin }] = CASES as [typeof CASES[0]]
-  const running: ServerResponse[] = []
-  let isFilling = false
-  await withFleet(4, 2, (incoming, response) => {
-    response.writeHead(200, { 'X-Request': incoming.headers['x-request'], 'X-Seal': 's', ...headers })
-    response.write(begin)
-    if (isFilling) running.push(response)
-    else response.end()
-  }, async ({ call, cut, relays }) => {
+  await withStreams(4, 2, async ({ call, cut, fill, relays }) => {
     const handedOver = (): number => Number(/requests_handed_over_total\{[^}]*\} (\d+)/.exec(relays[0]!.metrics.render())?.[1] ?? 0)
     await cut([0], CutForm.Reset)
-    while (handedOver() === 0) await call(0, {}, { path })
-    isFilling = true
-    const calls = Array.from({ length: 2 * capacity }, async () => await call(1, {}, { path }))
-    while (running.length < 2 * capacity) await new Promise(resolve => { setTimeout(resolve, 5) })
+    while (handedOver() === 0) await call(0, {})
+    await fill(1)
     // The other VMs learn of the load by gossip.
     await new Promise(resolve => { setTimeout(resolve, GOSSIP_MILLISECONDS) })
     const before = handedOver()
-    const answer = await call(0, {}, { path })
+    const answer = await call(0, {})
     assert.is(answer.status, 503)
     assert.is(JSON.parse(answer.body).title, 'no-room')
     assert.is(handedOver(), before + 1)
-    for (const response of running) response.end()
-    await Promise.all(calls)
-  }, { hasGates: true })
+  })
 })
 
 full.run()
