--- a/packages/relay/test/request/stream-move.spec.ts
+++ b/packages/relay/test/request/stream-move.spec.ts
@@ -40,7 +40,12 @@
   } as unknown as EngineClient
   const { services } = testConfiguration(1)
   const request = {
-    requestId: 'r1', terms: { promptTokens: 10, maximumAnswerTokens: 10 }, route: testRoute('write'), service: services.get('model')!, version: 1
+    requestId: 'r1',
+    exchange: { isHandedOver: false },
+    terms: { promptTokens: 10, maximumAnswerTokens: 10 },
+    route: testRoute('write'),
+    service: services.get('model')!,
+    version: 1
   } as unknown as AdmittedRequest
   const dependencies = {
     paths, engines, load, directory, log: SILENT_RELAY_LOG, configurationState: { age: () => 0 }, nextFloat: () => nextFloat
