Log replies to peers that are too long to be sent, and the size of a configuration

A VM that gets no page, or a freshness reply without the configuration, could not be told from one whose peers are silent. One line for each position or version; `configuration-in-force` has the number of characters.

--- a/packages/relay/src/process/configuration-state.ts
+++ b/packages/relay/src/process/configuration-state.ts
@@ -84,7 +84,7 @@
       if (inForce !== undefined && configuration.version <= inForce.configuration.version) return configuration.version
       inForce = { configuration, routes: compileRoutes(configuration.routes), text, adoptedAt: performance.now() }
       dependencies.log.info(RelayEvent.ConfigurationInForce, {
-        version: configuration.version, source, routes: configuration.routes.length
+        version: configuration.version, source, routes: configuration.routes.length, characters: text.length
       })
       for (const listener of listeners) listener(inForce)
       return configuration.version
--- a/packages/relay/src/process/freshness.ts
+++ b/packages/relay/src/process/freshness.ts
@@ -65,6 +65,8 @@
   let nextQueryId = 1
   let lastFailedAt = -Infinity
   let checkInProgress: Promise<void> | undefined
+  /** The latest version whose text was too long for a reply; one line is logged for each. */
+  let tooLongVersion: number | undefined
 
   link.on(REQUEST_METHOD, parameters => {
     const request = requestSchema.parse(parameters)
@@ -73,7 +75,12 @@
     const ageMilliseconds = configurationState.age()
     if (peer === undefined || current === undefined || !Number.isFinite(ageMilliseconds)) return
     const isNewer = current.configuration.version > request.version
-    const text = isNewer && Buffer.byteLength(current.text) <= TEXT_BYTES_LIMIT ? current.text : undefined
+    const fits = Buffer.byteLength(current.text) <= TEXT_BYTES_LIMIT
+    if (isNewer && !fits && tooLongVersion !== current.configuration.version) {
+      tooLongVersion = current.configuration.version
+      log.warn(RelayEvent.PeerReplyTooLong, { reply: REPLY_METHOD, bytes: Buffer.byteLength(current.text), version: tooLongVersion })
+    }
+    const text = isNewer && fits ? current.text : undefined
     link.notify(peer.address, REPLY_METHOD, {
       vm: ownVm,
       question: request.question,
--- a/packages/relay/src/process/membership/mirror-relay.ts
+++ b/packages/relay/src/process/membership/mirror-relay.ts
@@ -132,6 +132,8 @@
   let position: StorePosition = { era: 0, revision: 0 }
   let confirmedAt: Instant | undefined
   let recoveredAt = -Infinity
+  /** The position up to which the latest page was too long; one line is logged for each. */
+  let tooLongPosition: StorePosition | undefined
   const skippedUntil = new Map<string, number>()
   let nextPollId = 1
   let preferredIndex = 0
@@ -177,7 +179,12 @@
     // A copy of another era can't be brought up to date by changes: the poller must list the store.
     if (after.era !== position.era || after.revision < completeAfter) return undefined
     const changes = recentChanges.filter(change => change.revision > after.revision)
-    if (Buffer.byteLength(JSON.stringify(changes)) > ANSWER_BYTES_LIMIT) return undefined
+    const bytes = Buffer.byteLength(JSON.stringify(changes))
+    if (bytes > ANSWER_BYTES_LIMIT) {
+      if (tooLongPosition !== position) log.warn(RelayEvent.PeerReplyTooLong, { reply: ANSWER_METHOD, bytes, revision: position.revision })
+      tooLongPosition = position
+      return undefined
+    }
     const regainedMilliseconds = performance.now() - recoveredAt
     return {
       changes,
--- a/packages/relay/src/process/relay-log.ts
+++ b/packages/relay/src/process/relay-log.ts
@@ -37,6 +37,7 @@
   StoreEraFaulty = 'store-era-faulty',
   StoreAnswerDropped = 'store-answer-dropped',
   RelayedPageDropped = 'relayed-page-dropped',
+  PeerReplyTooLong = 'peer-reply-too-long',
   PeerListed = 'peer-listed',
   PeerGone = 'peer-gone',
   PeerRefused = 'peer-message-refused',
