Pass configurations of any size between VMs

Callers of a VM that the store turned away were handled by an old configuration, or refused, for as long as that lasted (CONFIG). Cause: pages of relayed changes and freshness replies left out what exceeded 48,000 bytes, a datagram, and no other path between VMs existed. Deployments with 250 routes exceed it. The same limit made every VM of a large failure domain read the store. Class of fault: the size of one datagram silently bounds what a deployment may hold. Now: long values are compressed, once for all peers; what still exceeds a datagram is sent in parts, to peers that have said that they join them; and only the latest change of each key is relayed and kept.

--- a/packages/relay/src/process/freshness.ts
+++ b/packages/relay/src/process/freshness.ts
@@ -5,8 +5,10 @@
 import { describeFailure, type PollableKeyValue } from '@wigeonlead/protocol'
 import { z } from 'zod'
 import { pause } from 'wigeonlead'
+import { COMPRESSED_FROM_CHARACTERS, compressText, expandText } from '../connection/compressed-text.js'
+import { MESSAGE_BYTES_LIMIT } from '../connection/message-parts.js'
 import type { PeerLink } from '../connection/peer-link.js'
-import type { ConfigurationState } from './configuration-state.js'
+import type { ConfigurationState, VersionInForce } from './configuration-state.js'
 import { instantBefore, presentInstant, type Instant } from './instant.js'
 import type { Peers } from './membership/peers.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
@@ -44,16 +46,28 @@
 const RETRY_COOLDOWN_MILLISECONDS = 500
 /** Number of peers that one check queries. More than one, because the store may reject the calls of some peers, and datagrams get lost. */
 const PEER_FANOUT = 4
-/** Size limit of a configuration text in a datagram, bytes. A reply leaves out a longer text; it still states the version and its age. */
-const TEXT_BYTES_LIMIT = 48_000
+/**
+ * Size limit of a configuration text in a reply to an earlier build, bytes: it must fit into a datagram. A reply leaves out a longer text,
+ * and still states the version and its age.
+ */
+const DATAGRAM_TEXT_BYTES_LIMIT = 48_000
+/** Size limit of a configuration text in any other reply, bytes. */
+const TEXT_BYTES_LIMIT = 0.9 * MESSAGE_BYTES_LIMIT
 
-const requestSchema = z.object({ vm: z.string(), question: z.number(), version: z.number() })
+const requestSchema = z.object({
+  vm: z.string(),
+  question: z.number(),
+  version: z.number(),
+  /** Whether the requester reads replies in several datagrams, and compressed texts. Earlier builds do not. */
+  readsLongAnswers: z.boolean().default(false)
+})
 const replySchema = z.object({
   vm: z.string(),
   question: z.number(),
   version: z.number(),
   ageMilliseconds: z.number().min(0),
   text: z.string().optional(),
+  compressedText: z.string().optional(),
   /** Era of the store that the peer knows, and for how long at least it has lasted, milliseconds. */
   era: z.tuple([z.number(), z.number()]).rest(z.unknown()).optional()
 })
@@ -67,6 +81,8 @@
   let checkInProgress: Promise<void> | undefined
   /** The latest version whose text was too long for a reply; one line is logged for each. */
   let tooLongVersion: number | undefined
+  /** The latest version that was sent to a peer in compressed form. */
+  let compressed: { version: VersionInForce, text: string } | undefined
 
   link.on(REQUEST_METHOD, parameters => {
     const request = requestSchema.parse(parameters)
@@ -75,20 +91,14 @@
     const ageMilliseconds = configurationState.age()
     if (peer === undefined || current === undefined || !Number.isFinite(ageMilliseconds)) return
     const isNewer = current.configuration.version > request.version
-    const fits = Buffer.byteLength(current.text) <= TEXT_BYTES_LIMIT
-    if (isNewer && !fits && tooLongVersion !== current.configuration.version) {
-      tooLongVersion = current.configuration.version
-      log.warn(RelayEvent.PeerReplyTooLong, { reply: REPLY_METHOD, bytes: Buffer.byteLength(current.text), version: tooLongVersion })
-    }
-    const text = isNewer && fits ? current.text : undefined
     link.notify(peer.address, REPLY_METHOD, {
       vm: ownVm,
       question: request.question,
       version: current.configuration.version,
       ageMilliseconds,
-      text,
+      ...isNewer ? writeText(current, request.readsLongAnswers) : {},
       era: era.current() === 0 ? undefined : [era.current(), Math.floor(era.ageMilliseconds())]
-    })
+    }, { mayBeSplit: request.readsLongAnswers })
   })
 
   link.on(REPLY_METHOD, parameters => {
@@ -96,19 +106,40 @@
     const pending = pendingQueries.get(reply.question)
     if (pending === undefined) return
     if (reply.era !== undefined) era.learn(reply.era[0], reply.era[1], reply.vm)
-    if (reply.text !== undefined) configurationState.adopt(reply.text, reply.vm)
+    const text = reply.compressedText === undefined ? reply.text : expandText(reply.compressedText)
+    if (text !== undefined) configurationState.adopt(text, reply.vm)
     // The peer measured the age of its confirmation after this process had sent the query. So the confirmation is at least as recent as the
     // instant that lies this age before the send.
     configurationState.confirm(instantBefore(pending.sentAt, reply.ageMilliseconds), reply.version)
     if (configurationState.areKeysFresh()) pending.onFresh()
   })
 
+  /** @returns the text of a version as a reply carries it; nothing if it is too long. */
+  function writeText (version: VersionInForce, mayBeLong: boolean): { text?: string, compressedText?: string } {
+    const isCompressed = mayBeLong && version.text.length >= COMPRESSED_FROM_CHARACTERS
+    const text = isCompressed ? compressOnce(version) : version.text
+    const bytes = Buffer.byteLength(text)
+    if (bytes <= (mayBeLong ? TEXT_BYTES_LIMIT : DATAGRAM_TEXT_BYTES_LIMIT)) return isCompressed ? { compressedText: text } : { text }
+    if (tooLongVersion !== version.configuration.version) {
+      tooLongVersion = version.configuration.version
+      log.warn(RelayEvent.PeerReplyTooLong, { reply: REPLY_METHOD, bytes, version: tooLongVersion })
+    }
+    return {}
+  }
+
+  function compressOnce (version: VersionInForce): string {
+    if (compressed?.version !== version) compressed = { version, text: compressText(version.text) }
+    return compressed.text
+  }
+
   function queryPeers (): Promise<string> {
     const queryId = nextQueryId++
     return new Promise(resolve => {
       pendingQueries.set(queryId, { sentAt: presentInstant(), onFresh: () => resolve('peer') })
       const version = configurationState.current()?.configuration.version ?? -1
-      for (const peer of peers.sample(PEER_FANOUT)) link.notify(peer.address, REQUEST_METHOD, { vm: ownVm, question: queryId, version })
+      for (const peer of peers.sample(PEER_FANOUT)) {
+        link.notify(peer.address, REQUEST_METHOD, { vm: ownVm, question: queryId, version, readsLongAnswers: true })
+      }
       void pause(CHECK_TIMEOUT_MILLISECONDS).then(() => {
         pendingQueries.delete(queryId)
         resolve('none')
--- a/packages/relay/src/process/membership/mirror-relay.ts
+++ b/packages/relay/src/process/membership/mirror-relay.ts
@@ -2,9 +2,11 @@
  * Relays the store's changes within a failure domain. In a domain of many VMs a few follow the store, and the others poll these followers
  * by datagram. Calls to the store are priced and limited for the whole fleet; datagrams within a failure domain are not.
  */
-import { comparePositions, type StorePosition, type WatchEvent } from '@wigeonlead/protocol'
+import { comparePositions, type KeyValueEntry, type StorePosition, type WatchEvent } from '@wigeonlead/protocol'
 import { z } from 'zod'
 import { pauseInBackground } from 'wigeonlead'
+import { COMPRESSED_FROM_CHARACTERS, compressText, expandText } from '../../connection/compressed-text.js'
+import { MESSAGE_BYTES_LIMIT } from '../../connection/message-parts.js'
 import type { PeerLink } from '../../connection/peer-link.js'
 import { ageOf, instantBefore, presentInstant, type Instant } from '../instant.js'
 import type { Peer, Peers } from './peers.js'
@@ -83,15 +85,26 @@
  * cause of the outage may lie within the domain.
  */
 const SAMPLED_PEERS = 3
-/** Maximum number of changes that are kept for relaying: enough for a burst that rewrites the keys of all VMs and targets. */
+/** Maximum number of keys whose latest changes are kept for relaying: enough for a burst that rewrites the keys of all VMs and targets. */
 const MAX_RECENT_CHANGES = 500
-/** Size limit of the changes in an answer, bytes. Longer answers do not fit into a datagram, and the peer polls the store instead. */
-const ANSWER_BYTES_LIMIT = 48_000
+/**
+ * Size limit of the changes in an answer to an earlier build, bytes. Longer answers do not fit into a datagram, and the peer polls the
+ * store instead.
+ */
+const DATAGRAM_ANSWER_BYTES_LIMIT = 48_000
+/** Size limit of the changes in any other answer, bytes. */
+const ANSWER_BYTES_LIMIT = 0.9 * MESSAGE_BYTES_LIMIT
 /** How long the end of an outage is relayed, milliseconds: entries that expired during it may be written again within this time. */
 const RECOVERY_RELAYED_MILLISECONDS = 3000
 
 const entrySchema = z.object({
-  key: z.string(), value: z.string(), modRevision: z.number(), createRevision: z.number(), leaseId: z.string().optional()
+  key: z.string(),
+  /** Empty where the entry has `compressedValue`. */
+  value: z.string(),
+  compressedValue: z.string().optional(),
+  modRevision: z.number(),
+  createRevision: z.number(),
+  leaseId: z.string().optional()
 })
 const changeSchema = z.object({ key: z.string(), revision: z.number(), entry: entrySchema.optional() })
 const pollSchema = z.object({
@@ -101,7 +114,9 @@
   /** Era of `after`. Absent in messages of earlier versions of the relay, which know no eras. */
   era: z.number().default(0),
   /** Age of the requester's own copy, milliseconds; present if the requester can only use a newer copy. */
-  ownWordMilliseconds: z.number().optional()
+  ownWordMilliseconds: z.number().optional(),
+  /** Whether the requester reads answers in several datagrams, and compressed values. Earlier builds do not. */
+  readsLongAnswers: z.boolean().default(false)
 })
 const answerSchema = z.object({
   question: z.number(),
@@ -117,16 +132,19 @@
 })
 
 type WirePage = z.infer<typeof answerSchema>['page']
+type WireEntry = z.infer<typeof entrySchema>
 
 /** Creates a relay and starts to answer polls of peers. */
 export function createMirrorRelay (dependencies: MirrorRelayDependencies): MirrorRelay {
   const { ownVm, peers, link, log } = dependencies
-  const recentChanges: WatchEvent[] = []
+  /** Latest change of each key that changed lately, the key of the latest change last. */
+  const recentChanges = new Map<string, WatchEvent>()
+  const wireEntries = new WeakMap<KeyValueEntry, WireEntry>()
   /** Polls received from peers that wait for a change. */
   const incomingPolls = new Set<{ after: StorePosition, newerThan?: Instant, answer: () => void }>()
   /** Polls that this process has sent to peers, by the id that the messages carry as `question`. */
   const outgoingPolls = new Map<number, { sentAt: Instant, resolve: (page: RelayedPage | undefined) => void }>()
-  /** `recentChanges` contains every change after this revision of the present era; Infinity before the first full listing. */
+  /** `recentChanges` contains what has changed after this revision of the present era; Infinity before the first full listing. */
   let completeAfter = Infinity
   /** Position up to which this VM's copy is complete. */
   let position: StorePosition = { era: 0, revision: 0 }
@@ -150,8 +168,8 @@
     function answer (): void {
       if (!incomingPolls.delete(incomingPoll)) return
       const isUseful = isFreshEnough(newerThan) && isNewer(incomingPoll)
-      const page = isUseful ? createPage(after, performance.now() - receivedAt) : undefined
-      link.notify(peer!.address, ANSWER_METHOD, { question: request.question, page })
+      const page = isUseful ? createPage(after, performance.now() - receivedAt, request.readsLongAnswers) : undefined
+      link.notify(peer!.address, ANSWER_METHOD, { question: request.question, page }, { mayBeSplit: request.readsLongAnswers })
     }
     incomingPolls.add(incomingPoll)
     if (isAfter(position, after) || !isFreshEnough(newerThan) || (newerThan !== undefined && isNewer(incomingPoll))) answer()
@@ -175,12 +193,13 @@
     return newerThan === undefined || isAfter(position, after) || ageOf(confirmedAt!) < ageOf(newerThan)
   }
 
-  function createPage (after: StorePosition, heldMilliseconds: number): WirePage {
+  function createPage (after: StorePosition, heldMilliseconds: number, mayBeLong: boolean): WirePage {
     // A copy of another era can't be brought up to date by changes: the poller must list the store.
     if (after.era !== position.era || after.revision < completeAfter) return undefined
-    const changes = recentChanges.filter(change => change.revision > after.revision)
+    const recent = [...recentChanges.values()].filter(change => change.revision > after.revision)
+    const changes = mayBeLong ? recent.map(({ key, revision, entry }) => ({ key, revision, entry: entry && toWireEntry(entry) })) : recent
     const bytes = Buffer.byteLength(JSON.stringify(changes))
-    if (bytes > ANSWER_BYTES_LIMIT) {
+    if (bytes > (mayBeLong ? ANSWER_BYTES_LIMIT : DATAGRAM_ANSWER_BYTES_LIMIT)) {
       if (tooLongPosition !== position) log.warn(RelayEvent.PeerReplyTooLong, { reply: ANSWER_METHOD, bytes, revision: position.revision })
       tooLongPosition = position
       return undefined
@@ -195,9 +214,20 @@
     }
   }
 
+  /** @returns an entry as it is sent; a long value is compressed once for all pollers. */
+  function toWireEntry (entry: KeyValueEntry): WireEntry {
+    if (entry.value.length < COMPRESSED_FROM_CHARACTERS) return entry
+    let wireEntry = wireEntries.get(entry)
+    if (wireEntry === undefined) {
+      wireEntry = { ...entry, value: '', compressedValue: compressText(entry.value) }
+      wireEntries.set(entry, wireEntry)
+    }
+    return wireEntry
+  }
+
   function toRelayedPage (page: NonNullable<WirePage>, sentAt: Instant): RelayedPage {
     return {
-      changes: page.changes,
+      changes: page.changes.map(({ key, revision, entry }) => ({ key, revision, entry: entry && fromWireEntry(entry) })),
       position: { era: page.era, revision: page.revision },
       // The poll reached the peer after it was sent, so the peer's copy is at least as recent as this instant.
       confirmedAt: instantBefore(sentAt, page.ageMilliseconds - page.heldMilliseconds),
@@ -236,7 +266,9 @@
     const page = await new Promise<RelayedPage | undefined>(resolve => {
       outgoingPolls.set(pollId, { sentAt: presentInstant(), resolve })
       const ownWordMilliseconds = isInOutage && confirmedAt !== undefined ? ageOf(confirmedAt) : undefined
-      link.notify(peer.address, POLL_METHOD, { vm: ownVm, question: pollId, after: after.revision, era: after.era, ownWordMilliseconds })
+      link.notify(peer.address, POLL_METHOD, {
+        vm: ownVm, question: pollId, after: after.revision, era: after.era, ownWordMilliseconds, readsLongAnswers: true
+      })
       void pauseInBackground(POLL_TIMEOUT_MILLISECONDS).then(() => {
         if (outgoingPolls.has(pollId)) skippedUntil.set(peer.vm, performance.now() + UNRESPONSIVE_COOLDOWN_MILLISECONDS)
         resolve(undefined)
@@ -275,13 +307,17 @@
       return relayed?.page
     },
     recordListing (listed) {
-      recentChanges.length = 0
+      recentChanges.clear()
       completeAfter = listed.revision
       position = listed
     },
     recordChange (change) {
-      recentChanges.push(change)
-      if (recentChanges.length > MAX_RECENT_CHANGES) completeAfter = Math.max(completeAfter, recentChanges.shift()!.revision)
+      recentChanges.delete(change.key)
+      recentChanges.set(change.key, change)
+      if (recentChanges.size <= MAX_RECENT_CHANGES) return
+      const [oldest] = recentChanges.values()
+      recentChanges.delete(oldest!.key)
+      completeAfter = Math.max(completeAfter, oldest!.revision)
     },
     recordConfirmation (confirmed, at) {
       if (isAfter(confirmed, position)) position = confirmed
@@ -296,6 +332,10 @@
   }
 }
 
+function fromWireEntry ({ compressedValue, ...entry }: WireEntry): KeyValueEntry {
+  return compressedValue === undefined ? entry : { ...entry, value: expandText(compressedValue) }
+}
+
 function isAfter (a: StorePosition, b: StorePosition): boolean {
   return comparePositions(a, b) > 0
 }
--- a/packages/relay/test/connection/peer-link.spec.ts
+++ b/packages/relay/test/connection/peer-link.spec.ts
@@ -50,6 +50,34 @@
   })
 }
 
+const LONG_MESSAGES = [
+  { name: 'fits into a datagram', characters: 50_000, mayBeSplit: false, isReceived: true },
+  { name: 'exceeds a datagram and may not be split', characters: 70_000, mayBeSplit: false, isReceived: false },
+  { name: 'exceeds a datagram and may be split', characters: 700_000, mayBeSplit: true, isReceived: true },
+  { name: 'exceeds every limit', characters: 2_000_000, mayBeSplit: true, isReceived: false }
+]
+for (const { name, characters, mayBeSplit, isReceived } of LONG_MESSAGES) {
+  links(`a notification that ${name} is ${isReceived ? 'received' : 'not sent, and that is reported'}`, async () => {
+    const refusals: string[] = []
+    const sender = createPeerLink((_peer, reason) => { refusals.push(reason) })
+    const receiver = createPeerLink(() => {})
+    await openOnFreePort(sender)
+    const address = await openOnFreePort(receiver)
+    const text = 'x'.repeat(characters)
+    const keepAlive = setTimeout(() => {}, 10 * ANSWER_MILLISECONDS)
+    const isHandled = new Promise<boolean>(resolve => {
+      receiver.on('long', parameters => resolve((parameters as { text: string }).text === text))
+      setTimeout(() => resolve(false), isReceived ? ANSWER_MILLISECONDS : 100)
+    })
+    sender.notify(address, 'long', { text }, { mayBeSplit })
+    assert.is(await isHandled, isReceived)
+    assert.is(refusals.length, isReceived ? 0 : 1)
+    clearTimeout(keepAlive)
+    sender.close()
+    receiver.close()
+  })
+}
+
 async function openOnFreePort (link: ReturnType<typeof createPeerLink>): Promise<string> {
   const probe = createSocket('udp4')
   const host = loopbackHost(LoopbackUse.Peers)
--- a/packages/relay/test/process/freshness.spec.ts
+++ b/packages/relay/test/process/freshness.spec.ts
@@ -13,6 +13,7 @@
 import { FULL_REACH } from '../test-target-reach.js'
 import { testRateLimits } from '../test-rate-limits.js'
 import { joinLinks } from '../joined-links.js'
+import { padNumber } from '../padded-text.js'
 import { testConfiguration } from '../test-configuration.js'
 
 const REVOKE_MILLISECONDS = 5000
@@ -63,8 +64,8 @@
 interface Case {
   name: string
   store: StoreAnswer
-  /** Configuration version that each peer uses, and the age of its confirmation in milliseconds. */
-  peers: Array<{ version: number, age: number }>
+  /** Configuration version that each peer uses, the age of its confirmation in milliseconds, and the length of its text. */
+  peers: Array<{ version: number, age: number, characters?: number }>
   /** Version in use after the check. Its confirmation is fresh unless `isStale` is set. */
   version: number
   isStale?: boolean
@@ -77,6 +78,9 @@
   { name: 'the store has a newer version', store: withVersion(2), peers: [], version: 2, limitMilliseconds: 10 },
   { name: 'a peer answers while the store does not', store: timingOut, peers: [{ version: 1, age: 900 }], version: 1, limitMilliseconds: 10 },
   { name: 'a peer has a newer version', store: refusing, peers: [{ version: 3, age: 900 }], version: 3, limitMilliseconds: 10 },
+  // Guards against a VM that knows that it is behind and can't catch up: long configurations did not pass between VMs.
+  { name: 'a peer has a newer version of 60,000 characters', store: refusing, peers: [{ version: 3, age: 900, characters: 60_000 }], version: 3, limitMilliseconds: 10 },
+  { name: 'a peer has a newer version of 500,000 characters', store: refusing, peers: [{ version: 3, age: 900, characters: 500_000 }], version: 3, limitMilliseconds: 10 },
   { name: 'one peer of two has a fresh confirmation', store: refusing, peers: [{ version: 1, age: 4800 }, { version: 1, age: 100 }], version: 1, limitMilliseconds: 10 },
   { name: "the peer's confirmation is stale too", store: refusing, peers: [{ version: 1, age: 4700 }], version: 1, isStale: true, limitMilliseconds: 260 },
   { name: 'a peer uses an older version', store: timingOut, peers: [{ version: 0, age: 10 }], version: 1, isStale: true, limitMilliseconds: 260 },
@@ -97,7 +101,7 @@
       self.configurationState.adopt('1', 'store')
       for (const [index, peer] of peers.entries()) {
         const peerVm = startVm(`peer-${index}`, links.get(`peer-${index}`)!, timingOut, ['self'])
-        peerVm.configurationState.adopt(String(peer.version), 'store')
+        peerVm.configurationState.adopt(padNumber(peer.version, peer.characters), 'store')
         const now = presentInstant()
         peerVm.configurationState.confirm({ monotonic: now.monotonic - peer.age, wallClock: now.wallClock - peer.age }, peer.version)
       }
--- a/packages/relay/test/process/membership/mirror-relay.spec.ts
+++ b/packages/relay/test/process/membership/mirror-relay.spec.ts
@@ -6,8 +6,9 @@
 import { FailureKind, Step, failed, success, type KeyValueEntry, type PollableKeyValue, type WatchEvent } from '@wigeonlead/protocol'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { SILENT_RELAY_LOG, ageOf, createMirrorRelay, createStoreEra, runStoreMirror, type Instant } from '@wigeonlead/relay'
+import { SILENT_RELAY_LOG, ageOf, createMirrorRelay, createStoreEra, runStoreMirror, type Instant, type PeerLink } from '@wigeonlead/relay'
 import { joinLinks } from '../../joined-links.js'
+import { padNumber } from '../../padded-text.js'
 
 /** Tightest bound on the time until every VM has received a change, milliseconds. */
 const CHANGE_BOUND_MILLISECONDS = 2000
@@ -122,6 +123,7 @@
   vms: Vm[]
   /** VMs that neither receive nor send datagrams. */
   dead: Set<string>
+  links: Map<string, PeerLink>
   /**
    * Advances the clock.
    * @returns the greatest age that the latest confirmation of a live VM reached meanwhile, milliseconds.
@@ -172,7 +174,7 @@
       return max
     }
     await advance(3000)
-    await use({ clock, store, vms, dead, advance })
+    await use({ clock, store, vms, dead, links, advance })
   } finally {
     stopped.abort()
     clock.uninstall()
@@ -295,4 +297,46 @@
   assert.is(vms[5]!.copy.get('configuration'), '2')
 }))
 
+/**
+ * Guards against changes that are not in force in time: a configuration that exceeded a datagram did not pass between VMs, so a VM that the
+ * store turned away stayed at the version that it had, and each other VM read the store itself. The load: a change each 400 ms.
+ */
+for (const characters of [10, 60_000, 500_000]) {
+  for (const away of [['vm-004', 'vm-007', 'vm-011'], ['vm-000', 'vm-005'], ['vm-000', 'vm-001', 'vm-006']]) {
+    mirrorRelays(`a configuration of ${characters} characters, the store turns ${away.join()} away: each change reaches all within the bound, few VMs read it`, () => withFleet(12, async fleet => {
+      const { store, vms, advance } = fleet
+      for (const vm of away) store.refused.add(vm)
+      await advance(3000)
+      store.calls.clear()
+      for (let version = 2; version < 12; version++) {
+        store.put('configuration', padNumber(version, characters))
+        await advance(400)
+      }
+      await advance(CHANGE_BOUND_MILLISECONDS - 400)
+      for (const vm of vms) assert.is(Number(vm.copy.get('configuration')), 11, vm.name)
+      const readers = [...store.calls].filter(([vm, calls]) => calls > 6 && !away.includes(vm)).map(([vm]) => vm)
+      assert.ok(readers.length <= 2 || away.length > 2, `${readers.join()} read the store`)
+    }))
+  }
+}
+
+const EARLIER_POLLS = [
+  { name: 'a short configuration is sent as it is', characters: 5000, isAnswered: true },
+  { name: 'a long configuration is not sent', characters: 60_000, isAnswered: false }
+]
+for (const { name, characters, isAnswered } of EARLIER_POLLS) {
+  mirrorRelays(`a peer of an earlier build polls: ${name}`, () => withFleet(6, async ({ store, advance, links }) => {
+    const answers: any[] = []
+    const earlier = links.get('vm-005')!
+    earlier.on('changes-told', answer => { answers.push(answer) })
+    store.put('configuration', padNumber(2, characters))
+    await advance(500)
+    earlier.notify('vm-000', 'changes-asked', { vm: 'vm-005', question: 900_001, after: 3 })
+    await advance(500)
+    const answer = answers.find(({ question }) => question === 900_001)
+    assert.is(answer.page !== undefined, isAnswered)
+    if (isAnswered) assert.is(Number(answer.page.changes[0].entry.value), 2)
+  }))
+}
+
 mirrorRelays.run()
