List the store after seconds without it, and after a page that may be cut

Cause: the backlog was followed however long it was, with each version of the configuration in full; and a page that the store had cut at its size limit counted as proof that the copy was current. Now: a copy that is older than 2.5 s is listed anew, which reads the latest version only; a page near the limit confirms nothing and is followed by a listing.

--- a/packages/protocol/src/platform/key-value.ts
+++ b/packages/protocol/src/platform/key-value.ts
@@ -99,6 +99,8 @@
   revision: number
   /** Era of the page. If it differs from that of the polled revision, the page does not continue the poller's copy. */
   era?: number
+  /** Whether later changes may have been left out because the page had reached its size limit. */
+  mayBeCut?: boolean
 }
 
 /** A key-value service with long polls instead of streamed watches. Each completed poll shows how current the caller's copy is. */
--- a/packages/relay/src/process/relay-log.ts
+++ b/packages/relay/src/process/relay-log.ts
@@ -32,6 +32,7 @@
   StoreLost = 'store-lost',
   StoreRecovered = 'store-regained',
   StoreFollowed = 'store-followed',
+  StorePageCut = 'store-page-cut',
   StoreHistoryGone = 'store-history-gone',
   StoreRestored = 'store-restored',
   StoreEraFaulty = 'store-era-faulty',
--- a/packages/relay/src/process/store-mirror.ts
+++ b/packages/relay/src/process/store-mirror.ts
@@ -50,6 +50,11 @@
  */
 const MIN_POLL_INTERVAL_MILLISECONDS = 250
 const HISTORY_GONE_STATUS = 410
+/**
+ * Age of the copy above which the store is listed instead of polled, milliseconds: the backlog of changes may hold many versions of one
+ * key, and a listing holds the latest one only. A VM that polls the store with the longest wait stays below it.
+ */
+const MAX_FOLLOWED_AGE_MILLISECONDS = 2500
 /**
  * How long a poll of the store waits for a change on a VM that other VMs poll, milliseconds. The copy is only confirmed when a poll ends,
  * so a longer wait would make relayed copies older.
@@ -75,6 +80,10 @@
   /** Monotonic time at which the last page arrived from a peer that had reached the store after `firstFailureSentAt`, milliseconds. */
   let peerConfirmedAt = -Infinity
   let failures = 0
+  /** When the copy was up to date last. */
+  let confirmedAt: Instant | undefined
+  /** Whether the latest page may have lacked changes. */
+  let isPageCut = false
   /** Monotonic time before which the store is not called again, milliseconds. */
   let retryStoreAt = -Infinity
 
@@ -88,9 +97,10 @@
       continue
     }
     const sentAt = presentInstant()
-    const failure = position === undefined ? await list() : await poll(position)
+    const failure = position === undefined || isPageCut || isFarBehind() ? await list() : await poll(position)
     if (options.signal.aborted) return
     if (failure === undefined) {
+      if (isPageCut) continue
       reportConfirmation(sentAt)
       await pauseInBackground(Math.max(0, MIN_POLL_INTERVAL_MILLISECONDS - (performance.now() - sentAt.monotonic)))
       continue
@@ -150,10 +160,15 @@
     return performance.now() - peerConfirmedAt < RECENT_PEER_CONFIRMATION_MILLISECONDS
   }
 
-  function reportConfirmation (confirmedAt: Instant): void {
+  function isFarBehind (): boolean {
+    return confirmedAt !== undefined && ageOf(confirmedAt) > MAX_FOLLOWED_AGE_MILLISECONDS
+  }
+
+  function reportConfirmation (instant: Instant): void {
     if (position === undefined) return
-    options.relay?.recordConfirmation(position, confirmedAt)
-    reader.onConfirmed(confirmedAt)
+    confirmedAt = instant
+    options.relay?.recordConfirmation(position, instant)
+    reader.onConfirmed(instant)
   }
 
   function waitMilliseconds (): number {
@@ -182,6 +197,7 @@
       if (!isNewHistory) options.relay?.recordChange({ key, revision: listed.revision })
     }
     reader.onListed(keys)
+    isPageCut = false
     position = listed
     if (isNewHistory) options.relay?.recordListing(listed)
     listedEra = listed.era
@@ -198,6 +214,8 @@
     }
     for (const change of page.value.changes) apply(change, false)
     position = laterOf(after, reached)
+    isPageCut = page.value.mayBeCut === true
+    if (isPageCut) log.info(RelayEvent.StorePageCut, { changes: page.value.changes.length, revision: reached.revision })
   }
 
   function apply (change: WatchEvent, isFromRestoredCopy: boolean): void {
