Refuse requests once peers have long had a newer configuration

Cause: only the age of the last confirmation counted, up to 0.9 of the revocation time with a key and without bound else. What peers told of newer versions held back later confirmations, and withdrew one only if a peer had the version before it.

--- a/packages/relay/src/process/configuration-state.ts
+++ b/packages/relay/src/process/configuration-state.ts
@@ -38,8 +38,13 @@
   learn: (version: number, heldMilliseconds: number, peer: string) => void
   /** @returns milliseconds since the moment of the latest confirmation; Infinity before the first, or if a clock has jumped since. */
   age: () => number
-  /** Whether API keys may still be accepted: a key revoked since the latest confirmation was revoked less than `revokeMilliseconds` ago. */
+  /**
+   * Whether API keys may still be accepted: a key revoked since the latest confirmation was revoked less than `revokeMilliseconds` ago, and
+   * the version is not superseded.
+   */
   areKeysFresh: () => boolean
+  /** Whether peers have had a newer version for so long that no request may be handled by the current one. */
+  isSuperseded: () => boolean
   /** Registers a listener that is called with each version that becomes the current one. */
   onChange: (listener: (version: VersionInForce) => void) => void
   /** Registers a listener that is called when a confirmation is withdrawn because a peer has a newer version. */
@@ -52,8 +57,15 @@
   log: RelayLog
   /** Time after which a revoked key must no longer be accepted, milliseconds. */
   revokeMilliseconds: number
+  /** Time within which a new version must be in use, milliseconds; 2,000 by default. */
+  applyMilliseconds?: number
 }
 
+const DEFAULT_APPLY_MILLISECONDS = 2000
+/** Share of `applyMilliseconds` after which a version that peers have replaced is no longer used: the operators wrote before that. */
+const SUPERSEDED_SHARE = 0.6
+/** Number of newer versions that are remembered; the oldest of them decides. */
+const MAXIMUM_NEWER_VERSIONS = 64
 /** Share of `revokeMilliseconds` that is reserved for forwarding a request to its target. */
 const KEY_MARGIN_SHARE = 0.1
 
@@ -64,12 +76,20 @@
   let inForce: VersionInForce | undefined
   let confirmedAt: Instant | undefined
   let newestKnownVersion = -Infinity
+  /** Versions newer than the one in force, and since when at least a peer has had each, monotonic time in milliseconds. */
+  const newerSince = new Map<number, number>()
+  const supersededMilliseconds = (dependencies.applyMilliseconds ?? DEFAULT_APPLY_MILLISECONDS) * SUPERSEDED_SHARE
   const behindListeners: Array<() => void> = []
 
   function age (): number {
     return confirmedAt === undefined ? Infinity : ageOf(confirmedAt)
   }
 
+  function isSuperseded (): boolean {
+    const latestAllowed = performance.now() - supersededMilliseconds
+    return [...newerSince.values()].some(since => since < latestAllowed)
+  }
+
   return {
     current: () => inForce,
     adopt (text, source) {
@@ -83,6 +103,7 @@
       newestKnownVersion = Math.max(newestKnownVersion, configuration.version)
       if (inForce !== undefined && configuration.version <= inForce.configuration.version) return configuration.version
       inForce = { configuration, routes: compileRoutes(configuration.routes), text, adoptedAt: performance.now() }
+      for (const version of newerSince.keys()) if (version <= configuration.version) newerSince.delete(version)
       dependencies.log.info(RelayEvent.ConfigurationInForce, {
         version: configuration.version, source, routes: configuration.routes.length, characters: text.length
       })
@@ -95,7 +116,11 @@
     },
     learn (version, heldMilliseconds, peer) {
       newestKnownVersion = Math.max(newestKnownVersion, version)
-      if (inForce === undefined || version <= inForce.configuration.version || confirmedAt === undefined) return
+      if (inForce === undefined || version <= inForce.configuration.version) return
+      if (newerSince.size < MAXIMUM_NEWER_VERSIONS || newerSince.has(version)) {
+        newerSince.set(version, Math.min(newerSince.get(version) ?? Infinity, performance.now() - heldMilliseconds))
+      }
+      if (confirmedAt === undefined) return
       if (performance.now() - heldMilliseconds >= confirmedAt.monotonic) return
       dependencies.log.warn(RelayEvent.ConfigurationBehind, {
         version: inForce.configuration.version, newerVersion: version, heldMilliseconds, peer
@@ -104,7 +129,8 @@
       for (const listener of behindListeners) listener()
     },
     age,
-    areKeysFresh: () => age() < maxAgeForKeys,
+    areKeysFresh: () => age() < maxAgeForKeys && !isSuperseded(),
+    isSuperseded,
     onChange: listener => { listeners.push(listener) },
     onBehind: listener => { behindListeners.push(listener) }
   }
--- a/packages/relay/src/process/index.ts
+++ b/packages/relay/src/process/index.ts
@@ -50,6 +50,7 @@
   explainRoute, type ExplainDependencies, type ExplainedPath, type ExplainedTarget, type RouteExplanation, type RouteFault,
   type RouteQuestion
 } from '../request/explain-route.js'
+export { findRoute } from '../request/find-route.js'
 export {
   createContentQuarantine, type ContentQuarantine, type LostTarget, type QuarantinedContent, type RequestContent, type ToldEvidence
 } from './suspicion/content-quarantine.js'
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -119,7 +119,7 @@
   setMaxListeners(0, stopped.signal)
   const metrics = ports.metrics ?? createMetrics()
   const configurationState = createConfigurationState({
-    decode: ports.decodeConfiguration, log, revokeMilliseconds: bounds.revokeMilliseconds
+    decode: ports.decodeConfiguration, log, revokeMilliseconds: bounds.revokeMilliseconds, applyMilliseconds: bounds.applyMilliseconds
   })
   const era = ports.era ?? createStoreEra(log)
   const directory = createDirectory(log, settings.node.failureDomain)
--- a/packages/relay/src/request/find-route.ts
+++ b/packages/relay/src/request/find-route.ts
@@ -16,10 +16,11 @@
 
 /** @returns the route of a request, or why it is refused whatever key it names. */
 export function findRoute (
-  configurationState: Pick<ConfigurationState, 'current' | 'areKeysFresh'>, host: string, path: string
+  configurationState: Pick<ConfigurationState, 'current' | 'areKeysFresh' | 'isSuperseded'>, host: string, path: string
 ): RouteInForce | { refusal: Refusal } {
   const version = configurationState.current()
   if (version === undefined) return { refusal: Refusal.NoConfiguration }
+  if (configurationState.isSuperseded()) return { refusal: Refusal.ConfigurationTooOld }
   const { configuration, routes } = version
   const isFresh = configurationState.areKeysFresh()
   const route = routes.find(host, path)
--- a/packages/relay/test/process/configuration-state.spec.ts
+++ b/packages/relay/test/process/configuration-state.spec.ts
@@ -180,6 +180,53 @@
   })
 }
 
+/**
+ * Guards against routes and keys that are handled by an old version although peers have told a newer one. Each step is a version of a peer
+ * and for how long the peer has had it, or a version that arrives, in milliseconds after the start.
+ */
+const SUPERSEDED_CASES: Array<{
+  name: string
+  learnt: Array<{ at: number, version: number, held: number }>
+  adopted?: { at: number, version: number }
+  checkedAt: number
+  isSuperseded: boolean
+}> = [
+  { name: 'peers have had a newer version for a second', learnt: [{ at: 500, version: 5, held: 300 }], checkedAt: 1200, isSuperseded: false },
+  { name: 'peers have had a newer version for two seconds', learnt: [{ at: 500, version: 5, held: 300 }], checkedAt: 2300, isSuperseded: true },
+  { name: 'the newer version was two seconds old when a peer told it', learnt: [{ at: 100, version: 5, held: 2000 }], checkedAt: 100, isSuperseded: true },
+  { name: 'peers had the same version', learnt: [{ at: 100, version: 4, held: 9000 }], checkedAt: 3000, isSuperseded: false },
+  { name: 'the newer version has arrived', learnt: [{ at: 500, version: 5, held: 300 }], adopted: { at: 1000, version: 5 }, checkedAt: 4000, isSuperseded: false },
+  {
+    name: 'versions follow each other, and the present one is the last but one, which has just been replaced',
+    learnt: [{ at: 200, version: 5, held: 0 }, { at: 2800, version: 6, held: 0 }],
+    adopted: { at: 2500, version: 5 },
+    checkedAt: 3000,
+    isSuperseded: false
+  },
+  {
+    name: 'versions follow each other, and the first that is lacking is old',
+    learnt: [{ at: 200, version: 5, held: 0 }, { at: 600, version: 6, held: 0 }, { at: 2900, version: 7, held: 0 }],
+    adopted: { at: 700, version: 5 },
+    checkedAt: 3000,
+    isSuperseded: true
+  }
+]
+for (const { name, learnt, adopted, checkedAt, isSuperseded } of SUPERSEDED_CASES) {
+  properties(`${name}: requests are ${isSuperseded ? 'no longer' : 'still'} handled`, () => {
+    const clock = install({ toFake: ['Date', 'performance', 'setTimeout'] })
+    const configurationState = makeConfigurationState()
+    configurationState.adopt('4', 'store')
+    for (const { at, version, held } of learnt) setTimeout(() => configurationState.learn(version, held, 'peer'), at)
+    if (adopted !== undefined) setTimeout(() => configurationState.adopt(String(adopted.version), 'store'), adopted.at)
+    clock.tick(checkedAt - 1)
+    configurationState.confirm(presentInstant(), configurationState.current()!.configuration.version)
+    clock.tick(1)
+    assert.is(configurationState.isSuperseded(), isSuperseded)
+    if (isSuperseded) assert.not(configurationState.areKeysFresh())
+    clock.uninstall()
+  })
+}
+
 properties('a store that shows no valid configuration confirms nothing', () => {
   const configurationState = makeConfigurationState()
   configurationState.adopt('4', 'store')
--- a/packages/relay/test/test-configuration.ts
+++ b/packages/relay/test/test-configuration.ts
@@ -50,7 +50,9 @@
   }
 }
 
-/** @returns a configuration state whose texts are the version numbers of `testConfiguration`. */
-export function testConfigurationState (revokeMilliseconds = 5000): ConfigurationState {
-  return createConfigurationState({ decode: text => testConfiguration(Number(text)), log: SILENT_RELAY_LOG, revokeMilliseconds })
+/** @returns a configuration state whose texts are, by default, the version numbers of `testConfiguration`. */
+export function testConfigurationState (
+  revokeMilliseconds = 5000, decode = (text: string): RelayConfiguration => testConfiguration(Number(text))
+): ConfigurationState {
+  return createConfigurationState({ decode, log: SILENT_RELAY_LOG, revokeMilliseconds })
 }
