A request that is handed over is not decided by an older configuration

A caller could see a change come back (CONFIG): its VM, cut off from targets, has used a version already, and hands the request over to a peer that does not have it yet. Cause: a hand-over did not state the version by which the request was admitted. Now: it does; a peer with an older version asks for the newer one, and refuses with 503, not run, if it gets none. Earlier builds state no version and ignore it. Evidence: the case 'by a VM with a newer version' fails without the comparison, passes now.

--- a/packages/relay/src/connection/dialect.ts
+++ b/packages/relay/src/connection/dialect.ts
@@ -26,12 +26,16 @@
   handOver?: HandOverTerms
   /** How long ago the VM that hands the request over, or one before it, received it from its caller, milliseconds; as for `handOver`. */
   waitedMilliseconds?: number
+  /** Configuration version by which the VM that hands the request over has admitted it; as for `handOver`. */
+  configurationVersion?: number
 }
 
 /** What a VM states when it hands a request over. */
 export interface HandOverHeaders extends HandOverTerms, Pick<RelayTerms, 'waitMilliseconds' | 'lastEvent'> {
   /** Time since the caller's request was received, milliseconds. */
   waitedMilliseconds: number
+  /** Configuration version by which the request was admitted. */
+  configurationVersion: number
 }
 
 /** One stage of a path: a target that runs the layers from `from` up to, but not including, `to`. */
--- a/packages/relay/src/process/serve.ts
+++ b/packages/relay/src/process/serve.ts
@@ -28,7 +28,7 @@
 const EXIT_MARGIN_MILLISECONDS = 500
 const DRAIN_CHECK_MILLISECONDS = 50
 /** Headers that a peer adds to a request that it hands over, bytes at most. */
-const ADDED_HEADER_BYTES = 256
+const ADDED_HEADER_BYTES = 320
 const READY_STATUS = 200
 const NOT_READY_STATUS = 503
 
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -228,7 +228,7 @@
 
 async function sendToPeer (
   request: AdmittedRequest, dependencies: RequestDependencies, peer: Peer, send: HandOverSend,
-  terms: Omit<HandOverHeaders, 'waitedMilliseconds'>, signal: AbortSignal
+  terms: Omit<HandOverHeaders, 'waitedMilliseconds' | 'configurationVersion'>, signal: AbortSignal
 ): Promise<SendOutcome> {
   const { exchange } = request
   send.state = SendState.Sent
@@ -238,7 +238,7 @@
     method: exchange.method,
     path: exchange.path,
     headers: dependencies.dialect.writeHandOverHeaders(exchange.rawHeaders, {
-      ...terms, waitedMilliseconds: performance.now() - request.arrivedAt
+      ...terms, waitedMilliseconds: performance.now() - request.arrivedAt, configurationVersion: request.version
     }),
     body: exchange.body,
     mayReuseConnection: true,
--- a/packages/relay/src/request/handle.ts
+++ b/packages/relay/src/request/handle.ts
@@ -53,6 +53,9 @@
   const found = findRoute(configurationState, exchange.host, exchange.path)
   if ('refusal' in found) return { refusal: found.refusal, requestId }
   const { configuration, route, needsKey } = found
+  // The version of the first VM may already have been seen to be in force, so an older one must not decide.
+  const versionBefore = exchange.isHandedOver ? terms.configurationVersion : undefined
+  if (versionBefore !== undefined && versionBefore > configuration.version) return { refusal: Refusal.ConfigurationTooOld, requestId }
   const keys = configuration.workspacesByKeyDigest
   const workspace = terms.key === undefined ? undefined : keys?.get(digestKey(terms.key))
   if (needsKey && workspace === undefined) return { refusal: Refusal.UnknownKey, requestId }
--- a/packages/relay/test/handed-over-requests.spec.ts
+++ b/packages/relay/test/handed-over-requests.spec.ts
@@ -101,4 +101,39 @@
   })
 }
 
+/**
+ * Guards against a change that comes back: the first VM has used a version that the VM that takes the request over does not have yet.
+ */
+const VERSION_CASES = [
+  { name: 'by a VM with the same version', version: 1, isHandedOver: true, status: 200 },
+  { name: 'by a VM with a newer version', version: 2, isHandedOver: true, status: 503 },
+  { name: 'by a VM of an earlier build, which states no version', version: undefined, isHandedOver: true, status: 200 },
+  { name: 'by nobody, and its caller states a version', version: 2, isHandedOver: false, status: 200 }
+]
+for (const { name, version, isHandedOver, status } of VERSION_CASES) {
+  handedOver(`a request is handed over ${name}: status ${status}`, async () => {
+    let arrivals = 0
+    await withFleet(1, 1, (incoming, response) => {
+      arrivals += 1
+      response.writeHead(200, { 'X-Seal': 's', 'X-Request': String(incoming.headers['x-request']) })
+      response.end('ok')
+    }, async fleet => {
+      const headers = version === undefined ? {} : { 'X-Version': String(version) }
+      const answer = await fleet.call(0, headers, { path: PATHS.desk, isHandedOver })
+      assert.is(answer.status, status)
+      assert.is(arrivals, status === 200 ? 1 : 0)
+    }, { service: 'desk' })
+  })
+}
+
+handedOver('a request is handed over by a VM with a newer version, which the store shows by now: it is answered', async () => {
+  await withFleet(1, 1, (incoming, response) => {
+    response.writeHead(200, { 'X-Seal': 's', 'X-Request': String(incoming.headers['x-request']) })
+    response.end('ok')
+  }, async fleet => {
+    fleet.store.put('configuration', '2')
+    assert.is((await fleet.call(0, { 'X-Version': '2' }, { path: PATHS.desk, isHandedOver: true })).status, 200)
+  }, { service: 'desk' })
+})
+
 handedOver.run()
--- a/packages/relay/test/plain-dialect.ts
+++ b/packages/relay/test/plain-dialect.ts
@@ -3,9 +3,9 @@
  */
 import { OrderResult, type Dialect } from '@wigeonlead/relay'
 
-const CONNECTION_HEADERS = /^(content-length|transfer-encoding|connection|x-reached|x-further|x-waited|x-arrivals)$/i
+const CONNECTION_HEADERS = /^(content-length|transfer-encoding|connection|x-reached|x-further|x-waited|x-version|x-arrivals)$/i
 
-const TERMS_HEADERS = /^(content-length|transfer-encoding|connection|x-wait|last-event-id|x-reached|x-further|x-waited)$/i
+const TERMS_HEADERS = /^(content-length|transfer-encoding|connection|x-wait|last-event-id|x-reached|x-further|x-waited|x-version)$/i
 
 /** Reads and writes only the fields that the tests check. */
 export const PLAIN_DIALECT: Dialect = {
@@ -17,6 +17,7 @@
     promptTokens: 10,
     maximumAnswerTokens: 10,
     waitedMilliseconds: headers['x-waited'] === undefined ? undefined : Number(headers['x-waited']),
+    configurationVersion: headers['x-version'] === undefined ? undefined : Number(headers['x-version']),
     handOver: headers['x-further'] === undefined
       ? undefined
       : { reachedTargets: readList(headers['x-reached']), furtherTargets: Number(headers['x-further']) },
@@ -30,6 +31,7 @@
     ...rawHeaders.filter((_, index) => !TERMS_HEADERS.test(rawHeaders[index - index % 2]!)),
     'X-Wait', String(terms.waitMilliseconds),
     'X-Reached', terms.reachedTargets.join(), 'X-Further', String(terms.furtherTargets), 'X-Waited', String(terms.waitedMilliseconds),
+    'X-Version', String(terms.configurationVersion),
     ...(terms.lastEvent === undefined ? [] : ['Last-Event-Id', String(terms.lastEvent)])
   ],
   writeReachReport: ({ reachedTargets, arrivals }) => ({ 'X-Reached': reachedTargets.join(), 'X-Arrivals': String(arrivals) }),
