--- a/packages/relay/test/handed-over-requests.spec.ts
+++ b/packages/relay/test/handed-over-requests.spec.ts
@@ -118,7 +118,7 @@
       response.writeHead(200, { 'X-Seal': 's', 'X-Request': String(incoming.headers['x-request']) })
       response.end('ok')
     }, async fleet => {
-      const headers = version === undefined ? {} : { 'X-Version': String(version) }
+      const headers: Record<string, string> = version === undefined ? {} : { 'X-Version': String(version) }
       const answer = await fleet.call(0, headers, { path: PATHS.desk, isHandedOver })
       assert.is(answer.status, status)
       assert.is(arrivals, status === 200 ? 1 : 0)
