--- a/packages/relay/src/connection/index.ts
+++ b/packages/relay/src/connection/index.ts
@@ -1,7 +1,7 @@
 /**
  * Connections to callers, targets and peers, and the dialect of the messages on them.
  */
-export { splitAddress } from './address.js'
+export { isAddress, splitAddress } from './address.js'
 export {
   OrderResult, type AnswerTerms, type CallerTerms, type Dialect, type HandOverHeaders, type PlaceOrder, type RelayTerms, type PathStage,
   type TargetReport
--- a/packages/relay/src/connection/peer-link.ts
+++ b/packages/relay/src/connection/peer-link.ts
@@ -5,7 +5,7 @@
 import { createSocket, type Socket } from 'node:dgram'
 import { JSONRPCServer, createJSONRPCNotification } from 'json-rpc-2.0'
 import { z } from 'zod'
-import { splitAddress } from './address.js'
+import { isAddress, splitAddress } from './address.js'
 import { MESSAGE_BYTES_LIMIT, createMessageAssembly, splitMessage } from './message-parts.js'
 
 /** Sends and receives notifications. */
@@ -57,6 +57,7 @@
   }
 
   function send (address: string, bytes: Buffer): void {
+    if (!isAddress(address)) return onRefused(address, 'no address')
     const [host, port] = splitAddress(address)
     socket.send(bytes, port, host, error => {
       if (error !== null) onRefused(address, error.message)
--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -4,7 +4,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { splitAddress } from './address.js'
+import { isAddress, splitAddress } from './address.js'
 import type { AnswerTerms, Dialect } from './dialect.js'
 
 /** Result of a send up to the head of the answer. */
@@ -101,6 +101,8 @@
   function send (call: TargetCall): Promise<SendOutcome> {
     return new Promise(resolve => {
       if (call.signal.aborted) return resolve({ kind: SendResult.NotSent, reason: 'aborted before the send', isRefused: false })
+      // Node.js throws where a port is out of range.
+      if (!isAddress(call.address)) return resolve({ kind: SendResult.NotSent, reason: `no address: ${call.address}`, isRefused: false })
       const pauseMilliseconds = states.pauseRemaining(call.incarnation)
       if (pauseMilliseconds > 0) {
         return resolve({ kind: SendResult.Withheld, reason: `the target wants nothing for ${Math.ceil(pauseMilliseconds)} ms` })
--- a/packages/relay/test/connection/target-client.spec.ts
+++ b/packages/relay/test/connection/target-client.spec.ts
@@ -154,4 +154,14 @@
   server.close()
 })
 
+// Guards against an address that no connection can have: the promise was rejected, so that requests ended with 502.
+for (const address of ['127.0.0.1:99999', '127.0.0.1:0', '999.0.0.1:80', 'nowhere']) {
+  sends(`a send to ${address}: not sent`, async () => {
+    const client = createTargetClient(PLAIN_DIALECT, UNPAUSED)
+    const outcome = await client.send(createCall(address))
+    assert.is(outcome.kind, SendResult.NotSent)
+    client.close()
+  })
+}
+
 sends.run()
