An earlier refusal that a target repeats is no answer to a later send

Reported by other operators: callers were told 'not run, try again' for requests that a target was running. Here: the same request sent again over the connection on which it was refused took the old refusal as its answer, and so did calls without an identifier. Cause: the identifier in an answer tells apart requests, not sends; and the answer to a call without one was not checked at all. Now: a request goes back to the same target over a new connection only; an answer that names a request is none to a call without an identifier. Hand-overs state the identifier as well; only a peer's refusal may omit it. Evidence: a case of relay.spec and one of target-client.spec fail before, pass now. Not covered: an old answer to an order, repeated as the answer to the next order of the same kind, since neither has an identifier; orders state the number that they expect.

--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -42,8 +42,10 @@
   /** Flat name-value pairs. */
   headers: string[]
   body: Buffer
-  /** Identifier that the answer must repeat. */
+  /** Identifier that the answer must repeat. The answer to a call without one must not have any. */
   requestId?: string
+  /** Whether an answer without an identifier is valid too: peers refuse requests without naming them. By default, it is not. */
+  mayOmitId?: boolean
   /** Whether a pooled connection may be used; the target may be about to close it. */
   mayReuseConnection: boolean
   /** Aborting it destroys the connection, which stops the work at the target. */
@@ -162,7 +164,8 @@
         answer = response
         if (!hasLength(response)) probeAtEnd(response.socket, () => { isReset = true })
         const terms = dialect.readAnswer(response.headers)
-        if (call.requestId !== undefined && terms.requestId !== call.requestId) {
+        const isOmitted = call.mayOmitId === true && terms.requestId === undefined
+        if (terms.requestId !== call.requestId && !isOmitted) {
           outgoing.destroy()
           return fail(`the answer names another request: ${terms.requestId ?? 'none'}`)
         }
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -142,6 +142,7 @@
     state.lastProgressAt = now
     intervals.record(progress.lastEvent)
   }
+  const wasSentBefore = ledger.targetIncarnations().has(path.incarnations[0]!)
   const send = ledger.begin(path.incarnations[0]!)
   send.state = SendState.Sent
   try {
@@ -160,7 +161,8 @@
       }, request.workspace !== undefined || !request.route.isAnonymous),
       body: exchange.body,
       requestId: request.requestId,
-      mayReuseConnection: request.route.isResumable,
+      // On a connection that has carried the request before, an earlier answer to it could be taken for the one to this send.
+      mayReuseConnection: request.route.isResumable && !wasSentBefore,
       signal: abortController.signal
     })
     if (outcome.kind !== SendResult.Answered) {
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -241,6 +241,8 @@
       ...terms, waitedMilliseconds: performance.now() - request.arrivedAt, configurationVersion: request.version
     }),
     body: exchange.body,
+    requestId: request.requestId,
+    mayOmitId: true,
     mayReuseConnection: true,
     signal
   })
--- a/packages/relay/test/connection/target-client.spec.ts
+++ b/packages/relay/test/connection/target-client.spec.ts
@@ -154,6 +154,25 @@
   server.close()
 })
 
+/** Guards against an earlier refusal that a faulty target repeats on a kept connection, and that counts as the answer to the next call. */
+const NAMED_ANSWERS = [
+  { name: 'a call without an identifier, an answer without one', head: 'HTTP/1.1 200 OK\r\n', isAnswered: true },
+  { name: 'a call without an identifier, the answer to a request', head: 'HTTP/1.1 503 Busy\r\nX-Request: r-1\r\nX-Not-Run: 1\r\n', isAnswered: false },
+  { name: 'a request to a peer, a refusal without an identifier', head: 'HTTP/1.1 503 Busy\r\n', requestId: 'r-1', mayOmitId: true, isAnswered: true },
+  { name: 'a request to a peer, the answer to another', head: 'HTTP/1.1 503 Busy\r\nX-Request: r-2\r\n', requestId: 'r-1', mayOmitId: true, isAnswered: false },
+  { name: 'a request, a refusal without an identifier', head: 'HTTP/1.1 503 Busy\r\n', requestId: 'r-1', isAnswered: false }
+]
+for (const { name, head, requestId, mayOmitId, isAnswered } of NAMED_ANSWERS) {
+  sends(`${name}: ${isAnswered ? 'answered' : 'unknown'}`, async () => {
+    const { server, address } = await listen(socket => { socket.write(`${head}Content-Length: 0\r\n\r\n`) })
+    const client = createTargetClient(PLAIN_DIALECT, UNPAUSED)
+    const outcome = await client.send({ ...createCall(address), requestId, mayOmitId })
+    assert.is(outcome.kind, isAnswered ? SendResult.Answered : SendResult.Unknown)
+    client.close()
+    server.close()
+  })
+}
+
 // Guards against an address that no connection can have: the promise was rejected, so that requests ended with 502.
 for (const address of ['127.0.0.1:99999', '127.0.0.1:0', '999.0.0.1:80', 'nowhere']) {
   sends(`a send to ${address}: not sent`, async () => {
--- a/packages/relay/test/relay.spec.ts
+++ b/packages/relay/test/relay.spec.ts
@@ -294,6 +294,22 @@
   })
 }
 
+// Guards against a request that is told as not run although the target runs it: the target repeats its earlier refusal on the connection.
+streams('a target refuses a request, then repeats the refusal on the same connection while it runs the request: its answer is forwarded', async () => {
+  const refusedOn = new Set<unknown>()
+  const repeating: Behaviour = (incoming, response) => {
+    if (refusedOn.size > 0 && !refusedOn.has(incoming.socket)) return completeSeries(incoming, response)
+    refusedOn.add(incoming.socket)
+    refusingAsNotRun(incoming, response)
+  }
+  await withRelay([repeating], 'model', async fixture => {
+    const answer = await fixture.call('POST', '/write/1', { 'X-Wait': '3000' })
+    assert.is(answer.status, 200)
+    assert.is(answer.body, events(1, LAST_EVENT))
+    assert.is(fixture.arrivals.length, 2)
+  })
+})
+
 /** Sends a byte every 30 ms and never completes an event. */
 const dribbling: Behaviour = (_incoming, response) => {
   response.writeHead(200, EVENT_STREAM_HEADERS)
