Nothing foreign in a stream that another target continues, and no end before its last event

Reported by other operators. Here: a next target that answered 200 with events without identifiers, or with the head of an error as its body, was forwarded in the middle of a stream whose events have identifiers, and the stream ended as complete; an empty answer ended it. Cause: only events with an identifier were compared with the last one; an end without any event counted as the end of the answer. Now: after an event with an identifier, only events with the next one, and comments, are forwarded; else the run is broken off and another continues. A continuation that ends without an event ends the stream only if a second one ends so too.

--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -60,6 +60,8 @@
   lastEvent?: number
   /** Whether the status line and headers of the answer were sent to the caller. */
   isHeadSent: boolean
+  /** Whether a run that continued the answer has ended regularly without an event. */
+  hasEmptyContinuation?: boolean
   /** Monotonic time of the first and of the latest forwarded event, milliseconds; absent before. */
   firstEventAt?: number
   latestEventAt?: number
@@ -271,6 +273,9 @@
               return abortAnswer(`event ${event.id} follows event ${progress.lastEvent}`)
             }
             progress.lastEvent = event.id
+          } else if (progress.lastEvent !== undefined && !event.isComment) {
+            if (completeEvents.length > 0) forward(Buffer.concat(completeEvents))
+            return abortAnswer(`an event without an id follows event ${progress.lastEvent}`)
           }
           completeEvents.push(event.bytes)
         }
@@ -300,6 +305,12 @@
     })
 
     function finishComplete (): void {
+      // One answer without events does not prove that the earlier run had sent the last one.
+      const isEmptyContinuation = progress.isHeadSent && progress.presentRun !== AnswerProgress.Events
+      if (isEmptyContinuation && progress.hasEmptyContinuation !== true) {
+        progress.hasEmptyContinuation = true
+        return finish(RunEnd.Broken, `nothing follows event ${progress.lastEvent}`)
+      }
       if (!progress.isHeadSent) writeHead()
       caller.end()
       finish(RunEnd.Complete, '')
--- a/packages/relay/src/request/event-splitter.ts
+++ b/packages/relay/src/request/event-splitter.ts
@@ -7,6 +7,8 @@
   bytes: Buffer
   /** Absent where the event has no `id` line. */
   id?: number
+  /** Whether it consists of comments only, which carry nothing of the answer. */
+  isComment: boolean
 }
 
 /** Splits bytes into events as they arrive. */
@@ -19,6 +21,7 @@
 
 const EVENT_END = Buffer.from('\n\n')
 const EVENT_END_WITH_RETURNS = Buffer.from('\r\n\r\n')
+const COMMENT_LINES = /^(?::[^\n]*\n)*\r?\n$/
 const ID_LINE = /^id: ?(\d+)\r?$/m
 /** Size limit of one event; engines send no longer ones. */
 const EVENT_BYTES_LIMIT = 1_048_576
@@ -34,8 +37,9 @@
       const events: StreamEvent[] = []
       for (let end = findEventEnd(buffered); end !== -1; end = findEventEnd(buffered)) {
         const bytes = buffered.subarray(0, end)
-        const id = ID_LINE.exec(bytes.toString('latin1'))?.[1]
-        events.push({ bytes, id: id === undefined ? undefined : Number(id) })
+        const text = bytes.toString('latin1')
+        const id = ID_LINE.exec(text)?.[1]
+        events.push({ bytes, id: id === undefined ? undefined : Number(id), isComment: COMMENT_LINES.test(text) })
         buffered = buffered.subarray(end)
       }
       if (buffered.length > EVENT_BYTES_LIMIT) throw new RangeError('an event exceeds the size limit')
