Answer VMs whose keys have expired in the store

Cause: the key of such a VM expires, its peers take it off their lists, and polls and questions of VMs that are not listed were ignored. Now: a VM that was listed is answered for a minute after its key has expired, and for a minute after each of its questions. Evidence: the case 'a peer has a newer version, and this VM has long been turned away' of freshness.spec fails before, passes now.

--- a/packages/relay/src/process/membership/peers.ts
+++ b/packages/relay/src/process/membership/peers.ts
@@ -26,6 +26,10 @@
 export interface Peers {
   /** @returns all peers that are listed in this process's copy of the store. */
   known: () => Peer[]
+  /**
+   * @returns the peer that sends a message; also one that is no longer listed, as long as it is asked for again and again: the keys of VMs
+   * that the store turns away expire, and these VMs depend on the answers of their peers.
+   */
   find: (vm: string) => Peer | undefined
   /** @returns the peers that have recently said, by their messages, that they are not cut off from the targets of a service. */
   reaching: (service: string) => Peer[]
@@ -90,6 +94,10 @@
 /** Time to live of this VM's key, milliseconds. Until the key of a lost VM expires, every peer sends it a datagram in each cycle. */
 const KEY_TIME_TO_LIVE_MILLISECONDS = 12_000
 const KEY_RENEWAL_MILLISECONDS = 3500
+/** How long a peer that is no longer listed is found, milliseconds since it was listed or found last. */
+const UNLISTED_MILLISECONDS = 60_000
+/** Number of peers that are no longer listed and may be found. */
+const MAXIMUM_UNLISTED = 1000
 /** Part of the renewal interval over which renewals are spread at random, around its end. */
 const RENEWAL_SPREAD_SHARE = 0.5
 
@@ -138,6 +146,8 @@
   /** Services whose targets each peer is cut off from. */
   const cutOffPeers = new Map<string, ReadonlySet<string>>()
   const limitKeepers = new Set<string>()
+  /** Peers that are no longer listed, the one that was found last at the end. */
+  const unlisted = new Map<string, { peer: Peer, foundAt: number }>()
 
   link.on(LOAD_METHOD, parameters => {
     const received = loadSchema.parse(parameters)
@@ -237,6 +247,24 @@
     return current === undefined ? undefined : [current.configuration.version, Math.floor(performance.now() - current.adoptedAt)]
   }
 
+  function keepUnlisted (peer: Peer): void {
+    unlisted.delete(peer.vm)
+    unlisted.set(peer.vm, { peer, foundAt: performance.now() })
+    const [oldest] = unlisted.keys()
+    if (unlisted.size > MAXIMUM_UNLISTED) unlisted.delete(oldest!)
+  }
+
+  function findUnlisted (vm: string): Peer | undefined {
+    const found = unlisted.get(vm)
+    if (found === undefined) return undefined
+    if (performance.now() - found.foundAt > UNLISTED_MILLISECONDS) {
+      unlisted.delete(vm)
+      return undefined
+    }
+    keepUnlisted(found.peer)
+    return found.peer
+  }
+
   async function maintainKey (): Promise<void> {
     if (isLeaving) return
     // After a restore the lease is gone, and its number may belong to another process.
@@ -268,7 +296,7 @@
 
   return {
     known: () => [...peers.values()],
-    find: vm => peers.get(vm),
+    find: vm => peers.get(vm) ?? findUnlisted(vm),
     reaching: service => [...peers.values()].filter(({ vm }) =>
       (load.millisecondsSinceCounts(vm) ?? Infinity) < HEARD_MILLISECONDS && cutOffPeers.get(vm)?.has(service) !== true),
     keepsTargetLimit: vm => limitKeepers.has(vm),
@@ -280,13 +308,17 @@
         const peer = { vm, ...entrySchema.parse(JSON.parse(text)) }
         if (!peers.has(vm)) log.info(RelayEvent.PeerListed, { peer: vm, address: peer.address })
         peers.set(vm, peer)
+        unlisted.delete(vm)
         peakFleetSize = Math.max(peakFleetSize, peers.size + 1)
       } catch (error) {
         log.warn(RelayEvent.PeerRefused, { peer: vm, reason: (error as Error).message.slice(0, 200) })
       }
     },
     remove (vm) {
-      if (!peers.delete(vm)) return
+      const peer = peers.get(vm)
+      if (peer === undefined) return
+      peers.delete(vm)
+      keepUnlisted(peer)
       load.dropPeer(vm)
       demand?.dropPeer(vm)
       cutOffPeers.delete(vm)
--- a/packages/relay/test/process/freshness.spec.ts
+++ b/packages/relay/test/process/freshness.spec.ts
@@ -8,7 +8,7 @@
 import * as assert from 'uvu/assert'
 import {
   SILENT_RELAY_LOG, createConfigurationState, createDirectory, createFreshnessCheck, createLoad, createPeers, createStoreEra,
-  presentInstant, type ConfigurationState, type PeerLink
+  presentInstant, type ConfigurationState, type PeerLink, type Peers
 } from '@wigeonlead/relay'
 import { FULL_REACH } from '../test-target-reach.js'
 import { testRateLimits } from '../test-rate-limits.js'
@@ -31,7 +31,7 @@
 
 function startVm (
   vm: string, link: PeerLink, answer: StoreAnswer, peerNames: readonly string[]
-): { configurationState: ConfigurationState, refresh: () => Promise<void> } {
+): { configurationState: ConfigurationState, peers: Peers, refresh: () => Promise<void> } {
   const store = { get: answer } as unknown as PollableKeyValue
   const directory = createDirectory(SILENT_RELAY_LOG, 'east')
   const era = createStoreEra(SILENT_RELAY_LOG)
@@ -58,7 +58,7 @@
   const freshness = createFreshnessCheck({
     ownVm: vm, store, configurationKey: CONFIGURATION_KEY, configurationState, peers, link, era, log: SILENT_RELAY_LOG
   })
-  return { configurationState, refresh: freshness.refresh }
+  return { configurationState, peers, refresh: freshness.refresh }
 }
 
 interface Case {
@@ -69,6 +69,8 @@
   /** Version in use after the check. Its confirmation is fresh unless `isStale` is set. */
   version: number
   isStale?: boolean
+  /** How long ago the key of this VM expired, so that its peers list it no longer, milliseconds. */
+  unlistedMilliseconds?: number
   /** Time limit for the check, milliseconds. */
   limitMilliseconds: number
 }
@@ -81,6 +83,9 @@
   // Guards against a VM that knows that it is behind and can't catch up: long configurations did not pass between VMs.
   { name: 'a peer has a newer version of 60,000 characters', store: refusing, peers: [{ version: 3, age: 900, characters: 60_000 }], version: 3, limitMilliseconds: 10 },
   { name: 'a peer has a newer version of 500,000 characters', store: refusing, peers: [{ version: 3, age: 900, characters: 500_000 }], version: 3, limitMilliseconds: 10 },
+  // Guard against a VM that the store turns away for longer than its key lives: its peers no longer answered it.
+  { name: 'a peer has a newer version, and this VM has long been turned away', store: refusing, peers: [{ version: 3, age: 900 }], version: 3, unlistedMilliseconds: 20_000, limitMilliseconds: 10 },
+  { name: 'a peer has a newer version, and this VM is forgotten', store: refusing, peers: [{ version: 3, age: 900 }], version: 1, isStale: true, unlistedMilliseconds: 70_000, limitMilliseconds: 260 },
   { name: 'one peer of two has a fresh confirmation', store: refusing, peers: [{ version: 1, age: 4800 }, { version: 1, age: 100 }], version: 1, limitMilliseconds: 10 },
   { name: "the peer's confirmation is stale too", store: refusing, peers: [{ version: 1, age: 4700 }], version: 1, isStale: true, limitMilliseconds: 260 },
   { name: 'a peer uses an older version', store: timingOut, peers: [{ version: 0, age: 10 }], version: 1, isStale: true, limitMilliseconds: 260 },
@@ -90,7 +95,7 @@
 
 const freshnessChecks = suite('freshness')
 
-for (const { name, store, peers, version, isStale = false, limitMilliseconds } of CASES) {
+for (const { name, store, peers, version, isStale = false, unlistedMilliseconds, limitMilliseconds } of CASES) {
   freshnessChecks(name, async () => {
     const clock: Clock = install({ toFake: ['Date', 'performance', 'setTimeout', 'clearTimeout'] })
     try {
@@ -99,8 +104,13 @@
       const links = joinLinks(names)
       const self = startVm('self', links.get('self')!, store, names.slice(1))
       self.configurationState.adopt('1', 'store')
+      const peerVms = peers.map((_, index) => startVm(`peer-${index}`, links.get(`peer-${index}`)!, timingOut, ['self']))
+      if (unlistedMilliseconds !== undefined) {
+        for (const peerVm of peerVms) peerVm.peers.remove('self')
+        clock.tick(unlistedMilliseconds)
+      }
       for (const [index, peer] of peers.entries()) {
-        const peerVm = startVm(`peer-${index}`, links.get(`peer-${index}`)!, timingOut, ['self'])
+        const peerVm = peerVms[index]!
         peerVm.configurationState.adopt(padNumber(peer.version, peer.characters), 'store')
         const now = presentInstant()
         peerVm.configurationState.confirm({ monotonic: now.monotonic - peer.age, wallClock: now.wallClock - peer.age }, peer.version)
