Gossip of any size to the peers that join parts, and room for every list of targets in a hand-over

A gossip message grows by some 60 bytes for each target with requests and each suspicion; beyond about 1,000 targets it exceeds a datagram and would reach nobody. The list of reached targets of a hand-over may take up to 64 entries, and 256 bytes were allowed for it. Within their bounds: content evidence (24 subjects a message), departed targets (100), loans.

--- a/packages/relay/src/process/membership/peers.ts
+++ b/packages/relay/src/process/membership/peers.ts
@@ -121,6 +121,8 @@
   cutOff: z.array(z.string()).optional(),
   /** Whether the sender keeps the limit of targets that a hand-over states. */
   keepsTargetLimit: z.boolean().optional(),
+  /** Whether the sender joins the parts of a message that exceeds a datagram. */
+  joinsParts: z.boolean().optional(),
   /** Rates that targets have named: incarnation, requests a second (null if the limit has ended), age in milliseconds. */
   limits: z.array(z.tuple([z.string(), z.number().nullable(), z.number()])).optional(),
   /** Newest configuration version of the sender, and for how long at least it has had it, milliseconds. */
@@ -146,6 +148,7 @@
   /** Services whose targets each peer is cut off from. */
   const cutOffPeers = new Map<string, ReadonlySet<string>>()
   const limitKeepers = new Set<string>()
+  const partJoiners = new Set<string>()
   /** Peers that are no longer listed, the one that was found last at the end. */
   const unlisted = new Map<string, { peer: Peer, foundAt: number }>()
 
@@ -158,6 +161,8 @@
     cutOffPeers.set(received.vm, new Set(received.cutOff))
     if (received.keepsTargetLimit === true) limitKeepers.add(received.vm)
     else limitKeepers.delete(received.vm)
+    if (received.joinsParts === true) partJoiners.add(received.vm)
+    else partJoiners.delete(received.vm)
     if (received.demand !== undefined) demand?.setPeer(received.vm, peerFailureDomain, received.demand.map(readDemand))
     if (received.era !== undefined) era.learn(...received.era, received.vm)
     if (received.version !== undefined) configurationState.learn(...received.version, received.vm)
@@ -223,12 +228,13 @@
       leaving: directory.leavingIncarnations(),
       cutOff: statedCutOff(),
       keepsTargetLimit: true,
+      joinsParts: true,
       limits: statedLimits(),
       version: versionHeld(),
       era: era.current() === 0 ? undefined : [era.current(), Math.floor(era.ageMilliseconds())],
       demand: demand?.own().map(tellDemand)
     }
-    for (const peer of receivers) link.notify(peer.address, LOAD_METHOD, message)
+    for (const peer of receivers) link.notify(peer.address, LOAD_METHOD, message, { mayBeSplit: partJoiners.has(peer.vm) })
   }
 
   function statedCutOff (): string[] | undefined {
@@ -323,6 +329,7 @@
       demand?.dropPeer(vm)
       cutOffPeers.delete(vm)
       limitKeepers.delete(vm)
+      partJoiners.delete(vm)
       log.info(RelayEvent.PeerGone, { peer: vm })
     },
     start () {
--- a/packages/relay/src/process/serve.ts
+++ b/packages/relay/src/process/serve.ts
@@ -27,8 +27,8 @@
 /** Part of the grace period that is reserved for the exit of the process, milliseconds. */
 const EXIT_MARGIN_MILLISECONDS = 500
 const DRAIN_CHECK_MILLISECONDS = 50
-/** Headers that a peer adds to a request that it hands over, bytes at most. */
-const ADDED_HEADER_BYTES = 320
+/** Headers that a peer adds to a request that it hands over, bytes at most: their longest part lists up to 64 targets. */
+const ADDED_HEADER_BYTES = 4096
 const READY_STATUS = 200
 const NOT_READY_STATUS = 503
 
--- a/packages/relay/test/process/membership/peers.spec.ts
+++ b/packages/relay/test/process/membership/peers.spec.ts
@@ -30,19 +30,25 @@
   load: Load
   /** Delivers a peer's message with suspicions: incarnation, remaining milliseconds, whether it is a loss. */
   report: (vm: string, suspected: Array<[string, number, boolean]>) => void
+  /** Addresses to which messages may be sent in parts. */
+  splitFor: Set<string>
+  /** Delivers a message. */
+  hear: (parameters: object) => void
   stop: () => void
 }
 
 function startFleet (localCount: number, remoteCount: number, reach = FULL_REACH): Fleet {
   const receivers: string[] = []
   const sent: unknown[] = []
+  const splitFor = new Set<string>()
   const verified: Target[] = []
   const handlers = new Map<string, (parameters: unknown) => void>()
   const load = createLoad()
   const link: PeerLink = {
-    notify (address, _method, parameters) {
+    notify (address, _method, parameters, options) {
       receivers.push(address)
       sent.push(parameters)
+      if (options?.mayBeSplit === true) splitFor.add(address)
     },
     on: (method, handler) => { handlers.set(method, handler) },
     async open () {},
@@ -73,6 +79,8 @@
   return {
     receivers,
     sent,
+    splitFor,
+    hear: parameters => handlers.get('load')!(parameters),
     verified,
     directory,
     load,
@@ -102,6 +110,21 @@
   })
 }
 
+// Guards against gossip that ends where a fleet has so many targets that a message exceeds a datagram.
+fleets('long messages go in parts to the peers that join them, and to no other', () => {
+  const clock = install({ toFake: ['setInterval', 'clearInterval', 'performance', 'Date'] })
+  const { splitFor, hear, stop } = startFleet(3, 0)
+  const message = { counts: [], suspected: [], leaving: [] }
+  hear({ ...message, vm: 'vm-0', joinsParts: true })
+  hear({ ...message, vm: 'vm-1' })
+  hear({ ...message, vm: 'vm-2', joinsParts: true })
+  hear({ ...message, vm: 'vm-2' })
+  clock.tick(WINDOW_SECONDS * 1000)
+  stop()
+  clock.uninstall()
+  assert.equal([...splitFor], ['vm-0:1'])
+})
+
 const SILENT_PEERS: Array<{ name: string, sendingCount: number, silentCount: number }> = [
   { name: 'no local peer sends counts', sendingCount: 0, silentCount: 25 },
   { name: 'some local peers send counts', sendingCount: 10, silentCount: 15 },
