A request whose caller has left before it was read is not sent on

Cause, shown by a test: the end of a connection is read a turn of the event loop after its bytes, and a request went to a target within the turn in which it was read. A process that keeps up hands requests on at once, as before. Evidence: three cases of callers.spec fail before, pass now; a caller who stays is served.

--- a/packages/relay/src/connection/callers.ts
+++ b/packages/relay/src/connection/callers.ts
@@ -2,9 +2,11 @@
  * The HTTP listener for callers: buffers complete requests and passes each to a handler together with its response.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import { readBody } from '@wigeonlead/protocol'
 import type { CallerLimits } from '../version/configuration.js'
 import { presentInstant, type Instant } from '../process/instant.js'
+import { watchTurns } from './late-turns.js'
 
 /** One request of a caller, and its response. */
 export interface Exchange {
@@ -61,6 +63,7 @@
   let isClosing = false
   let isRefusing = false
   let inFlight = 0
+  const turns = watchTurns()
   const server = createServer({ maxHeaderSize: HEAD_BYTES_LIMIT, noDelay: true, requestTimeout: 0 }, (incoming, response) => {
     inFlight += 1
     response.on('close', () => { inFlight -= 1 })
@@ -70,6 +73,7 @@
       response.destroy()
     })
   })
+  server.on('close', turns.close)
   setLimits(DEFAULT_LIMITS)
 
   async function serve (incoming: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -86,6 +90,11 @@
       return
     }
     if (body === undefined) return await endWithStatus(response, 413)
+    const arrivedAt = presentInstant()
+    if (turns.wasLate() && await hasLeft(incoming)) {
+      response.destroy()
+      return
+    }
     await handle({
       method: incoming.method ?? 'GET',
       path: incoming.url ?? '/',
@@ -93,7 +102,7 @@
       headers: incoming.headers,
       rawHeaders: incoming.rawHeaders,
       body,
-      arrivedAt: presentInstant(),
+      arrivedAt,
       isHandedOver,
       callerLeft: callerLeft.signal,
       response
@@ -116,6 +125,13 @@
   }
 }
 
+/** Whether the caller of a request that was just read has closed its connection. The end of a connection is read a turn after its bytes. */
+async function hasLeft ({ socket }: IncomingMessage): Promise<boolean> {
+  await nextTurn()
+  await nextTurn()
+  return socket.destroyed || socket.readableEnded
+}
+
 async function endWithStatus (response: ServerResponse, status: number, retryAfterSeconds?: number): Promise<void> {
   const retryAfter = retryAfterSeconds === undefined ? {} : { 'Retry-After': retryAfterSeconds }
   response.writeHead(status, { Connection: 'close', 'Content-Length': 0, ...retryAfter })
--- a/packages/relay/test/connection/callers.spec.ts
+++ b/packages/relay/test/connection/callers.spec.ts
@@ -3,7 +3,7 @@
  * stop sending them, and are refused after that.
  */
 import { Agent, request, type IncomingMessage } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { connect, type AddressInfo, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createCallerListener, type CallerListener } from '@wigeonlead/relay'
@@ -55,4 +55,42 @@
   })
 }
 
+/** How a caller closes its connection, right after it has sent its request to a process that is held up. */
+const LEAVINGS: Array<{ name: string, leave: (socket: Socket) => void, isHandled: boolean }> = [
+  { name: 'closes its connection', leave: socket => { socket.destroy() }, isHandled: false },
+  { name: 'resets its connection', leave: socket => { socket.resetAndDestroy() }, isHandled: false },
+  { name: 'ends its side of the connection', leave: socket => { socket.end() }, isHandled: false },
+  { name: 'stays', leave: () => {}, isHandled: true }
+]
+const HELD_UP_MILLISECONDS = 400
+
+// Guards against work for callers who left before their request was read: a busy process sent such requests on to targets.
+for (const { name, leave, isHandled } of LEAVINGS) {
+  callers(`the process is held up, and a caller ${name}: its request is ${isHandled ? 'handled' : 'not handled'}`, async () => {
+    let handledCount = 0
+    const listener = createCallerListener(async exchange => {
+      handledCount += 1
+      exchange.response.end('ok')
+    }, error => { throw error })
+    await new Promise<void>(resolve => { listener.server.listen(0, '127.0.0.1', resolve) })
+    const socket = connect((listener.server.address() as AddressInfo).port, '127.0.0.1')
+    socket.on('error', () => {})
+    await new Promise<void>(resolve => { socket.on('connect', resolve) })
+    await new Promise(resolve => { setTimeout(resolve, 50) })
+    await new Promise<void>(resolve => {
+      socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n', () => {
+        leave(socket)
+        // The bytes and the end of the connection lie unread meanwhile.
+        for (const endsAt = performance.now() + HELD_UP_MILLISECONDS; performance.now() < endsAt;);
+        resolve()
+      })
+    })
+    await new Promise(resolve => { setTimeout(resolve, 100) })
+    assert.is(handledCount, isHandled ? 1 : 0)
+    socket.destroy()
+    listener.server.closeAllConnections()
+    listener.server.close()
+  })
+}
+
 callers.run()
--- a/packages/relay/test/relay-fixture.ts
+++ b/packages/relay/test/relay-fixture.ts
@@ -23,6 +23,8 @@
 /** The relay and its controls. */
 export interface Fixture {
   relay: Relay
+  /** Address of the listener for callers. */
+  address: string
   call: (method: string, path: string, headers?: Record<string, string>) => Promise<CallerAnswer>
   /** Headers of the requests that reached the targets, in order of arrival. */
   arrivals: Array<IncomingMessage['headers']>
@@ -100,7 +102,7 @@
     outgoing.end()
   })
   try {
-    await use({ relay, call, arrivals })
+    await use({ relay, address, call, arrivals })
   } finally {
     relay.stop()
     for (const server of [callers.server, ...servers]) {
