--- a/packages/relay/test/connection/callers.spec.ts
+++ b/packages/relay/test/connection/callers.spec.ts
@@ -31,17 +31,22 @@
   })
 }
 
+/** Opens a listener that answers each request. */
+async function openListener (): Promise<{ listener: CallerListener, port: number, handled: () => number }> {
+  let handled = 0
+  const listener = createCallerListener(async exchange => {
+    handled += 1
+    exchange.response.end('ok')
+  }, error => { throw error })
+  await new Promise<void>(resolve => { listener.server.listen(0, '127.0.0.1', resolve) })
+  return { listener, port: (listener.server.address() as AddressInfo).port, handled: () => handled }
+}
+
 const callers = suite('callers')
 
 for (const { name, act, status, isClosed, handled } of PHASES) {
   callers(`a second request over a keep-alive connection: ${name}`, async () => {
-    let handledCount = 0
-    const listener = createCallerListener(async exchange => {
-      handledCount += 1
-      exchange.response.end('ok')
-    }, error => { throw error })
-    await new Promise<void>(resolve => { listener.server.listen(0, '127.0.0.1', resolve) })
-    const { port } = listener.server.address() as AddressInfo
+    const { listener, port, handled: handledCount } = await openListener()
     const agent = new Agent({ keepAlive: true, maxSockets: 1 })
     await sendRequest(agent, port)
     act(listener)
@@ -49,7 +54,7 @@
     assert.is(answer.statusCode, status)
     assert.is(answer.headers.connection === 'close', isClosed)
     assert.is(answer.headers['retry-after'] !== undefined, status === 503)
-    assert.is(handledCount, handled)
+    assert.is(handledCount(), handled)
     agent.destroy()
     listener.server.close()
   })
@@ -67,13 +72,8 @@
 // Guards against work for callers who left before their request was read: a busy process sent such requests on to targets.
 for (const { name, leave, isHandled } of LEAVINGS) {
   callers(`the process is held up, and a caller ${name}: its request is ${isHandled ? 'handled' : 'not handled'}`, async () => {
-    let handledCount = 0
-    const listener = createCallerListener(async exchange => {
-      handledCount += 1
-      exchange.response.end('ok')
-    }, error => { throw error })
-    await new Promise<void>(resolve => { listener.server.listen(0, '127.0.0.1', resolve) })
-    const socket = connect((listener.server.address() as AddressInfo).port, '127.0.0.1')
+    const { listener, port, handled: handledCount } = await openListener()
+    const socket = connect(port, '127.0.0.1')
     socket.on('error', () => {})
     await new Promise<void>(resolve => { socket.on('connect', resolve) })
     await new Promise(resolve => { setTimeout(resolve, 50) })
@@ -86,7 +86,7 @@
       })
     })
     await new Promise(resolve => { setTimeout(resolve, 100) })
-    assert.is(handledCount, isHandled ? 1 : 0)
+    assert.is(handledCount(), isHandled ? 1 : 0)
     socket.destroy()
     listener.server.closeAllConnections()
     listener.server.close()
