--- a/packages/relay/test/connection/target-client.spec.ts
+++ b/packages/relay/test/connection/target-client.spec.ts
@@ -164,7 +164,7 @@
 ]
 for (const { name, head, requestId, mayOmitId, isAnswered } of NAMED_ANSWERS) {
   sends(`${name}: ${isAnswered ? 'answered' : 'unknown'}`, async () => {
-    const { server, address } = await listen(socket => { socket.write(`${head}Content-Length: 0\r\n\r\n`) })
+    const { server, address } = await listen(socket => { socket.end(`${head}Content-Length: 0\r\n\r\n`) })
     const client = createTargetClient(PLAIN_DIALECT, UNPAUSED)
     const outcome = await client.send({ ...createCall(address), requestId, mayOmitId })
     assert.is(outcome.kind, isAnswered ? SendResult.Answered : SendResult.Unknown)
