Review: an event without end in small chunks stops a process for seconds (CONFIG)

Rule: of the requests that are still unanswered at their route's TimeoutMs, more than half have no answer half a second later. Cause: the event splitter copies and searches all that is buffered for each chunk, up to 1 MiB, so the work is quadratic.

--- /dev/null
+++ b/review/lib/relays.js
@@ -0,0 +1,79 @@
+/**
+ * Starts the program of the deploy file as processes of their own, with settings like those of a machine of a small deployment.
+ */
+import { spawn } from 'node:child_process'
+import { createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+const REPOSITORY = fileURLToPath(new URL('../..', import.meta.url))
+
+/** @returns the words of `run` in the deploy file. */
+function readCommand () {
+  const [, run] = /^run = "([^"]+)"$/m.exec(readFileSync(join(REPOSITORY, 'deploy/system.toml'), 'utf8'))
+  return run.split(' ')
+}
+
+/** @returns addresses on which nothing listens now. */
+export async function freeAddresses (count) {
+  const servers = await Promise.all(Array.from({ length: count }, () => new Promise(resolve => {
+    const server = createServer()
+    server.listen(0, '127.0.0.1', () => resolve(server))
+  })))
+  const addresses = servers.map(server => `127.0.0.1:${server.address().port}`)
+  await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
+  return addresses
+}
+
+/** Makes a folder for settings and logs. */
+export function makeFolder () {
+  return mkdtempSync(join(tmpdir(), 'review-'))
+}
+
+export function removeFolder (folder) {
+  rmSync(folder, { recursive: true, force: true })
+}
+
+/**
+ * Starts one process.
+ * @param options.folder folder for its settings and its log.
+ * @param options.storeAddress address of the store as this process sees it.
+ * @returns the process, its addresses and how it ended.
+ */
+export async function startRelay ({ vm, zone, zones, folder, storeAddress }) {
+  const [front, readiness, peers, metrics] = await freeAddresses(4)
+  const settings = join(folder, `${vm}.toml`)
+  writeFileSync(settings, [
+    `failureDomains = ${JSON.stringify(zones)}`,
+    '[node]', `vm = "${vm}"`, `failureDomain = "${zone}"`, 'ip = "127.0.0.1"',
+    '[listen]', `callers = "${front}"`, `readiness = "${readiness}"`, `peers = "${peers}"`, `metrics = "${metrics}"`,
+    '[store]', `address = "${storeAddress}"`, 'leastLeaseMilliseconds = 1000',
+    '[bounds]', 'revokeMilliseconds = 5000', 'leaveMilliseconds = 2000', 'applyMilliseconds = 2000', 'graceSeconds = 8',
+    'repeatShare = 0.2', 'repeatExtra = 202', 'repeatWindowSeconds = 10', 'stallMilliseconds = 2500', ''
+  ].join('\n'))
+  const [program, ...words] = readCommand()
+  const log = createWriteStream(join(folder, `${vm}.out`), { flags: 'a' })
+  const relay = { vm, front, readiness, logFile: join(folder, `${vm}.out`), ended: undefined, isStopped: false }
+  const child = spawn(program === 'node' ? process.execPath : program, words, {
+    cwd: REPOSITORY, env: { PATH: process.env.PATH, HOME: folder, WIGEONLEAD_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'pipe']
+  })
+  child.stdout.pipe(log, { end: false })
+  child.stderr.pipe(log, { end: false })
+  relay.child = child
+  relay.exit = new Promise(resolve => {
+    child.on('exit', (code, signal) => {
+      relay.ended = { code, signal, at: performance.now(), isOwn: !relay.isStopped }
+      resolve(relay.ended)
+    })
+  })
+  return relay
+}
+
+/** Ends a process that `startRelay` has started. */
+export async function endRelay (relay) {
+  relay.isStopped = true
+  if (relay.ended === undefined) relay.child.kill('SIGKILL')
+  await relay.exit
+}
