--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -14,7 +14,7 @@
 export const STREAM_DEADLINE = 20_000
 export const PLAIN_DEADLINE = 600
 
-function configuration (version) {
+function configuration (version, fields) {
   const route = (Name, Kind, Service, fields) => ({
     Name, Host: HOST, Prefix: `/${Name}/`, Kind, Service, Priority: 1, Anonymous: false, ...fields
   })
@@ -22,7 +22,7 @@
     Version: version,
     Routes: [
       route('draft', 'streaming', 'model', {
-        TimeoutMs: STREAM_DEADLINE, TargetLatencyMs: 500, MaxAttempts: 2, Sticky: true, Resumable: true, TargetGapMs: 200
+        TimeoutMs: STREAM_DEADLINE, TargetLatencyMs: 500, MaxAttempts: 2, Sticky: true, Resumable: true, TargetGapMs: 200, ...fields
       }),
       route('book', 'unsafe', 'desk', { TimeoutMs: PLAIN_DEADLINE, TargetLatencyMs: 100, Priority: 2, MaxAttempts: 1 }),
       route('look', 'safe', 'desk', { TimeoutMs: PLAIN_DEADLINE, TargetLatencyMs: 100, Priority: 2, MaxAttempts: 2 })
@@ -64,13 +64,14 @@
 /**
  * Starts a deployment and waits until it serves.
  * @param options.relays number of processes; by default one in each zone.
+ * @param options.draft fields of the route of the model that differ from the usual ones.
  * @param options.onRun called with each request that a server begins to run.
  * @throws an error if it does not serve in time.
  */
-export async function startDeployment ({ relays: count = 3, models = 3, desks = 3, onRun } = {}) {
+export async function startDeployment ({ relays: count = 3, models = 3, desks = 3, onRun, draft = {} } = {}) {
   const folder = makeFolder()
   const store = await openStore()
-  store.put('op/config', configuration(7))
+  store.put('op/config', configuration(7, draft))
   const open = (service, kind) => index => openServer({ store, service, kind, zone: ZONES[index % 3], onRun })
   const modelServers = await Promise.all(Array.from({ length: models }, (_, index) => open('model', 'model')(index)))
   const deskServers = await Promise.all(Array.from({ length: desks }, (_, index) => open('desk', 'desk')(index)))
--- a/review/lib/servers.js
+++ b/review/lib/servers.js
@@ -13,6 +13,8 @@
 const LOAD_MILLISECONDS = 300
 const WORK_MILLISECONDS = 15
 const EVENT_MILLISECONDS = 20
+/** Time after which an idle connection is closed; the answers state it. */
+const IDLE_MILLISECONDS = 15_000
 
 let nextServer = 1
 
@@ -29,7 +31,7 @@
   let busyUntil = 0
   let sequence = 0
 
-  const server = createServer((incoming, response) => {
+  const server = createServer({ keepAliveTimeout: IDLE_MILLISECONDS }, (incoming, response) => {
     let body = ''
     incoming.on('data', bytes => { body += bytes })
     incoming.on('end', () => serve(incoming, response, body))
