Review: bodies within the limit exceed a machine's memory after two machines are lost (LOST)

Rule: a machine in touch passes a request from a kept connection on and closes that connection without an answer, over three times; a process that ends by itself counts as running. Cause: nothing bounds the bytes that a process holds: bodies are read before admission and kept until the answer has ended.

--- a/review/lib/relays.js
+++ b/review/lib/relays.js
@@ -53,9 +53,17 @@
     '[bounds]', 'revokeMilliseconds = 5000', 'leaveMilliseconds = 2000', 'applyMilliseconds = 2000', 'graceSeconds = 8',
     'repeatShare = 0.2', 'repeatExtra = 202', 'repeatWindowSeconds = 10', 'stallMilliseconds = 2500', ''
   ].join('\n'))
+  const relay = { vm, front, readiness, folder, settings, logFile: join(folder, `${vm}.out`) }
+  startAgain(relay)
+  return relay
+}
+
+/** Starts the process of a relay, also once more after it has ended, with the same settings. */
+export function startAgain (relay) {
+  const { vm, folder, settings } = relay
   const [program, ...words] = readCommand()
-  const log = createWriteStream(join(folder, `${vm}.out`), { flags: 'a' })
-  const relay = { vm, front, readiness, logFile: join(folder, `${vm}.out`), ended: undefined, isStopped: false }
+  const log = createWriteStream(relay.logFile, { flags: 'a' })
+  relay.ended = undefined
   const child = spawn(program === 'node' ? process.execPath : program, words, {
     cwd: REPOSITORY, env: { PATH: process.env.PATH, HOME: folder, WIGEONLEAD_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'pipe']
   })
@@ -64,16 +72,14 @@
   relay.child = child
   relay.exit = new Promise(resolve => {
     child.on('exit', (code, signal) => {
-      relay.ended = { code, signal, at: performance.now(), isOwn: !relay.isStopped }
+      relay.ended = { vm, code, signal, at: performance.now() }
       resolve(relay.ended)
     })
   })
-  return relay
 }
 
 /** Ends a process that `startRelay` has started. */
 export async function endRelay (relay) {
-  relay.isStopped = true
   if (relay.ended === undefined) relay.child.kill('SIGKILL')
   await relay.exit
 }
--- a/review/lib/servers.js
+++ b/review/lib/servers.js
@@ -33,7 +33,8 @@
 
   const server = createServer({ keepAliveTimeout: IDLE_MILLISECONDS }, (incoming, response) => {
     let body = ''
-    incoming.on('data', bytes => { body += bytes })
+    // Only orders are read; the rest of what clients send may be large.
+    incoming.on('data', bytes => { if (incoming.url === '/api/order') body += bytes })
     incoming.on('end', () => serve(incoming, response, body))
     incoming.on('error', () => {})
     response.on('error', () => {})
