Review: a second's silence of a sound server cuts streams that can't be resumed (LOST)

Rule: around planned work (a SIGHUP), a process has read a whole request, passed it on, and the connection ends without a complete answer; a replica's silence is no reason to end an answer sooner. Cause: the stream watch takes a server that opens no connection within 150 ms for lost, and aborts all of its silent streams.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.js
--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -65,15 +65,17 @@
  * Starts a deployment and waits until it serves.
  * @param options.relays number of processes; by default one in each zone.
  * @param options.draft fields of the route of the model that differ from the usual ones.
+ * @param options.openModel opens a server of the model; by default one of this process.
  * @param options.onRun called with each request that a server begins to run.
  * @throws an error if it does not serve in time.
  */
-export async function startDeployment ({ relays: count = 3, models = 3, desks = 3, onRun, draft = {} } = {}) {
+export async function startDeployment ({ relays: count = 3, models = 3, desks = 3, onRun, draft = {}, openModel } = {}) {
   const folder = makeFolder()
   const store = await openStore()
   store.put('op/config', configuration(7, draft))
   const open = (service, kind) => index => openServer({ store, service, kind, zone: ZONES[index % 3], onRun })
-  const modelServers = await Promise.all(Array.from({ length: models }, (_, index) => open('model', 'model')(index)))
+  const modelServers = await Promise.all(Array.from({ length: models }, (_, index) =>
+    openModel === undefined ? open('model', 'model')(index) : openModel({ store, zone: ZONES[index % 3], onRun })))
   const deskServers = await Promise.all(Array.from({ length: desks }, (_, index) => open('desk', 'desk')(index)))
   const relays = []
   for (let index = 0; index < count; index++) {
--- a/review/lib/servers.js
+++ b/review/lib/servers.js
@@ -21,10 +21,12 @@
 /**
  * Starts a server and registers it.
  * @param options.trouble called with each request that would run now; what it returns true for, it answers itself.
+ * @param options.backlog length of the queue of new connections.
  * @param options.onRun called with each request that the server begins to run.
  */
-export async function openServer ({ store, service, kind, zone, onRun = () => {}, trouble = () => false }) {
-  const id = `i-${(nextServer++).toString(16).padStart(8, '0')}`
+export async function openServer ({
+  store, service, kind, zone, onRun = () => {}, trouble = () => false, backlog = 511, id = newServerId()
+}) {
   const born = Date.now()
   let layers
   let accepted = 0
@@ -39,7 +41,7 @@
     incoming.on('error', () => {})
     response.on('error', () => {})
   })
-  await new Promise(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  await new Promise(resolve => { server.listen({ port: 0, host: '127.0.0.1', backlog }, resolve) })
   const address = `127.0.0.1:${server.address().port}`
 
   function publish () {
@@ -142,6 +144,10 @@
   }
 }
 
+export function newServerId () {
+  return `i-${(nextServer++).toString(16).padStart(8, '0')}`
+}
+
 /** @returns the body with which a plain server answers a request. */
 export function bodyOf (requestId) {
   return `${requestId} `.repeat(47)
