--- a/review/1/case.js
+++ b/review/1/case.js
@@ -17,7 +17,7 @@
 const TROUBLE_SECONDS = 5
 /** At each process. */
 const REQUESTS_PER_SECOND = 4
-const STREAMS_PER_SECOND = 1
+const STREAMS_PER_SECOND = 2
 const READY_INTERVAL = 1000
 /** Clients leave a stream after a gap of two seconds. */
 const STREAM_PATIENCE = 2000
--- a/review/3/case.js
+++ b/review/3/case.js
@@ -12,15 +12,18 @@
 import { startAgain } from '../lib/relays.js'
 
 /** The site has 107 clients at nine machines. */
-const CLIENTS = 60
+const CLIENTS = 75
 /** MaxBodyBytes is 4,194,304. */
 const BODY_BYTES = 4_000_000
 /** What the clients send together, bytes a second: 0.6 of the link of one machine (1,000 Mbit/s). */
 const BYTES_PER_SECOND = 75_000_000
 const PIECE = Buffer.alloc(32_768, 'a')
-const CLIENT_PAUSE = 200
+/** Clients pause between two requests, and before they connect again, at most; each at its own time. */
+const CLIENT_PAUSE = 1000
+const RECONNECT_PAUSE = 2000
+const START_INTERVAL = 100
 /** The model reads a prompt and then writes events; the site's streams have 200 at most. */
-const FIRST_EVENT_AFTER = 1200
+const FIRST_EVENT_AFTER = 1500
 const EVENTS = 120
 const EVENT_INTERVAL = 30
 /** MemoryMb of a machine: the platform kills a process that exceeds it. */
@@ -29,7 +32,7 @@
 const CALM_SECONDS = 12
 const DARK_SECONDS = 3.5
 const READY_AFTER = 2000
-const AFTER_SECONDS = 25
+const AFTER_SECONDS = 20
 
 function stream (incoming, response, { id, requestId }) {
   if (!incoming.url.startsWith('/draft/photo')) return false
@@ -144,13 +147,13 @@
         const isKept = number > 0
         if (!seen.isComplete && isKept) unanswered.push({ ...seen, relay, at: performance.now() })
         if (!seen.isComplete) break
-        await pause(CLIENT_PAUSE)
+        await pause(CLIENT_PAUSE * Math.random())
       }
       agent.destroy()
       // The platform sends a new connection to a machine that is up.
       const others = [...up]
       relay = others[Math.floor(Math.random() * others.length)] ?? relay
-      await pause(CLIENT_PAUSE)
+      await pause(RECONNECT_PAUSE * Math.random())
     }
   }
 
@@ -158,7 +161,7 @@
   const clients = []
   for (let index = 0; index < CLIENTS; index++) {
     clients.push(runClient(relays[index % relays.length]))
-    await pause(30)
+    await pause(START_INTERVAL)
   }
   await pause(CALM_SECONDS * 1000)
   for (const relay of relays) note(`${relay.vm}: at most ${Math.round(memory.get(relay) / 1024)} MB so far`)
