--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -13,6 +13,8 @@
 /** Deadlines, timeouts and objectives of the sites of the small deployments, milliseconds. */
 export const STREAM_DEADLINE = 20_000
 export const PLAIN_DEADLINE = 600
+/** Traffic starts this time after the machines do, milliseconds. */
+const LEAD_MILLISECONDS = 12_000
 
 function configuration (version, fields) {
   const route = (Name, Kind, Service, fields) => ({
@@ -78,6 +80,7 @@
     openModel === undefined ? open('model', 'model')(index) : openModel({ store, zone: ZONES[index % 3], onRun })))
   const deskServers = await Promise.all(Array.from({ length: desks }, (_, index) => open('desk', 'desk')(index)))
   const relays = []
+  const startedAt = performance.now()
   for (let index = 0; index < count; index++) {
     const zone = ZONES[index % 3]
     relays.push(await startRelay({ vm: `front-${zone}-${index + 1}`, zone, zones: ZONES, folder, storeAddress: store.address }))
@@ -96,8 +99,7 @@
     await end()
     throw new Error(`${relay.vm} does not serve`)
   }
-  // The traffic of the sites begins when the processes have run for a while.
-  await pause(2000)
+  await pause(Math.max(0, startedAt + LEAD_MILLISECONDS - performance.now()))
   return { store, folder, relays, modelServers, deskServers, end }
 }
 
