Review: cases inside the limits of their disruptions; record and TROUBLE named in each case

Case 3: herd_kill with its share of 0.6 of five machines and the site's 107 clients (before: two of three, beyond the share of node_kill). Case 4: SIGHUP to one machine of four (before: of three, beyond the share of hup).

--- a/review/1/case.js
+++ b/review/1/case.js
@@ -48,7 +48,10 @@
   return true
 }
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async ({ note, hasTrouble, onEnd }) => {
+const recordFile = fileURLToPath(new URL('record.txt', import.meta.url))
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase({ recordFile, hasTrouble }, async ({ note, onEnd }) => {
   const runs = new Set()
   const deployment = await startDeployment({ onRun: run => runs.add(run.id) })
   onEnd(deployment.end)
--- a/review/3/case.js
+++ b/review/3/case.js
@@ -1,6 +1,6 @@
 /**
- * Two of three machines are killed, and their clients go to the third. Clients send bodies as long as the operator allows. Does the process
- * stay below the memory of its machine, and are the requests that it passed on answered?
+ * Three of five machines are killed, and their clients go to the other two. Clients send bodies as long as the operator allows. Do the
+ * processes there stay below the memory of their machines, and are the requests that they passed on answered?
  */
 import { Agent, request } from 'node:http'
 import { readFileSync } from 'node:fs'
@@ -11,8 +11,8 @@
 import { HOST, KEY, MODEL_HEADERS, PLAIN_DEADLINE, STREAM_DEADLINE, startDeployment } from '../lib/deployment.js'
 import { startAgain } from '../lib/relays.js'
 
-/** The site has 107 clients at nine machines. */
-const CLIENTS = 75
+/** As many as the site has. */
+const CLIENTS = 107
 /** MaxBodyBytes is 4,194,304. */
 const BODY_BYTES = 4_000_000
 /** What the clients send together, bytes a second: 0.6 of the link of one machine (1,000 Mbit/s). */
@@ -21,7 +21,7 @@
 /** Clients pause between two requests, and before they connect again, at most; each at its own time. */
 const CLIENT_PAUSE = 1000
 const RECONNECT_PAUSE = 2000
-const START_INTERVAL = 100
+const START_INTERVAL = 70
 /** The model reads a prompt and then writes events; the site's streams have 200 at most. */
 const FIRST_EVENT_AFTER = 1500
 const EVENTS = 120
@@ -30,8 +30,12 @@
 const MEMORY_KB = 350 * 1024
 const MEMORY_CHECK_INTERVAL = 50
 const CALM_SECONDS = 12
-const DARK_SECONDS = 3.5
+/** A process that is killed starts again after a short delay, and gets new connections once it has been found ready. */
+const RESTART_SECONDS = 1
 const READY_AFTER = 2000
+const MACHINES = 5
+/** Share of `herd_kill`. */
+const KILLED_SHARE = 0.6
 const AFTER_SECONDS = 20
 
 function stream (incoming, response, { id, requestId }) {
@@ -102,9 +106,12 @@
   })
 }
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async ({ note, hasTrouble, onEnd }) => {
+const recordFile = fileURLToPath(new URL('record.txt', import.meta.url))
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase({ recordFile, hasTrouble }, async ({ note, onEnd }) => {
   const runs = new Set()
-  const deployment = await startDeployment({ onRun: run => runs.add(run.id) })
+  const deployment = await startDeployment({ relays: MACHINES, onRun: run => runs.add(run.id) })
   onEnd(deployment.end)
   const { relays } = deployment
   for (const server of deployment.modelServers) server.setTrouble(stream)
@@ -166,14 +173,15 @@
   await pause(CALM_SECONDS * 1000)
   for (const relay of relays) note(`${relay.vm}: at most ${Math.round(memory.get(relay) / 1024)} MB so far`)
   if (overLimit.length > 0) throw new Error('a process exceeded its memory before the disruption')
-  const [left, ...lost] = relays
+  const lost = relays.slice(MACHINES * (1 - KILLED_SHARE))
+  const left = relays.filter(relay => !lost.includes(relay))
   if (hasTrouble) {
     note(`killed: ${lost.map(({ vm }) => vm).join(', ')}`)
     for (const relay of lost) {
       up.delete(relay)
       relay.child.kill('SIGKILL')
     }
-    await pause(DARK_SECONDS * 1000)
+    await pause(RESTART_SECONDS * 1000)
     for (const relay of lost) startAgain(relay)
     note('they are started again; clients stay with the connections that they have')
     // New connections go to them once they have been ready again.
@@ -184,10 +192,13 @@
   for (const relay of relays) note(`${relay.vm}: at most ${Math.round(memory.get(relay) / 1024)} MB`)
   for (const [outcome, count] of [...counts].sort()) note(`${count} times ${outcome}`)
   // The rule: a machine in touch passes a request from a kept connection on and closes that connection without an answer, over three times.
-  const broken = unanswered.filter(({ relay, id, status }) => relay === left && status === 0 && runs.has(id))
-  for (const { id, path, error } of broken) note(`${left.vm}: ${path} ${id} has run; its kept connection was closed without an answer (${error})`)
-  const cut = unanswered.filter(({ relay, status }) => relay === left && status !== 0)
-  note(`${left.vm}: ${broken.length} requests passed on and not answered, ${cut.length} streams cut off; ` +
-    `killed for its memory ${overLimit.filter(relay => relay === left).length} times`)
-  return broken.length > 3
+  const broken = unanswered.filter(({ relay, id, status }) => left.includes(relay) && status === 0 && runs.has(id))
+  for (const { id, path, error, relay } of broken) {
+    note(`${relay.vm}: ${path} ${id} has run; its kept connection was closed without an answer (${error})`)
+  }
+  const counted = left.map(relay => broken.filter(request => request.relay === relay).length)
+  const cut = unanswered.filter(({ relay, status }) => left.includes(relay) && status !== 0)
+  note(`${left.map(({ vm }, index) => `${vm}: ${counted[index]}`).join(', ')} requests passed on and not answered; ${cut.length} streams cut off; ` +
+    `killed for their memory: ${overLimit.filter(relay => left.includes(relay)).length} of ${left.length}`)
+  return counted.some(count => count > 3)
 })
--- a/review/4/case.js
+++ b/review/4/case.js
@@ -21,9 +21,13 @@
 /** Events at an interval of 20 ms: four seconds. Clients bear a gap of two seconds; this one is shorter. */
 const EVENTS = 200
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async ({ note, hasTrouble, onEnd }) => {
+const recordFile = fileURLToPath(new URL('record.txt', import.meta.url))
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase({ recordFile, hasTrouble }, async ({ note, onEnd }) => {
   const runs = new Map()
   const deployment = await startDeployment({
+    relays: 4,
     draft: { Resumable: false, MaxAttempts: 1 },
     onRun: run => runs.set(run.id, run),
     openModel: options => forkServer({ ...options, backlog: BACKLOG })
--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -2,7 +2,6 @@
  * What the cases have in common: the record, the exit status, and the end of all processes after 120 seconds at most.
  */
 import { readFileSync, writeFileSync } from 'node:fs'
-import { join } from 'node:path'
 
 const TIME_LIMIT_MILLISECONDS = 115_000
 const EXIT_HELD = 0
@@ -11,15 +10,15 @@
 
 /**
  * Runs a case.
- * @param folder folder of the case, in which the record is written.
+ * @param options.recordFile file of the record.
+ * @param options.hasTrouble whether the case is played with its disruption.
  * @param play plays the case: `play({ note, hasTrouble, onEnd })` returns whether the rule was broken; it throws where the case can't run.
  */
-export async function runCase (folder, play) {
+export async function runCase ({ recordFile, hasTrouble }, play) {
   const lines = []
   const startedAt = performance.now()
   const ends = []
   const note = text => { lines.push(`${((performance.now() - startedAt) / 1000).toFixed(3)} ${text}`) }
-  const hasTrouble = process.env.TROUBLE !== '0'
   let isOver = false
 
   async function finish (status, text) {
@@ -27,7 +26,7 @@
     isOver = true
     note(text)
     for (const end of ends) await end().catch(error => note(`at the end: ${error.message}`))
-    writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`)
+    writeFileSync(recordFile, `${lines.join('\n')}\n`)
     process.stdout.write(`${text}\n`)
     process.exit(status)
   }
