Review: ports that no outgoing connection takes; why a process doesn't serve

Once of fifteen runs, with three scripts beside each other, case 4 couldn't run: one process did not serve in 30 s. Its log was not kept. Suspected, not shown: an outgoing connection had taken a port between its choice and the start of the process.

--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -1,6 +1,7 @@
 /**
  * A small deployment on the loopback address: the store, servers of a model and of a plain service, and processes of the program.
  */
+import { readFileSync } from 'node:fs'
 import { setTimeout as pause } from 'node:timers/promises'
 import { askReady, send, until } from './clients.js'
 import { endRelay, makeFolder, removeFolder, startRelay } from './relays.js'
@@ -96,8 +97,9 @@
     (await send(relay.front, { host: HOST, path: '/look/warm', method: 'GET', key: KEY, deadline: 600 })).status === 200
   for (const relay of relays) {
     if (await until(() => isServing(relay), 30_000)) continue
+    const log = readFileSync(relay.logFile, 'utf8').trimEnd().split('\n').slice(-5).join('\n')
     await end()
-    throw new Error(`${relay.vm} does not serve`)
+    throw new Error(`${relay.vm} does not serve; its log ends with\n${log}`)
   }
   await pause(Math.max(0, startedAt + LEAD_MILLISECONDS - performance.now()))
   return { store, folder, relays, modelServers, deskServers, end }
--- a/review/lib/relays.js
+++ b/review/lib/relays.js
@@ -16,15 +16,26 @@
   return run.split(' ')
 }
 
+/** Ports below those that the kernel gives to outgoing connections, so that none of these takes a port before its process listens. */
+const FIRST_PORT = 12_000
+const PORTS = 18_000
+
+function isFree (port) {
+  return new Promise(resolve => {
+    const server = createServer()
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
+}
+
 /** @returns addresses on which nothing listens now. */
 export async function freeAddresses (count) {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise(resolve => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1', () => resolve(server))
-  })))
-  const addresses = servers.map(server => `127.0.0.1:${server.address().port}`)
-  await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
-  return addresses
+  const ports = new Set()
+  while (ports.size < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS)
+    if (await isFree(port)) ports.add(port)
+  }
+  return [...ports].map(port => `127.0.0.1:${port}`)
 }
 
 /** Makes a folder for settings and logs. */
