--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -17,7 +17,7 @@
 /** Traffic starts this time after the machines do, milliseconds. */
 const LEAD_MILLISECONDS = 12_000
 
-function configuration (version, fields) {
+function configuration (version, fields, further) {
   const route = (Name, Kind, Service, fields) => ({
     Name, Host: HOST, Prefix: `/${Name}/`, Kind, Service, Priority: 1, Anonymous: false, ...fields
   })
@@ -28,7 +28,8 @@
         TimeoutMs: STREAM_DEADLINE, TargetLatencyMs: 500, MaxAttempts: 2, Sticky: true, Resumable: true, TargetGapMs: 200, ...fields
       }),
       route('book', 'unsafe', 'desk', { TimeoutMs: PLAIN_DEADLINE, TargetLatencyMs: 100, Priority: 2, MaxAttempts: 1 }),
-      route('look', 'safe', 'desk', { TimeoutMs: PLAIN_DEADLINE, TargetLatencyMs: 100, Priority: 2, MaxAttempts: 2 })
+      route('look', 'safe', 'desk', { TimeoutMs: PLAIN_DEADLINE, TargetLatencyMs: 100, Priority: 2, MaxAttempts: 2 }),
+      ...further.map(({ Name, Kind, Service, ...rest }) => route(Name, Kind, Service, rest))
     ],
     Services: [
       {
@@ -68,18 +69,23 @@
  * Starts a deployment and waits until it serves.
  * @param options.relays number of processes; by default one in each zone.
  * @param options.draft fields of the route of the model that differ from the usual ones.
+ * @param options.routes routes beside the usual ones.
  * @param options.openModel opens a server of the model; by default one of this process.
+ * @param options.openDesk opens a server of the plain service; by default one of this process.
  * @param options.onRun called with each request that a server begins to run.
  * @throws an error if it does not serve in time.
  */
-export async function startDeployment ({ relays: count = 3, models = 3, desks = 3, onRun, draft = {}, openModel } = {}) {
+export async function startDeployment ({
+  relays: count = 3, models = 3, desks = 3, onRun, draft = {}, routes = [], openModel, openDesk
+} = {}) {
   const folder = makeFolder()
   const store = await openStore()
-  store.put('op/config', configuration(7, draft))
+  store.put('op/config', configuration(7, draft, routes))
   const open = (service, kind) => index => openServer({ store, service, kind, zone: ZONES[index % 3], onRun })
   const modelServers = await Promise.all(Array.from({ length: models }, (_, index) =>
     openModel === undefined ? open('model', 'model')(index) : openModel({ store, zone: ZONES[index % 3], onRun })))
-  const deskServers = await Promise.all(Array.from({ length: desks }, (_, index) => open('desk', 'desk')(index)))
+  const deskServers = await Promise.all(Array.from({ length: desks }, (_, index) =>
+    openDesk === undefined ? open('desk', 'desk')(index) : openDesk({ store, zone: ZONES[index % 3], onRun })))
   const relays = []
   const startedAt = performance.now()
   for (let index = 0; index < count; index++) {
