--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -72,11 +72,12 @@
  * @param options.routes routes beside the usual ones.
  * @param options.openModel opens a server of the model; by default one of this process.
  * @param options.openDesk opens a server of the plain service; by default one of this process.
+ * @param options.viaStore opens for each process a way to the store; by default they reach it directly.
  * @param options.onRun called with each request that a server begins to run.
  * @throws an error if it does not serve in time.
  */
 export async function startDeployment ({
-  relays: count = 3, models = 3, desks = 3, onRun, draft = {}, routes = [], openModel, openDesk
+  relays: count = 3, models = 3, desks = 3, onRun, draft = {}, routes = [], openModel, openDesk, viaStore
 } = {}) {
   const folder = makeFolder()
   const store = await openStore()
@@ -89,8 +90,9 @@
   const relays = []
   const startedAt = performance.now()
   for (let index = 0; index < count; index++) {
+    const storeAddress = viaStore === undefined ? store.address : (await viaStore(store.address)).address
     const zone = ZONES[index % 3]
-    relays.push(await startRelay({ vm: `front-${zone}-${index + 1}`, zone, zones: ZONES, folder, storeAddress: store.address }))
+    relays.push(await startRelay({ vm: `front-${zone}-${index + 1}`, zone, zones: ZONES, folder, storeAddress }))
   }
   const end = async () => {
     await Promise.all(relays.map(endRelay))
