--- a/review/1/case.js
+++ b/review/1/case.js
@@ -7,7 +7,7 @@
 import { noteLog, runCase } from '../lib/case.js'
 import { send } from '../lib/clients.js'
 import { HOST, KEY, MODEL_HEADERS, STREAM_DEADLINE, startDeployment } from '../lib/deployment.js'
-import { openModel } from './server.js'
+import { openModel } from '../lib/model-process.js'
 
 const ROUNDS = 4
 /** One of six replicas crashes: no larger a share than in the site file (0.17). */
@@ -29,7 +29,9 @@
     runs.set(id, [...runs.get(id) ?? [], `${server} from event ${from}`])
     runningAt.set(server, (runningAt.get(server) ?? 0) + 1)
   }
-  const deployment = await startDeployment({ models: MODELS, onRun, openModel })
+  const deployment = await startDeployment({
+    models: MODELS, onRun, openModel: options => openModel({ ...options, isFramed: false })
+  })
   onEnd(deployment.end)
   let torn = 0
   let whole = 0
--- a/review/1/server.js
+++ b/review/lib/model-process.js
@@ -1,21 +1,29 @@
 /**
- * A replica of the model as a process of its own. Its answers have neither a length nor chunks and end with their connections. When it has
- * crashed, it starts again at its address, under the id that it had, and knows nothing of before.
+ * A replica of the model as a process of its own, which can crash. It starts again at its address, under the id that it had, and knows
+ * nothing of before.
  */
 import { fork } from 'node:child_process'
 import { createServer } from 'node:http'
 import { setTimeout as pause } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
-import { freeAddresses } from '../lib/relays.js'
-import { CARD, SLOTS, newServerId } from '../lib/servers.js'
+import { freeAddresses } from './relays.js'
+import { CARD, SLOTS, newServerId } from './servers.js'
 
 const FILE = fileURLToPath(import.meta.url)
 const HEARTBEAT_MILLISECONDS = 1200
 const LOAD_MILLISECONDS = 300
 const EVENT_MILLISECONDS = 20
+/** Time from the first event of an answer on a part that crashes replicas to the crash, milliseconds. */
+const CRASH_MILLISECONDS = 5
 
-/** Starts a replica and registers it. */
-export async function openModel ({ store, zone, onRun }) {
+/**
+ * Starts a replica and registers it.
+ * @param options.isFramed whether its answers are sent in chunks; if not, they end with their connections.
+ * @param options.badPart part of a prompt that crashes the replica once it has written the first event of an answer on it.
+ * @param options.backMilliseconds time after which it is back when it has crashed by itself.
+ * @param options.onCrash called when it has crashed by itself.
+ */
+export async function openModel ({ store, zone, onRun, isFramed = true, badPart, backMilliseconds = 3000, onCrash = () => {} }) {
   const id = newServerId()
   const [address] = await freeAddresses(1)
   let child
@@ -45,32 +53,39 @@
       Stage: 'both',
       Models: [{ Name: 'm', Version: 1, Adapters: [] }]
     }
-    child = fork(FILE, [JSON.stringify({ id, born, address })])
+    child = fork(FILE, [JSON.stringify({ id, born, address, isFramed, badPart })])
     child.on('message', ({ run, change }) => {
       if (run !== undefined) onRun(run)
-      if (change === undefined) return
+      if (change === undefined || entry?.born !== born) return
       Object.assign(entry, change)
       publish()
     })
+    child.on('exit', () => {
+      if (isClosed || entry?.born !== born) return
+      onCrash(id)
+      void startAfter(backMilliseconds)
+    })
+    publish()
+  }
+
+  async function startAfter (milliseconds) {
+    entry = undefined
+    await pause(milliseconds)
+    if (!isClosed) start()
   }
 
   start()
-  publish()
   const timer = setInterval(publish, HEARTBEAT_MILLISECONDS)
   return {
     id,
     address,
     /** The replica crashes, and starts again after a time. */
     async crash (milliseconds) {
-      const dead = child
-      const ended = new Promise(resolve => { dead.on('exit', resolve) })
-      dead.kill('SIGKILL')
+      const ended = new Promise(resolve => { child.on('exit', resolve) })
       entry = undefined
+      child.kill('SIGKILL')
       await ended
-      await pause(milliseconds)
-      if (isClosed) return
-      start()
-      publish()
+      await startAfter(milliseconds)
     },
     close () {
       isClosed = true
@@ -81,7 +96,7 @@
 }
 
 /** Runs the replica in its own process. */
-function runReplica ({ id, born, address }) {
+function runReplica ({ id, born, address, isFramed, badPart }) {
   let layers
   let accepted = 0
   let busyUntil = 0
@@ -119,14 +134,19 @@
   /** Sends events; their number stands at the end of the path. */
   function stream (incoming, response, requestId) {
     const count = Number(/(\d+)$/.exec(incoming.url)[1])
+    const parts = (incoming.headers['x-prompt-prefix'] ?? '').split(',').map(part => part.split(':')[0])
     let next = Number(incoming.headers['last-event-id'] ?? 0) + 1
     process.send({ run: { id: requestId, server: id, from: next } })
-    response.useChunkedEncodingByDefault = false
+    if (!isFramed) response.useChunkedEncodingByDefault = false
     response.writeHead(200, {
-      'X-Request-Id': requestId, 'X-Response-Seal': `${id}.${requestId}`, 'Content-Type': 'text/event-stream', Connection: 'close'
+      'X-Request-Id': requestId,
+      'X-Response-Seal': `${id}.${requestId}`,
+      'Content-Type': 'text/event-stream',
+      ...(isFramed ? {} : { Connection: 'close' })
     })
     const timer = setInterval(() => {
       if (next <= count) response.write(`id: ${next}\ndata: ${requestId} ${next}\n\n`)
+      if (parts.includes(badPart)) setTimeout(() => process.kill(process.pid, 'SIGKILL'), CRASH_MILLISECONDS)
       next += 1
       if (next > count) {
         clearInterval(timer)
