--- a/review/1/case.js
+++ b/review/1/case.js
@@ -1,74 +1,123 @@
 /**
- * ORDER: while a process is frozen for a second, a replica crashes in the middle of its streams and starts again. The streams, which end
- * with their connections, reach the clients as complete ones.
+ * LOST: a faulty replica spoils the head of an answer and breaks it off. The process ends by itself, and with it all requests that it had
+ * passed on to sound replicas.
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { noteLog, runCase } from '../lib/case.js'
-import { send } from '../lib/clients.js'
-import { HOST, KEY, MODEL_HEADERS, STREAM_DEADLINE, startDeployment } from '../lib/deployment.js'
-import { openModel } from '../lib/model-process.js'
+import { createAgent, send } from '../lib/clients.js'
+import { HOST, KEY, MODEL_HEADERS, PLAIN_DEADLINE, STREAM_DEADLINE, startDeployment } from '../lib/deployment.js'
+import { bodyOf } from '../lib/servers.js'
+import { startAgain } from '../lib/relays.js'
 
-const ROUNDS = 4
-/** One of six replicas crashes: no larger a share than in the site file (0.17). */
+const SECONDS = 40
 const MODELS = 6
-const STREAMS = 10
-const EVENTS = 57
-/** Times from the send of the requests, milliseconds. Clients leave a stream after a gap of two seconds. */
-const FREEZE_AT = 400
-const FREEZE_MILLISECONDS = 1200
-const CRASH_AT = 600
-const DOWN_MILLISECONDS = 300
-/** Time for the replicas to load their layers again, milliseconds. */
-const REPAIR_MILLISECONDS = 9000
+/** Half of the model's replicas spoil each fiftieth of their answers: the figures of `garble` by default. */
+const FAULTY_SHARE = 0.5
+const SPOILED_EACH = 50
+const STREAM_INTERVAL = 100
+const EVENTS = 5
+/** Clients of the plain service at each machine, each with one kept connection, and the work of one of their requests, milliseconds. */
+const PLAIN_CLIENTS = 8
+const WORK = 100
+const PLAIN_PAUSE = 20
+/** Delay after which the platform starts a process that has ended, milliseconds. */
+const RESTART = 1000
+const MOST_LOST = 3
+const OWN_ENDS = 3
 
 await runCase({ recordFile: fileURLToPath(new URL('record.txt', import.meta.url)), hasTrouble: process.env.TROUBLE !== '0' }, async ({ note, hasTrouble, onEnd }) => {
   const runs = new Map()
-  const runningAt = new Map()
-  const onRun = ({ id, server, from }) => {
-    runs.set(id, [...runs.get(id) ?? [], `${server} from event ${from}`])
-    runningAt.set(server, (runningAt.get(server) ?? 0) + 1)
-  }
-  const deployment = await startDeployment({
-    models: MODELS, onRun, openModel: options => openModel({ ...options, isFramed: false })
-  })
+  const deployment = await startDeployment({ models: MODELS, onRun: ({ id, server }) => { runs.set(id, server) } })
   onEnd(deployment.end)
-  let torn = 0
-  let whole = 0
-  for (let round = 0; round < ROUNDS; round++) {
-    const index = round % deployment.relays.length
-    const relay = deployment.relays[index]
-    runningAt.clear()
-    const sends = Array.from({ length: STREAMS }, (_, stream) => send(relay.front, {
-      host: HOST, path: `/draft/${round}/${stream}/${EVENTS}`, method: 'POST', key: KEY, deadline: STREAM_DEADLINE, headers: MODEL_HEADERS
-    }))
-    if (hasTrouble) {
-      await pause(FREEZE_AT)
-      relay.child.kill('SIGSTOP')
-      note(`${relay.vm} is frozen`)
-      await pause(CRASH_AT - FREEZE_AT)
-      // The replica that runs most of the streams crashes.
-      const [serverId] = [...runningAt].sort(([, one], [, other]) => other - one)[0]
-      const server = deployment.modelServers.find(({ id }) => id === serverId)
-      note(`${server.id} crashes`)
-      await server.crash(DOWN_MILLISECONDS)
-      note(`${server.id} starts again`)
-      await pause(FREEZE_MILLISECONDS - (CRASH_AT - FREEZE_AT) - DOWN_MILLISECONDS)
-      relay.child.kill('SIGCONT')
-      note(`${relay.vm} goes on`)
+  const { relays, modelServers, deskServers } = deployment
+  for (const server of deskServers) {
+    server.setTrouble((_incoming, response, { id, requestId }) => {
+      setTimeout(() => {
+        response.writeHead(200, { 'X-Request-Id': requestId, 'X-Response-Seal': `${id}.${requestId}` })
+        response.end(bodyOf(requestId))
+      }, WORK)
+      return true
+    })
+  }
+  let spoiled = 0
+  for (const server of hasTrouble ? modelServers.slice(0, MODELS * FAULTY_SHARE) : []) {
+    let answers = 0
+    server.setTrouble((_incoming, response, { id, requestId }) => {
+      answers += 1
+      if (answers % SPOILED_EACH !== 0) return false
+      spoiled += 1
+      note(`${id} spoils the head of its answer to ${requestId} and breaks it off`)
+      response.socket.end([
+        'HTTP/1.1 200 OK', `X-Request-Id: ${requestId}`, `X-Response-Seal: ${id}.${requestId}`, 'Content-Type: text/event-stream',
+        'X Weight Versions: 1', 'Connection: close', '', ''
+      ].join('\r\n'))
+      return true
+    })
+  }
+
+  const play = { isOver: false }
+  const ends = new Map(relays.map(({ vm }) => [vm, 0]))
+  async function watch (relay) {
+    for (;;) {
+      const { code, signal } = await relay.exit
+      if (play.isOver) return
+      ends.set(relay.vm, ends.get(relay.vm) + 1)
+      note(`${relay.vm} has ended by itself: exit code ${code}, signal ${signal}`)
+      await pause(RESTART)
+      if (play.isOver) return
+      startAgain(relay)
     }
-    for (const seen of await Promise.all(sends)) {
-      const events = [...seen.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id))
-      const isInOrder = events.every((event, position) => event === position + 1)
-      const isWhole = isInOrder && events.length === EVENTS
-      if (seen.status === 200 && seen.isComplete && !isWhole) torn += 1
-      if (seen.status === 200 && seen.isComplete && isWhole) whole += 1
-      note(`request ${seen.id} at ${relay.vm}: run by ${(runs.get(seen.id) ?? []).join(', ')}; status ${seen.status}, ` +
-        `${events.length} of ${EVENTS} events, ${seen.isComplete ? 'ended as complete' : `not complete (${seen.reason})`}`)
+  }
+
+  const lost = []
+  let served = 0
+  async function usePlain (relay, name) {
+    let agent = createAgent()
+    let answersBefore = 0
+    while (!play.isOver) {
+      const seen = await send(relay.front, {
+        host: HOST, path: `/${name}/order`, method: name === 'book' ? 'POST' : 'GET', key: KEY, deadline: PLAIN_DEADLINE, agent
+      })
+      if (seen.status === 200 && seen.isComplete) served += 1
+      const isClosed = seen.status === 0 && seen.reason !== 'left' && seen.reason !== 'ECONNREFUSED'
+      if (isClosed && answersBefore > 0 && runs.has(seen.id) && !play.isOver) {
+        lost.push(seen)
+        note(`request ${seen.id} ${seen.path} at ${relay.vm}: passed on to ${runs.get(seen.id)}, which is sound; the kept connection ends ` +
+          `without an answer (${seen.reason}) after ${Math.round(seen.milliseconds)} ms`)
+      }
+      answersBefore = seen.status === 0 ? 0 : answersBefore + 1
+      if (seen.status === 0) {
+        agent.destroy()
+        agent = createAgent()
+        await pause(RESTART)
+      }
+      await pause(PLAIN_PAUSE)
     }
-    await pause(REPAIR_MILLISECONDS)
+    agent.destroy()
+  }
+
+  async function useModel (relay) {
+    while (!play.isOver) {
+      void send(relay.front, {
+        host: HOST, path: `/draft/text/${EVENTS}`, method: 'POST', key: KEY, deadline: STREAM_DEADLINE, headers: MODEL_HEADERS, patience: 2000
+      }).then(seen => { if (seen.status === 200 && seen.isComplete) served += 1 })
+      await pause(STREAM_INTERVAL)
+    }
+  }
+
+  for (const relay of relays) {
+    void watch(relay)
+    void useModel(relay)
+    for (let client = 0; client < PLAIN_CLIENTS; client++) void usePlain(relay, client % 2 === 0 ? 'book' : 'look')
   }
-  for (const relay of deployment.relays) noteLog(note, relay, ['stream-resumed', 'send-failed'], 4)
-  note(`${torn} streams ended as complete before their last event, ${whole} were whole`)
-  return torn > 0
+  await pause(SECONDS * 1000)
+  play.isOver = true
+  for (const relay of relays) noteLog(note, relay, ['ERR_INVALID_HTTP_TOKEN', 'Header name must'], 1)
+  const often = [...ends].filter(([, count]) => count >= OWN_ENDS).length
+  note(`${served} requests were served, ${spoiled} answers were spoiled`)
+  note(`processes ended by themselves: ${[...ends].map(([vm, count]) => `${vm} ${count} times`).join(', ')}`)
+  note(`${lost.length} requests from kept connections were passed on to sound replicas and lost; ${often} machines ended ${OWN_ENDS} times or more`)
+  if (served === 0) throw new Error('no request was served')
+  return lost.length > MOST_LOST
 })
--- a/review/3/case.js
+++ b/review/3/case.js
@@ -1,123 +1,101 @@
 /**
- * LOST: a faulty replica spoils the head of an answer and breaks it off. The process ends by itself, and with it all requests that it had
- * passed on to sound replicas.
+ * LOST: a part of a prompt crashes each replica that begins to write an answer on it, right after the first event. Requests with the part
+ * are sent on for as long as they come, and take all replicas away from sound requests.
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { noteLog, runCase } from '../lib/case.js'
-import { createAgent, send } from '../lib/clients.js'
-import { HOST, KEY, MODEL_HEADERS, PLAIN_DEADLINE, STREAM_DEADLINE, startDeployment } from '../lib/deployment.js'
-import { bodyOf } from '../lib/servers.js'
-import { startAgain } from '../lib/relays.js'
+import { send } from '../lib/clients.js'
+import { HOST, KEY, STREAM_DEADLINE, startDeployment } from '../lib/deployment.js'
+import { openModel } from '../lib/model-process.js'
 
-const SECONDS = 40
 const MODELS = 6
-/** Half of the model's replicas spoil each fiftieth of their answers: the figures of `garble` by default. */
-const FAULTY_SHARE = 0.5
-const SPOILED_EACH = 50
-const STREAM_INTERVAL = 100
-const EVENTS = 5
-/** Clients of the plain service at each machine, each with one kept connection, and the work of one of their requests, milliseconds. */
-const PLAIN_CLIENTS = 8
-const WORK = 100
-const PLAIN_PAUSE = 20
-/** Delay after which the platform starts a process that has ended, milliseconds. */
-const RESTART = 1000
-const MOST_LOST = 3
-const OWN_ENDS = 3
+const EVENTS = 10
+const SHARED_PART = '5c1e07a2'
+const BAD_PART = 'bad0bad0'
+/** Sound requests at each machine, and bad ones at all machines in turn, milliseconds from one to the next. */
+const SOUND_INTERVAL = 200
+const BAD_INTERVAL = 1000
+const SOUND_SECONDS = 8
+const BAD_SECONDS = 40
+const PATIENCE = 2000
+const CONTACT = 3000
+const LEAST_REQUESTS = 20
+const MOST_AFTER_FIFTH = 3
 
 await runCase({ recordFile: fileURLToPath(new URL('record.txt', import.meta.url)), hasTrouble: process.env.TROUBLE !== '0' }, async ({ note, hasTrouble, onEnd }) => {
-  const runs = new Map()
-  const deployment = await startDeployment({ models: MODELS, onRun: ({ id, server }) => { runs.set(id, server) } })
-  onEnd(deployment.end)
-  const { relays, modelServers, deskServers } = deployment
-  for (const server of deskServers) {
-    server.setTrouble((_incoming, response, { id, requestId }) => {
-      setTimeout(() => {
-        response.writeHead(200, { 'X-Request-Id': requestId, 'X-Response-Seal': `${id}.${requestId}` })
-        response.end(bodyOf(requestId))
-      }, WORK)
-      return true
-    })
-  }
-  let spoiled = 0
-  for (const server of hasTrouble ? modelServers.slice(0, MODELS * FAULTY_SHARE) : []) {
-    let answers = 0
-    server.setTrouble((_incoming, response, { id, requestId }) => {
-      answers += 1
-      if (answers % SPOILED_EACH !== 0) return false
-      spoiled += 1
-      note(`${id} spoils the head of its answer to ${requestId} and breaks it off`)
-      response.socket.end([
-        'HTTP/1.1 200 OK', `X-Request-Id: ${requestId}`, `X-Response-Seal: ${id}.${requestId}`, 'Content-Type: text/event-stream',
-        'X Weight Versions: 1', 'Connection: close', '', ''
-      ].join('\r\n'))
-      return true
+  const runs = []
+  const crashes = []
+  const deployment = await startDeployment({
+    models: MODELS,
+    onRun: ({ id, server, from }) => { runs.push({ id, server, from, at: performance.now() }) },
+    openModel: options => openModel({
+      ...options,
+      badPart: BAD_PART,
+      onCrash (id) {
+        crashes.push(performance.now())
+        note(`${id} crashes, the ${crashes.length}. crash`)
+      }
     })
-  }
-
+  })
+  onEnd(deployment.end)
+  const { relays } = deployment
   const play = { isOver: false }
-  const ends = new Map(relays.map(({ vm }) => [vm, 0]))
-  async function watch (relay) {
-    for (;;) {
-      const { code, signal } = await relay.exit
-      if (play.isOver) return
-      ends.set(relay.vm, ends.get(relay.vm) + 1)
-      note(`${relay.vm} has ended by itself: exit code ${code}, signal ${signal}`)
-      await pause(RESTART)
-      if (play.isOver) return
-      startAgain(relay)
-    }
-  }
+  const sound = []
+  const bad = []
+  let nextOwn = 1
 
-  const lost = []
-  let served = 0
-  async function usePlain (relay, name) {
-    let agent = createAgent()
-    let answersBefore = 0
-    while (!play.isOver) {
-      const seen = await send(relay.front, {
-        host: HOST, path: `/${name}/order`, method: name === 'book' ? 'POST' : 'GET', key: KEY, deadline: PLAIN_DEADLINE, agent
-      })
-      if (seen.status === 200 && seen.isComplete) served += 1
-      const isClosed = seen.status === 0 && seen.reason !== 'left' && seen.reason !== 'ECONNREFUSED'
-      if (isClosed && answersBefore > 0 && runs.has(seen.id) && !play.isOver) {
-        lost.push(seen)
-        note(`request ${seen.id} ${seen.path} at ${relay.vm}: passed on to ${runs.get(seen.id)}, which is sound; the kept connection ends ` +
-          `without an answer (${seen.reason}) after ${Math.round(seen.milliseconds)} ms`)
-      }
-      answersBefore = seen.status === 0 ? 0 : answersBefore + 1
-      if (seen.status === 0) {
-        agent.destroy()
-        agent = createAgent()
-        await pause(RESTART)
-      }
-      await pause(PLAIN_PAUSE)
-    }
-    agent.destroy()
+  function ask (relay, parts) {
+    const own = (nextOwn++).toString(16).padStart(8, '0')
+    const prefix = [...parts.map(part => `${part}:40`), `${own}:680`].join(',')
+    return send(relay.front, {
+      host: HOST,
+      path: `/draft/${own}/${EVENTS}`,
+      method: 'POST',
+      key: KEY,
+      deadline: STREAM_DEADLINE,
+      patience: PATIENCE,
+      headers: { 'X-Model': 'm', 'X-Token-Counts': '760,30', 'X-Prompt-Prefix': prefix }
+    })
   }
 
-  async function useModel (relay) {
+  async function askSound (relay) {
     while (!play.isOver) {
-      void send(relay.front, {
-        host: HOST, path: `/draft/text/${EVENTS}`, method: 'POST', key: KEY, deadline: STREAM_DEADLINE, headers: MODEL_HEADERS, patience: 2000
-      }).then(seen => { if (seen.status === 200 && seen.isComplete) served += 1 })
-      await pause(STREAM_INTERVAL)
+      sound.push(ask(relay, [SHARED_PART]))
+      await pause(SOUND_INTERVAL)
     }
   }
 
-  for (const relay of relays) {
-    void watch(relay)
-    void useModel(relay)
-    for (let client = 0; client < PLAIN_CLIENTS; client++) void usePlain(relay, client % 2 === 0 ? 'book' : 'look')
+  for (const relay of relays) void askSound(relay)
+  await pause(SOUND_SECONDS * 1000)
+  const badFrom = performance.now()
+  for (let index = 0; performance.now() - badFrom < BAD_SECONDS * 1000; index++) {
+    if (hasTrouble) bad.push(ask(relays[index % relays.length], [SHARED_PART, BAD_PART]))
+    await pause(BAD_INTERVAL)
   }
-  await pause(SECONDS * 1000)
+  const badTo = performance.now()
   play.isOver = true
-  for (const relay of relays) noteLog(note, relay, ['ERR_INVALID_HTTP_TOKEN', 'Header name must'], 1)
-  const often = [...ends].filter(([, count]) => count >= OWN_ENDS).length
-  note(`${served} requests were served, ${spoiled} answers were spoiled`)
-  note(`processes ended by themselves: ${[...ends].map(([vm, count]) => `${vm} ${count} times`).join(', ')}`)
-  note(`${lost.length} requests from kept connections were passed on to sound replicas and lost; ${often} machines ended ${OWN_ENDS} times or more`)
-  if (served === 0) throw new Error('no request was served')
-  return lost.length > MOST_LOST
+  const soundEnds = await Promise.all(sound)
+  const badEnds = await Promise.all(bad)
+
+  const begun = new Set(runs.map(({ id }) => id))
+  const badIds = new Set(badEnds.map(({ id }) => id))
+  const share = list => list.filter(({ id }) => begun.has(id)).length / list.length
+  const before = soundEnds.filter(({ sentAt }) => sentAt < badFrom)
+  const fifth = crashes[Math.min(crashes.length, 5) - 1] ?? badFrom
+  const during = soundEnds.filter(({ sentAt }) => sentAt > fifth + 2 * CONTACT && sentAt < badTo)
+  for (const { id } of badEnds) {
+    note(`bad request ${id}: run by ${runs.filter(run => run.id === id).map(({ server, from }) => `${server} from event ${from}`).join(', ') || 'none'}`)
+  }
+  const statuses = new Map()
+  for (const { status } of during) statuses.set(status, (statuses.get(status) ?? 0) + 1)
+  const afterFifth = runs.filter(({ id, at }) => badIds.has(id) && at > fifth + CONTACT).length
+  note(`${bad.length} bad requests, ${crashes.length} crashes; ${afterFifth} runs of bad requests later than ${CONTACT} ms after the fifth crash`)
+  note(`sound requests before: ${before.length}, of which ${(share(before) * 100).toFixed(1)} in 100 began; ` +
+    `from ${2 * CONTACT} ms after the fifth crash: ${during.length}, of which ${(share(during) * 100).toFixed(1)} in 100 began`)
+  note(`statuses of the latter: ${[...statuses].map(([status, count]) => `${status || 'none'} ${count} times`).join(', ')}`)
+  for (const relay of relays) noteLog(note, relay, ['content-judged', 'content-quarantined'], 3)
+  if (before.length < LEAST_REQUESTS || during.length < LEAST_REQUESTS) throw new Error('too few requests to judge')
+  if (afterFifth > MOST_AFTER_FIFTH) note('BUDGET is broken too')
+  return share(during) < share(before) / 2
 })
--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -71,13 +71,11 @@
  * @param options.draft fields of the route of the model that differ from the usual ones.
  * @param options.routes routes beside the usual ones.
  * @param options.openModel opens a server of the model; by default one of this process.
- * @param options.openDesk opens a server of the plain service; by default one of this process.
- * @param options.viaStore opens for each process a way to the store; by default they reach it directly.
  * @param options.onRun called with each request that a server begins to run.
  * @throws an error if it does not serve in time.
  */
 export async function startDeployment ({
-  relays: count = 3, models = 3, desks = 3, onRun, draft = {}, routes = [], openModel, openDesk, viaStore
+  relays: count = 3, models = 3, desks = 3, onRun, draft = {}, routes = [], openModel
 } = {}) {
   const folder = makeFolder()
   const store = await openStore()
@@ -85,14 +83,12 @@
   const open = (service, kind) => index => openServer({ store, service, kind, zone: ZONES[index % 3], onRun })
   const modelServers = await Promise.all(Array.from({ length: models }, (_, index) =>
     openModel === undefined ? open('model', 'model')(index) : openModel({ store, zone: ZONES[index % 3], onRun })))
-  const deskServers = await Promise.all(Array.from({ length: desks }, (_, index) =>
-    openDesk === undefined ? open('desk', 'desk')(index) : openDesk({ store, zone: ZONES[index % 3], onRun })))
+  const deskServers = await Promise.all(Array.from({ length: desks }, (_, index) => open('desk', 'desk')(index)))
   const relays = []
   const startedAt = performance.now()
   for (let index = 0; index < count; index++) {
-    const storeAddress = viaStore === undefined ? store.address : (await viaStore(store.address)).address
     const zone = ZONES[index % 3]
-    relays.push(await startRelay({ vm: `front-${zone}-${index + 1}`, zone, zones: ZONES, folder, storeAddress }))
+    relays.push(await startRelay({ vm: `front-${zone}-${index + 1}`, zone, zones: ZONES, folder, storeAddress: store.address }))
   }
   const end = async () => {
     await Promise.all(relays.map(endRelay))
