Reject answers whose heads cannot be forwarded, instead of ending the process

Callers saw connections closed without an answer at all routes whenever one target sent a head with spaces in a header's name and no event.

Cause: the parser of Node.js accepts header names with spaces, names that end with a space, empty names and statuses below 200; its writer throws on them. For an answer without events the write ran in the handler of 'end', or after a promise that nothing awaits, so the exception was uncaught.

Change: the client for targets and peers checks each head as it arrives; one that cannot be forwarded is no answer, and the request is repeated, continued or reported as failed. Exceptions in the handlers that forward events end the run. The service port of the other router has the same check.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -19,6 +19,7 @@
 export { createEtcdKeyValue, type EtcdOptions } from './platform/etcd.js'
 export { createVmListClient } from './platform/vm-list-client.js'
 export { destroyOnAbort, callJson, postStream, type JsonCallOptions } from './platform/http-json.js'
+export { findInvalidAnswerHead, findInvalidHeader } from './platform/invalid-head.js'
 export { readAnswer, readBody } from './platform/read-body.js'
 export { sendRequest } from './platform/send-request.js'
 export { createLineReader, type LineReader } from './platform/line-reader.js'
--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -4,6 +4,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { findInvalidAnswerHead } from '@wigeonlead/protocol'
 import { isAddress, splitAddress } from './address.js'
 import type { AnswerTerms, Dialect } from './dialect.js'
 
@@ -162,6 +163,11 @@
       let isReset = false
       outgoing.on('response', response => {
         answer = response
+        const invalidity = findInvalidAnswerHead(response.statusCode ?? 0, response.rawHeaders)
+        if (invalidity !== undefined) {
+          outgoing.destroy()
+          return fail(`the head of the answer is malformed: ${invalidity}`)
+        }
         if (!hasLength(response)) probeAtEnd(response.socket, () => { isReset = true })
         const terms = dialect.readAnswer(response.headers)
         const isOmitted = call.mayOmitId === true && terms.requestId === undefined
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -262,39 +262,46 @@
       finish(RunEnd.Broken, reason)
     }
 
-    response.on('data', (chunk: Buffer) => {
+    /** Wraps a handler whose exceptions nothing else would catch: they end the run instead of the process. */
+    function guarded<Arguments extends unknown[]> (handler: (...values: Arguments) => void): (...values: Arguments) => void {
+      return (...values) => {
+        try {
+          handler(...values)
+        } catch (error) {
+          abortAnswer((error as Error).message)
+        }
+      }
+    }
+
+    response.on('data', guarded((chunk: Buffer) => {
       if (response.destroyed || caller.destroyed) return
-      try {
-        const completeEvents: Buffer[] = []
-        for (const event of splitter.push(chunk)) {
-          if (event.id !== undefined) {
-            if (progress.lastEvent !== undefined && event.id !== progress.lastEvent + 1) {
-              if (completeEvents.length > 0) forward(Buffer.concat(completeEvents))
-              return abortAnswer(`event ${event.id} follows event ${progress.lastEvent}`)
-            }
-            progress.lastEvent = event.id
-          } else if (progress.lastEvent !== undefined && !event.isComment) {
+      const completeEvents: Buffer[] = []
+      for (const event of splitter.push(chunk)) {
+        if (event.id !== undefined) {
+          if (progress.lastEvent !== undefined && event.id !== progress.lastEvent + 1) {
             if (completeEvents.length > 0) forward(Buffer.concat(completeEvents))
-            return abortAnswer(`an event without an id follows event ${progress.lastEvent}`)
+            return abortAnswer(`event ${event.id} follows event ${progress.lastEvent}`)
           }
-          completeEvents.push(event.bytes)
+          progress.lastEvent = event.id
+        } else if (progress.lastEvent !== undefined && !event.isComment) {
+          if (completeEvents.length > 0) forward(Buffer.concat(completeEvents))
+          return abortAnswer(`an event without an id follows event ${progress.lastEvent}`)
         }
-        if (completeEvents.length > 0) forward(completeEvents.length === 1 ? completeEvents[0]! : Buffer.concat(completeEvents))
-      } catch (error) {
-        abortAnswer((error as Error).message)
+        completeEvents.push(event.bytes)
       }
-    })
-    response.on('end', () => {
+      if (completeEvents.length > 0) forward(completeEvents.length === 1 ? completeEvents[0]! : Buffer.concat(completeEvents))
+    }))
+    response.on('end', guarded(() => {
       // A destroyed response may still emit 'end'.
       if (isFinished) return
       if (!response.complete || splitter.hasRemainder()) return finish(RunEnd.Broken, 'the answer ended within an event')
       if (hasLength(response)) return finishComplete()
-      void Promise.all([answer.isEndConfirmed(), isSenderAlive()]).then(([isConfirmed, isAlive]) => {
+      void Promise.all([answer.isEndConfirmed(), isSenderAlive()]).then(guarded(([isConfirmed, isAlive]) => {
         if (isFinished) return
         if (isConfirmed && isAlive) finishComplete()
         else finish(RunEnd.Broken, 'the connection was reset, or the target no longer answers: the answer may be incomplete')
-      })
-    })
+      }), (error: Error) => abortAnswer(error.message))
+    }))
     response.on('error', error => finish(
       request.exchange.callerLeft.aborted ? RunEnd.CallerLeft : RunEnd.Broken, abortReason() || error.message
     ))
@@ -333,10 +340,10 @@
     }
 
     function writeHead (): void {
-      progress.isHeadSent = true
       const headers = dependencies.dialect.answerHeaders(response.rawHeaders)
       if (caller.hasHeader('Connection')) headers.push('Connection', 'close')
       caller.writeHead(SUCCESS_STATUS, headers as unknown as Record<string, string>)
+      progress.isHeadSent = true
       dependencies.metrics.observe('first_event', performance.now() - request.arrivedAt)
     }
   })
--- a/packages/wigeonlead/src/connection/services.ts
+++ b/packages/wigeonlead/src/connection/services.ts
@@ -5,7 +5,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step, destroyOnAbort, readAnswer,
+  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step, destroyOnAbort, findInvalidAnswerHead, readAnswer,
   type Failure, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort, type TargetAddress
 } from '@wigeonlead/protocol'
 import { flattenHeaders } from './headers.js'
@@ -65,7 +65,12 @@
     })
     destroyOnAbort(outgoing, signal)
     outgoing.on('socket', socket => watchConnection(exchange, outgoing, socket))
-    outgoing.on('response', resolve)
+    outgoing.on('response', response => {
+      const invalidity = findInvalidAnswerHead(response.statusCode ?? 0, response.rawHeaders)
+      if (invalidity === undefined) return resolve(response)
+      outgoing.destroy()
+      reject(Object.assign(new Error(`the head of the answer is malformed: ${invalidity}`), { code: `${PARSE_ERROR_PREFIX}INVALID_HEAD` }))
+    })
     outgoing.on('error', reject)
     outgoing.end(call.body)
   })
--- a/packages/wigeonlead/test/services-port.spec.ts
+++ b/packages/wigeonlead/test/services-port.spec.ts
@@ -66,6 +66,12 @@
     failure: FailureKind.Broken
   },
   { name: 'an answer that is not HTTP', answer: socket => socket.end('SSH-2.0\r\n'), kind: ServiceResult.Ambiguous, failure: FailureKind.Malformed },
+  {
+    name: 'an answer with spaces in the name of a header, which cannot be forwarded',
+    answer: socket => socket.end('HTTP/1.1 201 Created\r\nx spoiled: a\r\ncontent-length: 2\r\n\r\n{}'),
+    kind: ServiceResult.Ambiguous,
+    failure: FailureKind.Malformed
+  },
   {
     name: 'an answer over the limit',
     answer: socket => socket.end(`HTTP/1.1 201 Created\r\ncontent-length: 2000\r\n\r\n${'x'.repeat(2000)}`),
