Split events in one pass, and end answers that bring no event

Callers saw plain requests answered seconds late, or not at all, at any VM beside which one target sent empty lines without end.

Cause: for each event the splitter searched the rest of the chunk for both kinds of ends, and for each chunk it copied and searched all that it held. A chunk of 64 KiB of empty lines has 32,768 events. Nothing ended such an answer before its deadline, and empty lines counted as the first event.

Change: one pass over the bytes, with a buffer that doubles; empty lines and comments in a row are one event, do not count as the begin of an answer, and may not exceed the size limit of an event, after which another target continues.

--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -9,7 +9,7 @@
 import type { Reservation } from '../process/routing/load.js'
 import type { Target } from '../version/target.js'
 import { ANSWER_TRANSIT_MILLISECONDS, contentOf, remainingTime, urgencyOf, type AdmittedRequest, type RequestDependencies } from './context.js'
-import { createEventSplitter } from './event-splitter.js'
+import { createEventSplitter, type StreamEvent } from './event-splitter.js'
 import { createIntervalReports } from './interval-reports.js'
 import { SendState, type AttemptLedger, type Send } from './ledger.js'
 import { reportReach } from './outcome.js'
@@ -249,6 +249,7 @@
   const caller = request.exchange.response
   const { response } = answer
   const splitter = createEventSplitter()
+  const isContinuation = progress.isHeadSent
   return new Promise(resolve => {
     let isFinished = false
 
@@ -275,21 +276,21 @@
 
     response.on('data', guarded((chunk: Buffer) => {
       if (response.destroyed || caller.destroyed) return
-      const completeEvents: Buffer[] = []
+      const completeEvents: StreamEvent[] = []
       for (const event of splitter.push(chunk)) {
         if (event.id !== undefined) {
           if (progress.lastEvent !== undefined && event.id !== progress.lastEvent + 1) {
-            if (completeEvents.length > 0) forward(Buffer.concat(completeEvents))
+            forward(completeEvents)
             return abortAnswer(`event ${event.id} follows event ${progress.lastEvent}`)
           }
           progress.lastEvent = event.id
         } else if (progress.lastEvent !== undefined && !event.isComment) {
-          if (completeEvents.length > 0) forward(Buffer.concat(completeEvents))
+          forward(completeEvents)
           return abortAnswer(`an event without an id follows event ${progress.lastEvent}`)
         }
-        completeEvents.push(event.bytes)
+        completeEvents.push(event)
       }
-      if (completeEvents.length > 0) forward(completeEvents.length === 1 ? completeEvents[0]! : Buffer.concat(completeEvents))
+      forward(completeEvents)
     }))
     response.on('end', guarded(() => {
       // A destroyed response may still emit 'end'.
@@ -313,7 +314,7 @@
 
     function finishComplete (): void {
       // One answer without events does not prove that the earlier run had sent the last one.
-      const isEmptyContinuation = progress.isHeadSent && progress.presentRun !== AnswerProgress.Events
+      const isEmptyContinuation = isContinuation && progress.presentRun !== AnswerProgress.Events
       if (isEmptyContinuation && progress.hasEmptyContinuation !== true) {
         progress.hasEmptyContinuation = true
         return finish(RunEnd.Broken, `nothing follows event ${progress.lastEvent}`)
@@ -324,13 +325,13 @@
       finish(RunEnd.Complete, '')
     }
 
-    function forward (bytes: Buffer): void {
-      if (progress.presentRun !== AnswerProgress.Events) dependencies.contentQuarantine.recordBegin(contentOf(request))
-      progress.presentRun = AnswerProgress.Events
+    function forward (events: readonly StreamEvent[]): void {
+      if (events.length === 0) return
       onProgress()
-      recordEventTime(progress)
+      // Comments may come from a target that does not get as far as the first event.
+      if (events.some(({ isComment }) => !isComment)) recordEvents()
       if (!progress.isHeadSent) writeHead()
-      if (caller.write(bytes)) return
+      if (caller.write(events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(({ bytes }) => bytes)))) return
       response.pause()
       caller.once('drain', () => {
         onProgress()
@@ -340,6 +341,12 @@
       })
     }
 
+    function recordEvents (): void {
+      if (progress.presentRun !== AnswerProgress.Events) dependencies.contentQuarantine.recordBegin(contentOf(request))
+      progress.presentRun = AnswerProgress.Events
+      recordEventTime(progress)
+    }
+
     function writeHead (): void {
       const headers = dependencies.dialect.answerHeaders(response.rawHeaders)
       if (caller.hasHeader('Connection')) headers.push('Connection', 'close')
--- a/packages/relay/src/request/event-splitter.ts
+++ b/packages/relay/src/request/event-splitter.ts
@@ -1,13 +1,14 @@
 /**
- * Splits a stream of server-sent events at event boundaries, so that only complete events are forwarded.
+ * Splits a stream of server-sent events at event boundaries, so that only complete events are forwarded. The work grows with the number of
+ * bytes, however they are cut into events, lines and chunks.
  */
 
-/** One complete event. */
+/** One complete event, or several in a row that have no `id` line and are alike in `isComment`. */
 export interface StreamEvent {
   bytes: Buffer
   /** Absent where the event has no `id` line. */
   id?: number
-  /** Whether it consists of comments only, which carry nothing of the answer. */
+  /** Whether it consists of comments and empty lines only, which carry nothing of the answer. */
   isComment: boolean
 }
 
@@ -19,40 +20,113 @@
   hasRemainder: () => boolean
 }
 
-const EVENT_END = Buffer.from('\n\n')
-const EVENT_END_WITH_RETURNS = Buffer.from('\r\n\r\n')
-const COMMENT_LINES = /^(?::[^\n]*\n)*\r?\n$/
-const ID_LINE = /^id: ?(\d+)\r?$/m
-/** Size limit of one event; engines send no longer ones. */
+const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
+const COLON = 0x3a
+const ID_LINE = /^id: ?(\d+)$/
+/** Maximum length of an `id` line; a longer one holds no number of an event. */
+const ID_LINE_BYTES_LIMIT = 32
+/** Size limit of one event together with the comments before it; engines send no longer ones. */
 const EVENT_BYTES_LIMIT = 1_048_576
 
+/** The present event, as far as it has been read. */
+interface PresentEvent {
+  /** Offset of its present line from its first byte. */
+  lineStart: number
+  /** Whether it has a line that is no comment. */
+  hasField: boolean
+  id?: number
+}
+
 /**
- * Creates a splitter. Its `push` throws a `RangeError` where an event exceeds the size limit.
+ * Creates a splitter. Its `push` throws a `RangeError` where an event, or the comments before it, exceed the size limit.
  */
 export function createEventSplitter (): EventSplitter {
-  let buffered: Buffer = Buffer.alloc(0)
+  const pending = createPendingBytes()
+  let event: PresentEvent = { lineStart: 0, hasField: false }
+  let commentBytes = 0
+
+  /** Takes note of a line, without its end. @returns whether it ends the event. */
+  function readLine (bytes: Buffer, start: number, end: number): boolean {
+    const textEnd = end > start && bytes[end - 1] === CARRIAGE_RETURN ? end - 1 : end
+    if (textEnd === start) return true
+    if (bytes[start] === COLON) return false
+    event.hasField = true
+    if (event.id === undefined && textEnd - start <= ID_LINE_BYTES_LIMIT) {
+      const id = ID_LINE.exec(bytes.toString('latin1', start, textEnd))?.[1]
+      if (id !== undefined) event.id = Number(id)
+    }
+    return false
+  }
+
   return {
     push (chunk) {
-      buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk])
       const events: StreamEvent[] = []
-      for (let end = findEventEnd(buffered); end !== -1; end = findEventEnd(buffered)) {
-        const bytes = buffered.subarray(0, end)
-        const text = bytes.toString('latin1')
-        const id = ID_LINE.exec(text)?.[1]
-        events.push({ bytes, id: id === undefined ? undefined : Number(id), isComment: COMMENT_LINES.test(text) })
-        buffered = buffered.subarray(end)
+      const scanFrom = pending.length()
+      const bytes = pending.append(chunk)
+      let eventStart = 0
+      for (let index = scanFrom; index < bytes.length; index++) {
+        if (bytes[index] !== LINE_FEED) continue
+        const endsEvent = readLine(bytes, eventStart + event.lineStart, index)
+        event.lineStart = index + 1 - eventStart
+        if (!endsEvent) continue
+        commentBytes = event.hasField ? 0 : commentBytes + event.lineStart
+        addEvent(events, bytes, eventStart, index + 1, event)
+        eventStart = index + 1
+        event = { lineStart: 0, hasField: false }
       }
-      if (buffered.length > EVENT_BYTES_LIMIT) throw new RangeError('an event exceeds the size limit')
+      pending.dropBefore(eventStart)
+      if (pending.length() + commentBytes > EVENT_BYTES_LIMIT) throw new RangeError('an event exceeds the size limit')
       return events
     },
-    hasRemainder: () => buffered.length > 0
+    hasRemainder: () => pending.length() > 0
+  }
+}
+
+/** Adds a complete event, or extends the last one by it. All events of one call are parts of the same bytes. */
+function addEvent (events: StreamEvent[], bytes: Buffer, start: number, end: number, { hasField, id }: PresentEvent): void {
+  const last = events.at(-1)
+  if (last !== undefined && id === undefined && last.id === undefined && last.isComment === !hasField) {
+    last.bytes = bytes.subarray(start - last.bytes.length, end)
+  } else {
+    events.push({ bytes: bytes.subarray(start, end), id, isComment: !hasField })
   }
 }
 
-function findEventEnd (bytes: Buffer): number {
-  const plain = bytes.indexOf(EVENT_END)
-  const withReturns = bytes.indexOf(EVENT_END_WITH_RETURNS)
-  if (plain === -1 && withReturns === -1) return -1
-  if (withReturns === -1 || (plain !== -1 && plain < withReturns)) return plain + EVENT_END.length
-  return withReturns + EVENT_END_WITH_RETURNS.length
+/** Bytes that arrive in chunks and are used up from the front. */
+interface PendingBytes {
+  length: () => number
+  /** @returns all bytes that are held, which stay as they are until the next call. */
+  append: (chunk: Buffer) => Buffer
+  /** Drops the first bytes. Buffers that were returned before keep their content. */
+  dropBefore: (offset: number) => void
+}
+
+/** Holds bytes in a buffer that doubles, so that each byte is copied a few times at most. */
+function createPendingBytes (): PendingBytes {
+  let buffer: Buffer = Buffer.alloc(0)
+  let length = 0
+  return {
+    length: () => length,
+    append (chunk) {
+      if (length === 0) {
+        buffer = chunk
+        length = chunk.length
+        return chunk
+      }
+      if (length + chunk.length > buffer.length) {
+        const larger = Buffer.allocUnsafe(2 * (length + chunk.length))
+        buffer.copy(larger, 0, 0, length)
+        buffer = larger
+      }
+      chunk.copy(buffer, length)
+      length += chunk.length
+      return buffer.subarray(0, length)
+    },
+    dropBefore (offset) {
+      if (offset === 0) return
+      buffer = Buffer.from(buffer.subarray(offset, length))
+      length = buffer.length
+    }
+  }
 }
--- a/packages/relay/test/relay.spec.ts
+++ b/packages/relay/test/relay.spec.ts
@@ -196,6 +196,12 @@
   const timer = setInterval(() => { response.write(' ') }, 30)
   response.on('close', () => clearInterval(timer))
 }
+/** Sends empty lines until its caller closes. */
+const emptyLines: Behaviour = (_incoming, response) => {
+  response.writeHead(200, EVENT_STREAM_HEADERS)
+  const timer = setInterval(() => { if (!response.writableNeedDrain) response.write('\n'.repeat(100_000)) }, 5)
+  response.on('close', () => clearInterval(timer))
+}
 /** Sends an event every 100 ms. */
 const slow: Behaviour = (_incoming, response) => {
   response.writeHead(200, EVENT_STREAM_HEADERS)
@@ -209,6 +215,14 @@
   }, 100)
 }
 
+streams('empty lines without end are cut at a bound, and another target gives the events', async () => {
+  await withRelay([emptyLines, completeSeries], 'model', async fixture => {
+    const answer = await fixture.call('POST', '/write/1', { 'X-Wait': '4000' })
+    assert.is(answer.body.replace(/^\n+/, ''), events(1, LAST_EVENT))
+    assert.ok(answer.isComplete)
+  })
+})
+
 streams('a stream that sends bytes but no events ends with its deadline, and does not look complete', async () => {
   await withRelay([dribbling], 'model', async fixture => {
     const answer = await fixture.call('POST', '/write/1', { 'X-Wait': '700' })
--- a/packages/relay/test/request/event-splitter.spec.ts
+++ b/packages/relay/test/request/event-splitter.spec.ts
@@ -31,4 +31,67 @@
   assert.throws(() => push(Buffer.alloc(2_000_000, 'x')), RangeError)
 })
 
+splitter('an empty line after a line with another end, and a number that is no number of an event', () => {
+  const { push } = createEventSplitter()
+  const events = push(Buffer.from(`id: 1\n\r\nid: ${'1'.repeat(100)}\ndata: a\n\n`))
+  assert.equal(events.map(({ id, isComment }) => ({ id, isComment })), [{ id: 1, isComment: false }, { id: undefined, isComment: false }])
+})
+
+splitter('empty lines and comments in a row are one event', () => {
+  const { push } = createEventSplitter()
+  const text = '\n\r\n: a\n\n\n'
+  assert.equal(push(Buffer.from(text)), [{ bytes: Buffer.from(text), id: undefined, isComment: true }])
+})
+
+splitter('throws if comments without an event exceed the size limit', () => {
+  const { push } = createEventSplitter()
+  assert.throws(() => { for (let chunk = 0; chunk < 64; chunk++) push(Buffer.alloc(65_536, '\n')) }, RangeError)
+})
+
+const STREAM_BYTES = 524_288
+
+function chunksOf (text: string, chunkBytes: number): Buffer[] {
+  const bytes = Buffer.alloc(STREAM_BYTES, text)
+  return Array.from({ length: STREAM_BYTES / chunkBytes }, (_, index) => bytes.subarray(index * chunkBytes, (index + 1) * chunkBytes))
+}
+
+/** @returns the processor time for a stream, microseconds; the least of three rounds, since other work on the machine adds to it. */
+function costOf (chunks: readonly Buffer[]): number {
+  const rounds = [1, 2, 3].map(() => {
+    const { push } = createEventSplitter()
+    const before = process.cpuUsage().user
+    for (const chunk of chunks) push(chunk)
+    return process.cpuUsage().user - before
+  })
+  return Math.min(...rounds)
+}
+
+const USUAL_CHUNK = 65_536
+const SMALL_CHUNK = 16
+/** Maximum cost of a stream, as a multiple of that of as many bytes in usual events. Work that grows faster costs hundreds. */
+const MAXIMUM_COST_RATIO = 30
+const HOSTILE: Array<{ name: string, text: string, chunkBytes?: number }> = [
+  { name: 'empty lines', text: '\n' },
+  { name: 'empty lines with returns', text: '\r\n' },
+  { name: 'comments', text: ':\n' },
+  { name: 'comments, each an event', text: ':\n\n' },
+  { name: 'events of one letter', text: 'a\n\n' },
+  { name: 'returns without a line feed', text: '\r' },
+  { name: 'an event of `id` lines', text: 'id: 1\n' },
+  { name: 'an `id` line without end', text: 'id: 1111111' },
+  { name: 'an event without end in small chunks', text: 'data: a', chunkBytes: SMALL_CHUNK },
+  { name: 'an event of many lines in small chunks', text: 'data: a\n', chunkBytes: SMALL_CHUNK },
+  { name: 'empty lines in small chunks', text: '\n', chunkBytes: SMALL_CHUNK }
+]
+
+// Guards against bytes from one target that take the process away from all other requests, since the work grew with events times bytes.
+for (const { name, text, chunkBytes = USUAL_CHUNK } of HOSTILE) {
+  splitter(`the work grows with the bytes only: ${name}`, () => {
+    const chunks = chunksOf(text, chunkBytes)
+    const usual = Math.max(1000, costOf(chunksOf(`id: 1\ndata: ${'a'.repeat(100)}\n\n`, USUAL_CHUNK)))
+    const ratio = costOf(chunks) / usual
+    assert.ok(ratio < MAXIMUM_COST_RATIO, `${ratio} times the cost of usual events`)
+  })
+}
+
 splitter.run()
