Reject heads of answers whose lines do not end with CR LF

Another operator's callers got an empty 200, framed as whole, where a target stopped within the head of its answer.

Cause, here: a plain close or reset within a head counts as broken, but Node.js takes a single LF, LF LF or CR CR for the end of a line or of the head. Where such bytes followed the break, an empty body that ends with its connection was forwarded as the whole answer.

Change: the client for targets and peers watches the bytes of each head, and a line with another end makes the answer none.

A break after a whole line that CR LF follows remains: it is a valid head.

--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -7,6 +7,7 @@
 import { findInvalidAnswerHead } from '@wigeonlead/protocol'
 import { isAddress, splitAddress } from './address.js'
 import type { AnswerTerms, Dialect } from './dialect.js'
+import { scanHead, type HeadScanner } from './head-scanner.js'
 
 /** Result of a send up to the head of the answer. */
 export enum SendResult {
@@ -118,6 +119,7 @@
       let isConnected = false
       let connectTimer: NodeJS.Timeout | undefined
       let slowConnectTimer: NodeJS.Timeout | undefined
+      let headScanner: HeadScanner | undefined
       const outgoing = request({
         host,
         port,
@@ -141,6 +143,7 @@
       }
 
       outgoing.on('socket', socket => {
+        headScanner = scanHead(socket)
         if (!socket.connecting) {
           isConnected = true
           return
@@ -163,7 +166,10 @@
       let isReset = false
       outgoing.on('response', response => {
         answer = response
-        const invalidity = findInvalidAnswerHead(response.statusCode ?? 0, response.rawHeaders)
+        const invalidity = headScanner?.isMalformed() === true
+          ? 'a line does not end with CR LF'
+          : findInvalidAnswerHead(response.statusCode ?? 0, response.rawHeaders)
+        headScanner?.stop()
         if (invalidity !== undefined) {
           outgoing.destroy()
           return fail(`the head of the answer is malformed: ${invalidity}`)
@@ -187,6 +193,7 @@
       })
       outgoing.on('close', () => {
         stopConnecting()
+        headScanner?.stop()
         call.signal.removeEventListener('abort', onAbort)
         fail('closed without an answer')
       })
