Answer what is open at the end of the grace period, and refuse late bodies

Callers saw connections closed without an answer 7.5 s after SIGTERM, among them of requests that may run once only and that a target had run.

Cause: whether the process refuses was asked when the head of a request had arrived, and not again once its body had; at the end of the grace period all connections were closed without a word.

Change: the question is asked again after the body. At the end each open request gets 503 if it has certainly not run, 502 if it may have; a begun answer is cut. Sends see that their caller left before they began.

--- a/packages/relay/src/connection/callers.ts
+++ b/packages/relay/src/connection/callers.ts
@@ -20,9 +20,11 @@
   arrivedAt: Instant
   /** Whether a peer handed the request over, because it is cut off from the targets. */
   isHandedOver: boolean
-  /** Aborts when the caller's connection closes before its answer has ended. */
+  /** Aborts when the caller's connection closes before its answer has ended, or when the listener ends the request itself. */
   callerLeft: AbortSignal
   response: ServerResponse
+  /** Whether a target may have run the request; set by the handler, and false before. */
+  mayHaveRun?: () => boolean
 }
 
 /** Handles one request and ends its response. */
@@ -35,14 +37,34 @@
   setLimits: (limits: CallerLimits) => void
   /** Makes each later answer ask its caller to close the connection. */
   announceClose: () => void
-  /** Refuses each later request, which may still arrive over a keep-alive connection, as not run. */
+  /**
+   * Refuses each request that is not complete by now, which may still arrive over a keep-alive connection, as not run. One whose head has
+   * arrived is refused once its body has, because a connection that is closed earlier can lose the refusal.
+   */
   refuseNew: () => void
+  /** Ends all open requests: as not run where that is certain, otherwise as failed. An answer that has begun is cut off. */
+  endOpen: () => EndedRequests
   /** @returns the number of requests whose answers have not ended. */
   inFlightRequests: () => number
   /** Closes the connections without a request in flight. */
   closeIdle: () => void
 }
 
+/** Number of open requests that a listener has ended, by what their callers got. */
+export interface EndedRequests {
+  refused: number
+  failed: number
+  cutOff: number
+}
+
+/** A request whose answer has not ended. */
+interface OpenRequest {
+  response: ServerResponse
+  callerLeft: AbortController
+  /** Absent until the whole request has arrived. */
+  exchange?: Exchange
+}
+
 /** Node.js rejects a request with a longer head, so a limit in the configuration takes effect only if it is lower. */
 const HEAD_BYTES_LIMIT = 65_536
 /** How much longer an idle connection stays open than callers may reuse it, milliseconds: otherwise its close could cross a new request. */
@@ -62,13 +84,17 @@
   let limits = DEFAULT_LIMITS
   let isClosing = false
   let isRefusing = false
-  let inFlight = 0
+  const openRequests = new Set<OpenRequest>()
   const turns = watchTurns()
   const server = createServer({ maxHeaderSize: HEAD_BYTES_LIMIT, noDelay: true, requestTimeout: 0 }, (incoming, response) => {
-    inFlight += 1
-    response.on('close', () => { inFlight -= 1 })
+    const open: OpenRequest = { response, callerLeft: new AbortController() }
+    openRequests.add(open)
+    response.on('close', () => {
+      openRequests.delete(open)
+      if (!response.writableFinished) open.callerLeft.abort()
+    })
     if (isClosing) response.setHeader('Connection', 'close')
-    void serve(incoming, response).catch(error => {
+    void serve(incoming, open).catch(error => {
       onFault(error)
       response.destroy()
     })
@@ -76,11 +102,10 @@
   server.on('close', turns.close)
   setLimits(DEFAULT_LIMITS)
 
-  async function serve (incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-    const callerLeft = new AbortController()
-    response.on('close', () => { if (!response.writableFinished) callerLeft.abort() })
-    if (isRefusing) return await endWithStatus(response, 503, STOPPING_RETRY_SECONDS)
-    if (countHeadBytes(incoming) > limits.headerBytes) return await endWithStatus(response, 431)
+  async function serve (incoming: IncomingMessage, open: OpenRequest): Promise<void> {
+    const { response, callerLeft } = open
+    if (isRefusing) return endWithStatus(response, 503, STOPPING_RETRY_SECONDS)
+    if (countHeadBytes(incoming) > limits.headerBytes) return endWithStatus(response, 431)
     let body: Buffer | undefined
     try {
       body = await readBody(incoming, limits.bodyBytes)
@@ -89,13 +114,15 @@
       response.destroy()
       return
     }
-    if (body === undefined) return await endWithStatus(response, 413)
+    if (response.writableEnded) return
+    if (body === undefined) return endWithStatus(response, 413)
+    if (isRefusing) return endWithStatus(response, 503, STOPPING_RETRY_SECONDS)
     const arrivedAt = presentInstant()
     if (turns.wasLate() && await hasLeft(incoming)) {
       response.destroy()
       return
     }
-    await handle({
+    open.exchange = {
       method: incoming.method ?? 'GET',
       path: incoming.url ?? '/',
       host: incoming.headers.host ?? '',
@@ -106,7 +133,28 @@
       isHandedOver,
       callerLeft: callerLeft.signal,
       response
-    })
+    }
+    await handle(open.exchange)
+  }
+
+  function endOpen (): EndedRequests {
+    const ended: EndedRequests = { refused: 0, failed: 0, cutOff: 0 }
+    for (const { response, callerLeft, exchange } of openRequests) {
+      if (response.writableEnded) continue
+      const mayHaveRun = exchange?.mayHaveRun?.() ?? false
+      callerLeft.abort()
+      if (response.headersSent) {
+        ended.cutOff += 1
+        response.destroy()
+      } else if (mayHaveRun) {
+        ended.failed += 1
+        endWithStatus(response, 502)
+      } else {
+        ended.refused += 1
+        endWithStatus(response, 503, STOPPING_RETRY_SECONDS)
+      }
+    }
+    return ended
   }
 
   function setLimits (next: CallerLimits): void {
@@ -120,7 +168,8 @@
     setLimits,
     announceClose: () => { isClosing = true },
     refuseNew: () => { isRefusing = true },
-    inFlightRequests: () => inFlight,
+    endOpen,
+    inFlightRequests: () => openRequests.size,
     closeIdle: () => server.closeIdleConnections()
   }
 }
@@ -132,7 +181,7 @@
   return socket.destroyed || socket.readableEnded
 }
 
-async function endWithStatus (response: ServerResponse, status: number, retryAfterSeconds?: number): Promise<void> {
+function endWithStatus (response: ServerResponse, status: number, retryAfterSeconds?: number): void {
   const retryAfter = retryAfterSeconds === undefined ? {} : { 'Retry-After': retryAfterSeconds }
   response.writeHead(status, { Connection: 'close', 'Content-Length': 0, ...retryAfter })
   response.end()
--- a/packages/relay/src/process/serve.ts
+++ b/packages/relay/src/process/serve.ts
@@ -4,7 +4,7 @@
 import { createServer, type Server } from 'node:http'
 import { pauseInBackground } from 'wigeonlead'
 import { splitAddress } from '../connection/address.js'
-import { createCallerListener } from '../connection/callers.js'
+import { createCallerListener, type EndedRequests } from '../connection/callers.js'
 import { createPeerLink } from '../connection/peer-link.js'
 import { createOperatorsListener } from './operators-listener.js'
 import { RelayEvent } from './relay-log.js'
@@ -27,6 +27,8 @@
 /** Part of the grace period that is reserved for the exit of the process, milliseconds. */
 const EXIT_MARGIN_MILLISECONDS = 500
 const DRAIN_CHECK_MILLISECONDS = 50
+/** Time for the answers to requests that are ended with the grace period to reach their callers, milliseconds; a part of the margin. */
+const LAST_ANSWERS_MILLISECONDS = 200
 /** Headers that a peer adds to a request that it hands over, bytes at most: their longest part lists up to 64 targets. */
 const ADDED_HEADER_BYTES = 4096
 const READY_STATUS = 200
@@ -80,7 +82,15 @@
       for (const listener of listeners) listener.closeIdle()
       await pauseInBackground(DRAIN_CHECK_MILLISECONDS)
     }
-    log.info(RelayEvent.Stopped, { cutOff: inFlightRequests(), milliseconds: Math.round(performance.now() - startedAt) })
+    const ended = listeners.map(listener => listener.endOpen())
+    const answeredBy = performance.now() + LAST_ANSWERS_MILLISECONDS
+    while (inFlightRequests() > 0 && performance.now() < answeredBy) await pauseInBackground(LAST_ANSWERS_MILLISECONDS / 20)
+    log.info(RelayEvent.Stopped, {
+      refused: sumOf(ended, 'refused'),
+      failed: sumOf(ended, 'failed'),
+      cutOff: sumOf(ended, 'cutOff') + inFlightRequests(),
+      milliseconds: Math.round(performance.now() - startedAt)
+    })
     relay.stop()
     for (const server of [...listeners.map(listener => listener.server), readiness, metrics]) server.closeAllConnections()
     markStopped()
@@ -89,6 +99,10 @@
   return { relay, shutdown, stopped }
 }
 
+function sumOf (ended: readonly EndedRequests[], end: keyof EndedRequests): number {
+  return ended.reduce((sum, ofListener) => sum + ofListener[end], 0)
+}
+
 function createStatusListener (path: string, status: () => number): Server {
   return createServer((incoming, response) => {
     response.writeHead(incoming.url === path ? status() : 404, { 'Content-Length': 0 })
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -120,6 +120,7 @@
   }
   const onCallerLeft = (): void => abortRun('the caller left')
   exchange.callerLeft.addEventListener('abort', onCallerLeft, { once: true })
+  if (exchange.callerLeft.aborted) onCallerLeft()
   const timer = setTimeout(() => abortRun('the deadline has passed'), Math.max(1, remainingTime(request) - ANSWER_TRANSIT_MILLISECONDS))
   const mover = createStreamMover(request, dependencies, path, firstTarget, () => abortRun('the first stage is lost'), reserved)
   const unwatch = dependencies.watch.add({
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -36,6 +36,7 @@
   const { route, exchange } = request
   const mayRunAgain = route.isResumable || route.repeat === RepeatRule.Idempotent
   const ledger = createAttemptLedger(mayRunAgain, route.maximumTargets, request.handOver)
+  exchange.mayHaveRun = () => !ledger.isCertainlyNotRun()
   const progress: EventsProgress = { lastEvent: request.terms.lastEvent, isHeadSent: false, presentRun: AnswerProgress.Nothing }
   const pathWaitEndsAt = request.arrivedAt + Math.min(route.latencyObjectiveMilliseconds, remainingTime(request)) * PATH_WAIT_SHARE
   const avoided = new Set<string>()
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -55,7 +55,8 @@
     if (start === undefined) return refuseCutOff(request, dependencies, ledger, handOver)
     const answer = await askForBody(request, dependencies, start, ledger, handOver)
     if (answer === undefined) continue
-    if (request.exchange.response.destroyed) return recordCallerLeft(request, dependencies)
+    const { response } = request.exchange
+    if (response.destroyed || response.writableEnded) return recordCallerLeft(request, dependencies)
     writeBody(request, dependencies, answer.response, answer.body)
     return recordAnswered(request, dependencies, {
       status: answer.response.statusCode!, target: `peer ${start.peer.vm}`, ...sendLogFields(ledger)
@@ -154,6 +155,7 @@
   const abortController = new AbortController()
   const abort = (): void => abortController.abort()
   request.exchange.callerLeft.addEventListener('abort', abort, { once: true })
+  if (request.exchange.callerLeft.aborted) abort()
   const timer = setTimeout(() => {
     dependencies.peerChoice.recordSilence(peer.vm)
     abort()
@@ -190,6 +192,7 @@
   }
   const onCallerLeft = (): void => abort('the caller left')
   request.exchange.callerLeft.addEventListener('abort', onCallerLeft, { once: true })
+  if (request.exchange.callerLeft.aborted) onCallerLeft()
   const deadlineTimer = setTimeout(() => abort('the deadline has passed'), Math.max(1, remainingTime(request) - ANSWER_TRANSIT_MILLISECONDS))
   const silenceTimer = setInterval(() => {
     if (performance.now() - state.lastProgressAt <= PEER_SILENCE_MILLISECONDS) return
--- a/packages/relay/src/request/refusal.ts
+++ b/packages/relay/src/request/refusal.ts
@@ -59,6 +59,8 @@
  */
 export function endWithRefusal (response: ServerResponse, refusal: Refusal, retryAfterMilliseconds?: number): number {
   const status = STATUSES[refusal]
+  // The listener has ended the request itself.
+  if (response.writableEnded) return status
   if (response.headersSent || response.destroyed) {
     response.destroy()
     return status
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -63,6 +63,7 @@
 export async function relaySingleBody (request: AdmittedRequest, dependencies: RequestDependencies): Promise<void> {
   const isIdempotent = request.route.repeat === RepeatRule.Idempotent
   const ledger = createAttemptLedger(isIdempotent, request.route.maximumTargets, request.handOver)
+  request.exchange.mayHaveRun = () => !ledger.isCertainlyNotRun()
   let firstServerError: BufferedAnswer | undefined
   let unreachable: Target | undefined
   let hasEntered = false
@@ -254,6 +255,7 @@
   const abortController = new AbortController()
   const onCallerLeft = (): void => abortController.abort()
   exchange.callerLeft.addEventListener('abort', onCallerLeft, { once: true })
+  if (exchange.callerLeft.aborted) onCallerLeft()
   const timer = setTimeout(() => abortController.abort(), timeoutMilliseconds)
   send.state = SendState.Sent
   try {
@@ -323,7 +325,7 @@
 function forwardAnswer (request: AdmittedRequest, dependencies: RequestDependencies, answer: BufferedAnswer, ledger: AttemptLedger): void {
   const { response } = request.exchange
   const status = answer.response.statusCode ?? 502
-  if (response.destroyed) return recordCallerLeft(request, dependencies, sendLogFields(ledger))
+  if (response.destroyed || response.writableEnded) return recordCallerLeft(request, dependencies, sendLogFields(ledger))
   reportReach(request, dependencies, ledger)
   writeBody(request, dependencies, answer.response, answer.body)
   recordAnswered(request, dependencies, { status, target: answer.target.id, ...sendLogFields(ledger) })
--- a/packages/relay/test/relay-fixture.ts
+++ b/packages/relay/test/relay-fixture.ts
@@ -4,7 +4,7 @@
 import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { success, type KeyValueEntry, type PollableKeyValue } from '@wigeonlead/protocol'
-import { SILENT_RELAY_LOG, checkRelaySettings, createCallerListener, createRelay, type Relay, type Target } from '@wigeonlead/relay'
+import { SILENT_RELAY_LOG, checkRelaySettings, createCallerListener, createRelay, type CallerListener, type Relay, type Target } from '@wigeonlead/relay'
 import { PLAIN_DIALECT } from './plain-dialect.js'
 import { testConfiguration } from './test-configuration.js'
 import { testTarget } from './test-engine.js'
@@ -23,6 +23,7 @@
 /** The relay and its controls. */
 export interface Fixture {
   relay: Relay
+  listener: CallerListener
   /** Address of the listener for callers. */
   address: string
   call: (method: string, path: string, headers?: Record<string, string>) => Promise<CallerAnswer>
@@ -102,7 +103,7 @@
     outgoing.end()
   })
   try {
-    await use({ relay, address, call, arrivals })
+    await use({ relay, listener: callers, address, call, arrivals })
   } finally {
     relay.stop()
     for (const server of [callers.server, ...servers]) {
