Keep connections whose answers are not yet written at a stop

Callers who read long answers got a reset 2.6 s after SIGTERM, with most of the grace period left.

Cause: close and closeIdleConnections of Node.js take a connection for idle once its answer has ended, whether it is written or not.

Change: the listener itself keeps which connections are idle, by the bytes read since the last answer was written, and stops listening without closing any.

--- a/packages/relay/src/connection/callers.ts
+++ b/packages/relay/src/connection/callers.ts
@@ -2,6 +2,7 @@
  * The HTTP listener for callers: buffers complete requests and passes each to a handler together with its response.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Server as SocketServer, type Socket } from 'node:net'
 import { setImmediate as nextTurn } from 'node:timers/promises'
 import { readBody } from '@wigeonlead/protocol'
 import type { CallerLimits } from '../version/configuration.js'
@@ -46,7 +47,9 @@
   endOpen: () => EndedRequests
   /** @returns the number of requests whose answers have not ended. */
   inFlightRequests: () => number
-  /** Closes the connections without a request in flight. */
+  /** Accepts no more connections; the open ones stay. */
+  stopListening: () => void
+  /** Closes the connections on which no byte of a request has arrived since the last answer was written. */
   closeIdle: () => void
 }
 
@@ -85,12 +88,16 @@
   let isClosing = false
   let isRefusing = false
   const openRequests = new Set<OpenRequest>()
+  /** Number of bytes that had been read from each connection when it last became idle. */
+  const idleAfterBytes = new Map<Socket, number>()
   const turns = watchTurns()
   const server = createServer({ maxHeaderSize: HEAD_BYTES_LIMIT, noDelay: true, requestTimeout: 0 }, (incoming, response) => {
     const open: OpenRequest = { response, callerLeft: new AbortController() }
     openRequests.add(open)
+    idleAfterBytes.delete(incoming.socket)
     response.on('close', () => {
       openRequests.delete(open)
+      if (!incoming.socket.destroyed) idleAfterBytes.set(incoming.socket, incoming.socket.bytesRead)
       if (!response.writableFinished) open.callerLeft.abort()
     })
     if (isClosing) response.setHeader('Connection', 'close')
@@ -100,6 +107,10 @@
     })
   })
   server.on('close', turns.close)
+  server.on('connection', (socket: Socket) => {
+    idleAfterBytes.set(socket, 0)
+    socket.on('close', () => { idleAfterBytes.delete(socket) })
+  })
   setLimits(DEFAULT_LIMITS)
 
   async function serve (incoming: IncomingMessage, open: OpenRequest): Promise<void> {
@@ -170,7 +181,11 @@
     refuseNew: () => { isRefusing = true },
     endOpen,
     inFlightRequests: () => openRequests.size,
-    closeIdle: () => server.closeIdleConnections()
+    // Both `close` and `closeIdleConnections` of an HTTP server destroy connections whose answers have ended and are not written yet.
+    stopListening: () => { SocketServer.prototype.close.call(server) },
+    closeIdle () {
+      for (const [socket, bytes] of idleAfterBytes) if (socket.bytesRead === bytes) socket.destroySoon()
+    }
   }
 }
 
--- a/packages/relay/src/process/serve.ts
+++ b/packages/relay/src/process/serve.ts
@@ -76,7 +76,7 @@
     await pauseInBackground(Math.min(BALANCER_LAG_MILLISECONDS, Math.max(0, endsAt - performance.now())))
     for (const listener of listeners) {
       listener.refuseNew()
-      listener.server.close()
+      listener.stopListening()
     }
     while (inFlightRequests() > 0 && performance.now() < endsAt) {
       for (const listener of listeners) listener.closeIdle()
--- a/packages/relay/test/connection/callers.spec.ts
+++ b/packages/relay/test/connection/callers.spec.ts
@@ -93,4 +93,52 @@
   })
 }
 
+const ANSWER_BYTES = 32_000_000
+
+// Guards against answers that a stopping process resets while their callers still read them.
+callers('the process stops while an answer that has ended is being read: all its bytes arrive', async () => {
+  const listener = createCallerListener(async ({ response }) => {
+    response.writeHead(200, { 'Content-Length': ANSWER_BYTES })
+    response.end(Buffer.alloc(ANSWER_BYTES))
+  }, error => { throw error })
+  await new Promise<void>(resolve => { listener.server.listen(0, '127.0.0.1', resolve) })
+  const incoming = await new Promise<IncomingMessage>(resolve => {
+    request({ host: '127.0.0.1', port: (listener.server.address() as AddressInfo).port, agent: false }, resolve).end()
+  })
+  listener.refuseNew()
+  listener.stopListening()
+  listener.closeIdle()
+  assert.is(listener.inFlightRequests(), 1)
+  listener.endOpen()
+  let bytes = 0
+  for await (const chunk of incoming) bytes += (chunk as Buffer).length
+  assert.is(bytes, ANSWER_BYTES)
+  listener.server.closeAllConnections()
+})
+
+const CONNECTIONS: Array<{ name: string, sent: string, isClosed: boolean }> = [
+  { name: 'on which nothing has arrived', sent: '', isClosed: true },
+  { name: 'after its answer', sent: 'GET / HTTP/1.1\r\nHost: a\r\n\r\n', isClosed: true },
+  { name: 'on which a part of a head has arrived', sent: 'GET / HTTP/1.1\r\nHo', isClosed: false }
+]
+for (const { name, sent, isClosed } of CONNECTIONS) {
+  callers(`a stopping process ${isClosed ? 'closes' : 'keeps'} a connection ${name}`, async () => {
+    const { listener, port } = await openListener()
+    const socket = connect(port, '127.0.0.1')
+    let isEnded = false
+    socket.on('end', () => { isEnded = true })
+    socket.on('error', () => {})
+    socket.resume()
+    await new Promise<void>(resolve => { socket.on('connect', resolve) })
+    socket.write(sent)
+    await new Promise(resolve => { setTimeout(resolve, 50) })
+    listener.refuseNew()
+    listener.closeIdle()
+    await new Promise(resolve => { setTimeout(resolve, 50) })
+    assert.is(isEnded, isClosed)
+    socket.destroy()
+    listener.server.close()
+  })
+}
+
 callers.run()
