Take the end of an answer for complete only by word of its own incarnation

Callers saw streams end as complete after half of their events, where their target crashed and was back before the relay asked whether it still runs.

Cause: any answer from the address counted. Change: a report with another time of birth, or an answer that another target has the address, does not.

--- a/packages/relay/src/connection/engine-client.ts
+++ b/packages/relay/src/connection/engine-client.ts
@@ -11,8 +11,9 @@
   /** @returns the target's report; undefined where no valid one arrived in time. */
   report: (target: Target, timeoutMilliseconds: number) => Promise<TargetReport | undefined>
   /**
-   * Checks whether a target still answers at all. A body without a length, which ends with its connection, counts as complete only if the
-   * target does, because a crashed target closes its connections in the same way.
+   * Checks whether this incarnation of a target still answers. A body without a length, which ends with its connection, counts as complete
+   * only if it does, because a crashed target closes its connections in the same way. Where a target reports no incarnation, any answer
+   * from its address that does not come from another target counts.
    */
   isAlive: (target: Target) => Promise<boolean>
   /** Checks whether a target accepts a new connection: a slow target does, one that is dead or partitioned does not. */
@@ -102,6 +103,16 @@
     }
   }
 
+  /** Whether the text of an answer is the report of another incarnation of a target; a text that is no report tells nothing. */
+  function isOtherIncarnation (target: Target, text: string): boolean {
+    try {
+      const { bornAtMilliseconds } = dialect.readReport(text)
+      return bornAtMilliseconds > 0 && target.bornAtMilliseconds > 0 && bornAtMilliseconds !== target.bornAtMilliseconds
+    } catch {
+      return false
+    }
+  }
+
   /** Requests a report over a new connection. */
   async function probe (target: Target): Promise<ProbeResult> {
     const abortController = new AbortController()
@@ -122,9 +133,8 @@
       if (outcome.kind === SendResult.Withheld) return ProbeResult.Reachable
       if (outcome.kind !== SendResult.Answered) return ProbeResult.Silent
       if (outcome.response.statusCode === MISDIRECTED_STATUS) return ProbeResult.Replaced
-      const { bornAtMilliseconds } = dialect.readReport((await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)).toString())
-      const isReplaced = bornAtMilliseconds > 0 && target.bornAtMilliseconds > 0 && bornAtMilliseconds !== target.bornAtMilliseconds
-      return isReplaced ? ProbeResult.Replaced : ProbeResult.Reachable
+      const text = (await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)).toString()
+      return isOtherIncarnation(target, text) ? ProbeResult.Replaced : ProbeResult.Reachable
     } catch {
       // The target answers, though not with a valid report.
       return ProbeResult.Reachable
@@ -145,7 +155,8 @@
       }
     },
     async isAlive (target) {
-      return await call('GET', target, dialect.reportPath, '', LIVENESS_TIMEOUT_MILLISECONDS) !== undefined
+      const answer = await call('GET', target, dialect.reportPath, '', LIVENESS_TIMEOUT_MILLISECONDS)
+      return answer !== undefined && answer.status !== MISDIRECTED_STATUS && !isOtherIncarnation(target, answer.text)
     },
     isAnswering: async target => ANSWERS.has(await probe(target)),
     isReachable: async target => !NO_CONNECTION.has(await probe(target)),
--- /dev/null
+++ b/packages/relay/test/connection/engine-client.spec.ts
@@ -0,0 +1,45 @@
+/**
+ * Guards against a target that crashes within an answer without a length and is back when it is asked whether it still runs: the answer
+ * counted as complete, although another incarnation gave the word.
+ */
+import { createServer, type AddressInfo } from 'node:net'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createEngineClient, createTargetClient } from '@wigeonlead/relay'
+import { PLAIN_DIALECT } from '../plain-dialect.js'
+import { testTarget } from '../test-engine.js'
+
+const BORN = 5000
+
+function answer (status: string, body: string): string {
+  return `HTTP/1.1 ${status}\r\nContent-Length: ${body.length}\r\n\r\n${body}`
+}
+
+const ANSWERS: Array<{ name: string, answer: string, isAlive: boolean }> = [
+  { name: 'the report of the same incarnation', answer: answer('200 OK', `{"bornAtMilliseconds":${BORN}}`), isAlive: true },
+  { name: 'the report of a later incarnation', answer: answer('200 OK', `{"bornAtMilliseconds":${BORN + 1}}`), isAlive: false },
+  { name: 'that another target has the address', answer: answer('421 Misdirected', ''), isAlive: false },
+  { name: 'a report without an incarnation', answer: answer('200 OK', '{"bornAtMilliseconds":0}'), isAlive: true },
+  { name: 'that it gives no reports', answer: answer('404 Not Found', ''), isAlive: true },
+  { name: 'nothing, and closes', answer: '', isAlive: false }
+]
+
+const liveness = suite('whether a target still runs')
+
+for (const { name, answer, isAlive } of ANSWERS) {
+  liveness(`it answers ${name}: ${isAlive ? 'it does' : 'it does not'}`, async () => {
+    const server = createServer(socket => {
+      socket.on('error', () => {})
+      socket.once('data', () => socket.end(answer))
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const targets = createTargetClient(PLAIN_DIALECT, { pauseRemaining: () => 0, onSlowConnect () {}, onSend () {}, onAnswer () {} })
+    const engines = createEngineClient(PLAIN_DIALECT, targets)
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    assert.is(await engines.isAlive(testTarget('t1', undefined, { address, bornAtMilliseconds: BORN })), isAlive)
+    targets.close()
+    server.close()
+  })
+}
+
+liveness.run()
