--- a/packages/relay/src/process/index.ts
+++ b/packages/relay/src/process/index.ts
@@ -45,6 +45,7 @@
 export {
   SubjectKind, Verdict, judge, judgeAnswered, judgeRequest, lossKey, mergeEvidence, openLosses, type ContentEvidence, type TargetLoss
 } from './suspicion/content-evidence.js'
+export { createAnsweredRuns, type AnsweredRun, type AnsweredRuns } from './suspicion/answered-runs.js'
 export { createOperatorsListener, type OperatorsView } from './operators-listener.js'
 export {
   explainRoute, type ExplainDependencies, type ExplainedPath, type ExplainedTarget, type RouteExplanation, type RouteFault,
--- a/packages/relay/src/process/suspicion/content-evidence.ts
+++ b/packages/relay/src/process/suspicion/content-evidence.ts
@@ -131,6 +131,16 @@
   return [...losses.values()].filter(({ endedAt }) => endedAt > succeededAt)
 }
 
+/** @returns when the first target ended, of those that no later proof refutes, monotonic milliseconds; Infinity if there is none. */
+export function firstLossAt (evidence: ContentEvidence): number {
+  return Math.min(...openLosses(evidence).map(({ endedAt }) => endedAt))
+}
+
+/** @returns the number of targets whose end no later proof refutes. */
+export function countTargets (evidence: ContentEvidence): number {
+  return new Set(openLosses(evidence).map(({ incarnation }) => incarnation)).size
+}
+
 function mergeLosses (known: TargetLoss, added: TargetLoss): TargetLoss {
   return {
     ...known,
--- a/packages/relay/src/process/suspicion/content-quarantine.ts
+++ b/packages/relay/src/process/suspicion/content-quarantine.ts
@@ -2,8 +2,8 @@
  * Keeps requests away from targets if their content has crashed several targets in a row: a part of the prompt, or the request as a whole.
  */
 import {
-  NO_EVIDENCE, Proof, SUBJECT_TRAITS, SubjectKind, Verdict, judge, judgeAnswered, judgeRequest, lossKey, mergeEvidence, openLosses,
-  type ContentEvidence, type Judgement, type TargetLoss
+  NO_EVIDENCE, Proof, SUBJECT_TRAITS, SubjectKind, Verdict, countTargets, firstLossAt, judge, judgeAnswered, judgeRequest, lossKey,
+  mergeEvidence, openLosses, type ContentEvidence, type Judgement, type TargetLoss
 } from './content-evidence.js'
 import { RelayEvent, type RelayLog } from '../relay-log.js'
 
@@ -71,6 +71,8 @@
   recordBegin: (content: RequestContent) => void
   /** Records that a target has given an answer up to its regular end: neither the request nor any of its parts crashes targets. */
   recordCompletion: (content: RequestContent) => void
+  /** Records that answers with certain parts go on at other targets after one has ended: these parts do not crash targets. */
+  recordSurvival: (service: string, parts: readonly string[]) => void
   recordLoss: (content: RequestContent, lost: LostTarget) => void
   /** Merges evidence from a peer or from the store. */
   learn: (told: ToldEvidence) => void
@@ -303,6 +305,13 @@
     }
   }
 
+  function prove (kind: SubjectKind, service: string, subject: string, source: string): void {
+    const { isPart, proof } = SUBJECT_TRAITS[kind]
+    const now = performance.now()
+    if (isPart) rememberProof(proofs[proof], keyOf(service, subject), now)
+    add(kind, service, subject, { ...NO_EVIDENCE, hasSucceeded: true, succeededAt: now }, source)
+  }
+
   function told ({ kind, service, subject, evidence }: Entry): ToldEvidence {
     return { kind, service, subject, evidence }
   }
@@ -332,6 +341,9 @@
       countRequestLosses(SubjectKind.AnsweredRequest, content) >= ANSWERED_LOSSES_TO_SUSPICION,
     recordBegin: content => recordProof(Proof.Begin, content),
     recordCompletion: content => recordProof(Proof.Completion, content),
+    recordSurvival (service, parts) {
+      for (const part of parts) prove(SubjectKind.AnsweredPromptPart, service, part, 'survival')
+    },
     recordLoss (content, { incarnation, sentAt, endedAt = performance.now(), hasHead, hasEvents = false }) {
       const { service, parts, digest } = content
       const { ofPart, ofRequest } = hasEvents ? KINDS_WITHIN_ANSWERS : KINDS_BEFORE_EVENTS
@@ -363,12 +375,8 @@
       remainingMilliseconds: Math.round(entry.judgement.until - performance.now())
     })),
     lift (kind, service, subject) {
-      const key = keyOf(service, subject)
-      if (!entriesByKind[kind].has(key)) return false
-      const now = performance.now()
-      const { isPart, proof } = SUBJECT_TRAITS[kind]
-      if (isPart) rememberProof(proofs[proof], key, now)
-      add(kind, service, subject, { ...NO_EVIDENCE, hasSucceeded: true, succeededAt: now }, 'operator')
+      if (!entriesByKind[kind].has(keyOf(service, subject))) return false
+      prove(kind, service, subject, 'operator')
       return true
     },
     onLoss: listener => { listeners.push(listener) }
@@ -383,17 +391,8 @@
   return SUBJECT_TRAITS[kind].isPart ? parts.includes(subject) : digest() === subject
 }
 
-/** @returns when the first target ended, of those that no later proof refutes, monotonic milliseconds; Infinity if there is none. */
-function firstLossAt (evidence: ContentEvidence): number {
-  return Math.min(...openLosses(evidence).map(({ endedAt }) => endedAt))
-}
-
 /** Number of targets whose end speaks against the subject: those that had begun to answer, or each that ended after the first one. */
 function strengthOf ({ kind, evidence }: Entry): number {
   const losses = openLosses(evidence)
   return kind === SubjectKind.PromptPart ? losses.filter(({ hasHead }) => hasHead).length : losses.length - 1
 }
-
-function countTargets (evidence: ContentEvidence): number {
-  return new Set(openLosses(evidence).map(({ incarnation }) => incarnation)).size
-}
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -27,6 +27,7 @@
 import { RelayEvent, type RelayLog } from './relay-log.js'
 import { createPeerChoice } from './membership/peer-choice.js'
 import { createPeers, type Peer } from './membership/peers.js'
+import { createAnsweredRuns } from './suspicion/answered-runs.js'
 import { SUBJECT_TRAITS } from './suspicion/content-evidence.js'
 import { createContentQuarantine, type ContentQuarantine } from './suspicion/content-quarantine.js'
 import { createContentRecords } from './suspicion/content-records.js'
@@ -177,6 +178,7 @@
     log
   })
   const contentQuarantine = createContentQuarantine(log)
+  const answeredRuns = createAnsweredRuns()
   const contentRecords = createContentRecords({
     quarantine: contentQuarantine,
     keyPrefix: QUARANTINE_PREFIX,
@@ -229,6 +231,7 @@
     peerChoice: createPeerChoice(peers, settings.node.failureDomain, ports.nextFloat),
     peerRequests,
     contentQuarantine,
+    answeredRuns,
     domainShares,
     repeats,
     admission: createAdmission({
--- a/packages/relay/src/request/context.ts
+++ b/packages/relay/src/request/context.ts
@@ -11,6 +11,7 @@
 import type { DomainShares } from '../process/routing/domain-share.js'
 import type { Load } from '../process/routing/load.js'
 import type { PathFinder } from '../process/routing/path-finder.js'
+import type { AnsweredRuns } from '../process/suspicion/answered-runs.js'
 import type { ContentQuarantine, RequestContent } from '../process/suspicion/content-quarantine.js'
 import type { PeerChoice } from '../process/membership/peer-choice.js'
 import type { RelayLog } from '../process/relay-log.js'
@@ -41,6 +42,7 @@
   /** Sends requests to peers that handle them in place of this VM. */
   peerRequests: Pick<TargetClient, 'send'>
   contentQuarantine: ContentQuarantine
+  answeredRuns: AnsweredRuns
   domainShares: Pick<DomainShares, 'choose'>
   repeats: Repeats
   admission: Admission
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -55,7 +55,8 @@
 /** How much of the answer the caller has received over all runs, and how far the present run has come. */
 export interface EventsProgress {
   presentRun: AnswerProgress
-
+  /** Monotonic time of the first event of the present run, milliseconds; absent before. */
+  presentRunBeganAt?: number
   /** Number of the last event that was forwarded. */
   lastEvent?: number
   /** Whether the status line and headers of the answer were sent to the caller. */
@@ -110,6 +111,7 @@
 ): Promise<RunOutcome> {
   const { exchange } = request
   progress.presentRun = AnswerProgress.Nothing
+  progress.presentRunBeganAt = undefined
   const firstTarget = dependencies.directory.find(path.stages[0]!.targetId)
   if (firstTarget === undefined) return { end: RunEnd.NotSent, status: 0, reason: 'the first stage is no longer listed' }
   const abortController = new AbortController()
@@ -145,6 +147,12 @@
     state.lastProgressAt = now
     intervals.record(progress.lastEvent)
   }
+  let removeAnsweredRun = (): void => {}
+  const onBegin = (): void => {
+    const { service, parts } = contentOf(request)
+    const run = { incarnation: path.incarnations[0]!, firstEventAt: performance.now() }
+    removeAnsweredRun = dependencies.answeredRuns.add(service, parts, run)
+  }
   const wasSentBefore = ledger.targetIncarnations().has(path.incarnations[0]!)
   const send = ledger.begin(path.incarnations[0]!)
   send.state = SendState.Sent
@@ -187,6 +195,7 @@
     reportReach(request, dependencies, ledger)
     const run = await forwardEvents(request, outcome, progress, dependencies, {
       onProgress: recordProgress,
+      onBegin,
       abortReason: () => state.reason,
       isSenderAlive: async () => await dependencies.engines.isAlive(firstTarget)
     })
@@ -194,6 +203,7 @@
   } finally {
     clearTimeout(timer)
     unwatch()
+    removeAnsweredRun()
     mover.end()
     exchange.callerLeft.removeEventListener('abort', onCallerLeft)
     abortController.abort()
@@ -236,6 +246,8 @@
 /** How a run follows the forwarding of its events. */
 export interface EventForwarding {
   onProgress: () => void
+  /** Called with the first event of the run. */
+  onBegin?: () => void
   /** @returns why the run was aborted; empty if it was not. */
   abortReason: () => string
   /** Whether the sender of an answer without a length still runs, so that the end of its connection is the end of the answer. */
@@ -245,7 +257,7 @@
 /** Forwards the events of an answer to the caller as they arrive, until the answer ends. */
 export function forwardEvents (
   request: AdmittedRequest, answer: AnsweredSend, progress: EventsProgress, dependencies: RequestDependencies,
-  { onProgress, abortReason, isSenderAlive }: EventForwarding
+  { onProgress, onBegin, abortReason, isSenderAlive }: EventForwarding
 ): Promise<RunOutcome> {
   const caller = request.exchange.response
   const { response } = answer
@@ -343,8 +355,12 @@
     }
 
     function recordEvents (): void {
-      if (progress.presentRun !== AnswerProgress.Events) dependencies.contentQuarantine.recordBegin(contentOf(request))
-      progress.presentRun = AnswerProgress.Events
+      if (progress.presentRun !== AnswerProgress.Events) {
+        progress.presentRun = AnswerProgress.Events
+        progress.presentRunBeganAt = performance.now()
+        dependencies.contentQuarantine.recordBegin(contentOf(request))
+        onBegin?.()
+      }
       recordEventTime(progress)
     }
 
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -117,7 +117,9 @@
     if (outcome.end === RunEnd.NotSent && outcome.unreachable !== undefined) await dependencies.reach.check(outcome.unreachable)
     if (outcome.end !== RunEnd.Broken || outcome.isAborted === true) continue
     if (progress.presentRun === AnswerProgress.Events) {
-      recordLossWithinAnswer(request, dependencies, { incarnation: start.path.incarnations[0]!, sentAt })
+      recordLossWithinAnswer(request, dependencies, {
+        incarnation: start.path.incarnations[0]!, sentAt, firstEventAt: progress.presentRunBeganAt ?? performance.now()
+      })
       continue
     }
     const lost = { incarnation: start.path.incarnations[0]!, sentAt, hasHead: progress.presentRun === AnswerProgress.Head }
--- a/packages/relay/src/request/lost-target.ts
+++ b/packages/relay/src/request/lost-target.ts
@@ -2,6 +2,7 @@
  * Handles requests whose target ended before it had completed the answer: the request itself may be the cause.
  */
 import { SubjectKind } from '../process/suspicion/content-evidence.js'
+import type { AnsweredRun } from '../process/suspicion/answered-runs.js'
 import type { LostTarget, Quarantine } from '../process/suspicion/content-quarantine.js'
 import { RelayEvent } from '../process/relay-log.js'
 import { digestKey } from '../version/digest.js'
@@ -43,13 +44,17 @@
  * The answer is continued meanwhile: its caller is waiting for the next event.
  */
 export function recordLossWithinAnswer (
-  request: AdmittedRequest, dependencies: RequestDependencies, lost: Pick<LostTarget, 'incarnation' | 'sentAt'>
+  request: AdmittedRequest, dependencies: RequestDependencies, { sentAt, ...run }: AnsweredRun & Pick<LostTarget, 'sentAt'>
 ): void {
   const endedAt = performance.now()
-  const target = dependencies.directory.findIncarnation(lost.incarnation)
+  const target = dependencies.directory.findIncarnation(run.incarnation)
   const hasEnded = target === undefined ? Promise.resolve(true) : dependencies.targetEnds.hasEnded(target)
   hasEnded.then(isEnded => {
-    if (isEnded) dependencies.contentQuarantine.recordLoss(contentOf(request), { ...lost, endedAt, hasHead: true, hasEvents: true })
+    if (!isEnded) return
+    const content = contentOf(request)
+    const outlived = dependencies.answeredRuns.outlivedParts(content.service, content.parts, run)
+    dependencies.contentQuarantine.recordSurvival(content.service, outlived)
+    dependencies.contentQuarantine.recordLoss(content, { incarnation: run.incarnation, sentAt, endedAt, hasHead: true, hasEvents: true })
   }).catch((error: Error) => dependencies.log.warn(RelayEvent.InternalFault, { reason: error.message }))
 }
 
--- a/packages/relay/test/crashing-prompt-part.spec.ts
+++ b/packages/relay/test/crashing-prompt-part.spec.ts
@@ -101,4 +101,46 @@
   })
 }
 
+/** Streams at the start, and new ones for each target that ends: few enough that their repeats stay within the budget of the fleet. */
+const LONG_STREAMS = 30
+const FURTHER_STREAMS = 9
+const EVENT_INTERVAL_MILLISECONDS = 20
+
+crashes('seven targets end one after the other under thirty and more long streams with a popular part: the part stays served', async () => {
+  const crashByPort = new Map<number, () => void>()
+  const behaviour: TargetBehaviour = (incoming, response, crash) => {
+    const requestId = String(incoming.headers['x-request'])
+    response.writeHead(200, { 'X-Request': requestId, 'X-Seal': 's', 'Content-Type': 'text/event-stream' })
+    if (!String(incoming.headers['x-parts']).startsWith('popular')) return response.end(eventsFor(requestId))
+    crashByPort.set(incoming.socket.localPort!, crash)
+    let event = Number(incoming.headers['x-last'] ?? 0)
+    const timer = setInterval(() => { response.write(`id: ${++event}\ndata: ${requestId}\n\n`) }, EVENT_INTERVAL_MILLISECONDS)
+    response.on('close', () => clearInterval(timer))
+  }
+  const pause = (milliseconds: number): Promise<void> => new Promise(resolve => { setTimeout(resolve, milliseconds) })
+  await withFleet(VMS, TARGETS, behaviour, async fleet => {
+    const streams: Array<ReturnType<Fleet['call']>> = []
+    const startStreams = (count: number): void => {
+      for (let index = 0; index < count; index++) {
+        streams.push(fleet.call(index % VMS, { 'X-Parts': `popular,own-${streams.length}`, 'X-Wait': '20000' }))
+      }
+    }
+    startStreams(LONG_STREAMS)
+    await pause(300)
+    for (let round = 0; round < 7; round++) {
+      startStreams(FURTHER_STREAMS)
+      await pause(50)
+      const [port, crash] = [...crashByPort][0]!
+      crashByPort.delete(port)
+      crash()
+      await pause(100)
+      for (let vm = 0; vm < VMS; vm++) assert.is((await fleet.call(vm, { 'X-Parts': `other,own-${vm}` })).status, 200)
+      await fleet.reviveTargets()
+    }
+    const after = await Promise.all([0, 1, 2].map(vm => fleet.call(vm, { 'X-Parts': 'popular,last', 'X-Wait': '300' })))
+    assert.equal(after.map(({ status }) => status), [200, 200, 200])
+    for (const { status } of await Promise.all(streams)) assert.is(status, 200)
+  }, { seed: 47 })
+})
+
 crashes.run()
--- a/packages/relay/test/process/suspicion/broken-answers.spec.ts
+++ b/packages/relay/test/process/suspicion/broken-answers.spec.ts
@@ -2,13 +2,11 @@
  * Guards against content that crashes its targets after the first event of an answer, which was never quarantined, and against a quarantine
  * of popular content whose answers are cut by ordinary losses. Each case is one pattern of losses and completions, on a paused clock.
  */
-import { install } from '@sinonjs/fake-timers'
-import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { SubjectKind } from '@wigeonlead/relay'
-import { createVm, type Vm } from './quarantine-vm.js'
+import { playCases, type QuarantineCase } from './quarantine-vm.js'
 
-const CASES: Array<{ name: string, play: (vm: Vm) => void }> = [
+const CASES: QuarantineCase[] = [
   {
     name: 'five targets end within answers to a part: its requests are refused, others with the same first part are not',
     play (vm) {
@@ -66,6 +64,19 @@
       assert.not(vm.isRefused('rare'))
     }
   },
+  {
+    name: 'targets end one after the other within long answers with a popular part, of which others go on: not refused',
+    play (vm) {
+      for (let loss = 0; loss < 10; loss++) {
+        vm.quarantine.recordSurvival('model', ['popular'])
+        vm.break(['popular', `own-${loss}`])
+        vm.complete('other')
+        assert.not(vm.isRefused('popular'), `after ${loss + 1} losses`)
+        vm.quarantine.recordSurvival('model', ['popular'])
+      }
+      assert.not(vm.isRefused('popular'))
+    }
+  },
   {
     name: 'a part that has crashed targets within answers is completed later: served again',
     play (vm) {
@@ -99,15 +110,4 @@
   }
 ]
 
-const quarantines = suite('quarantine of content whose answers break off')
-for (const { name, play } of CASES) {
-  quarantines(name, () => {
-    const clock = install({ toFake: ['Date', 'performance', 'setTimeout', 'clearTimeout'] })
-    try {
-      play(createVm(clock))
-    } finally {
-      clock.uninstall()
-    }
-  })
-}
-quarantines.run()
+playCases('quarantine of content whose answers break off', CASES)
--- a/packages/relay/test/process/suspicion/content-quarantine.spec.ts
+++ b/packages/relay/test/process/suspicion/content-quarantine.spec.ts
@@ -2,15 +2,13 @@
  * Guards against a part of a prompt, or a whole request, that crashes its targets, and against a quarantine of content that only met
  * ordinary losses. Each case is one pattern of losses and begins, on a paused clock.
  */
-import { install } from '@sinonjs/fake-timers'
-import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { SubjectKind } from '@wigeonlead/relay'
-import { createVm, type Vm } from './quarantine-vm.js'
+import { playCases, type QuarantineCase, type Vm } from './quarantine-vm.js'
 
 const MINUTES = 60_000
 
-const CASES: Array<{ name: string, play: (vm: Vm) => void }> = [
+const CASES: QuarantineCase[] = [
   {
     name: 'three targets end under a new part: its requests are refused, others with the same first part are not',
     play (vm) {
@@ -305,15 +303,4 @@
   return vm.quarantine.tell().filter(({ kind }) => kind === SubjectKind.PromptPart).length
 }
 
-const quarantines = suite('quarantine of content')
-for (const { name, play } of CASES) {
-  quarantines(name, () => {
-    const clock = install({ toFake: ['Date', 'performance', 'setTimeout', 'clearTimeout'] })
-    try {
-      play(createVm(clock))
-    } finally {
-      clock.uninstall()
-    }
-  })
-}
-quarantines.run()
+playCases('quarantine of content', CASES)
--- a/packages/relay/test/process/suspicion/quarantine-vm.ts
+++ b/packages/relay/test/process/suspicion/quarantine-vm.ts
@@ -1,7 +1,8 @@
 /**
  * The content quarantine of one VM on a paused clock, with helpers that let requests begin, end and lose their targets.
  */
-import type { Clock } from '@sinonjs/fake-timers'
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { suite } from 'uvu'
 import { SILENT_RELAY_LOG, createContentQuarantine, type ContentQuarantine, type RequestContent } from '@wigeonlead/relay'
 
 /** One VM. */
@@ -25,8 +26,13 @@
   isRequestRefused: (digest: string) => boolean
 }
 
-/** Creates a VM without evidence. */
-export function createVm (clock: Clock): Vm {
+/** One pattern of losses and proofs, and what must follow from it. */
+export interface QuarantineCase {
+  name: string
+  play: (vm: Vm) => void
+}
+
+function createVm (clock: Clock): Vm {
   const quarantine = createContentQuarantine(SILENT_RELAY_LOG)
   let nextTarget = 1
   let nextRequest = 1
@@ -71,3 +77,19 @@
     isRequestRefused: digest => quarantine.find(request(digest)) !== undefined
   }
 }
+
+/** Runs each case on a VM of its own, without evidence. */
+export function playCases (suiteName: string, cases: readonly QuarantineCase[]): void {
+  const quarantines = suite(suiteName)
+  for (const { name, play } of cases) {
+    quarantines(name, () => {
+      const clock = install({ toFake: ['Date', 'performance', 'setTimeout', 'clearTimeout'] })
+      try {
+        play(createVm(clock))
+      } finally {
+        clock.uninstall()
+      }
+    })
+  }
+  quarantines.run()
+}
