Keep connections with a second request open at a stop

Found by reading: the close of the first of two answers on a connection marked it as idle although the second request was open, so that a stopping process cut it. Each connection counts its open requests now; callers.spec plays two requests without a wait between.

--- a/packages/relay/src/connection/callers.ts
+++ b/packages/relay/src/connection/callers.ts
@@ -68,6 +68,14 @@
   exchange?: Exchange
 }
 
+/** What a connection of a caller is used for. */
+interface ConnectionUse {
+  /** Requests without a whole answer; a caller may send several without waiting. */
+  openRequests: number
+  /** Bytes that had been read from it when its latest answer was written. */
+  bytesRead: number
+}
+
 /** Node.js rejects a request with a longer head, so a limit in the configuration takes effect only if it is lower. */
 const HEAD_BYTES_LIMIT = 65_536
 /** How much longer an idle connection stays open than callers may reuse it, milliseconds: otherwise its close could cross a new request. */
@@ -88,16 +96,20 @@
   let isClosing = false
   let isRefusing = false
   const openRequests = new Set<OpenRequest>()
-  /** Number of bytes that had been read from each connection when it last became idle. */
-  const idleAfterBytes = new Map<Socket, number>()
+  const connections = new Map<Socket, ConnectionUse>()
   const turns = watchTurns()
   const server = createServer({ maxHeaderSize: HEAD_BYTES_LIMIT, noDelay: true, requestTimeout: 0 }, (incoming, response) => {
+    const { socket } = incoming
     const open: OpenRequest = { response, callerLeft: new AbortController() }
     openRequests.add(open)
-    idleAfterBytes.delete(incoming.socket)
+    const use = connections.get(socket)
+    if (use !== undefined) use.openRequests += 1
     response.on('close', () => {
       openRequests.delete(open)
-      if (!incoming.socket.destroyed) idleAfterBytes.set(incoming.socket, incoming.socket.bytesRead)
+      if (use !== undefined) {
+        use.openRequests -= 1
+        use.bytesRead = socket.bytesRead
+      }
       if (!response.writableFinished) open.callerLeft.abort()
     })
     if (isClosing) response.setHeader('Connection', 'close')
@@ -108,8 +120,8 @@
   })
   server.on('close', turns.close)
   server.on('connection', (socket: Socket) => {
-    idleAfterBytes.set(socket, 0)
-    socket.on('close', () => { idleAfterBytes.delete(socket) })
+    connections.set(socket, { openRequests: 0, bytesRead: 0 })
+    socket.on('close', () => { connections.delete(socket) })
   })
   setLimits(DEFAULT_LIMITS)
 
@@ -185,7 +197,9 @@
     // Both `close` and `closeIdleConnections` of an HTTP server destroy connections whose answers have ended and are not written yet.
     stopListening: () => { SocketServer.prototype.close.call(server) },
     closeIdle () {
-      for (const [socket, bytes] of idleAfterBytes) if (socket.bytesRead === bytes) socket.destroySoon()
+      for (const [socket, { openRequests, bytesRead }] of connections) {
+        if (openRequests === 0 && socket.bytesRead === bytesRead) socket.destroySoon()
+      }
     }
   }
 }
--- a/packages/relay/test/connection/callers.spec.ts
+++ b/packages/relay/test/connection/callers.spec.ts
@@ -130,6 +130,27 @@
   listener.server.closeAllConnections()
 })
 
+callers('a stopping process keeps a connection on which a second request was sent before the answer to the first one', async () => {
+  const answers: Array<() => void> = []
+  const listener = createCallerListener(async ({ response }) => {
+    answers.push(() => { response.end('ok') })
+  }, error => { throw error })
+  await new Promise<void>(resolve => { listener.server.listen(0, '127.0.0.1', resolve) })
+  const socket = connect((listener.server.address() as AddressInfo).port, '127.0.0.1')
+  let received = ''
+  socket.on('data', chunk => { received += String(chunk) })
+  socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(2))
+  while (answers.length < 2) await new Promise(resolve => { setTimeout(resolve, 5) })
+  answers[0]!()
+  await new Promise(resolve => { setTimeout(resolve, 50) })
+  listener.closeIdle()
+  answers[1]!()
+  await new Promise(resolve => { setTimeout(resolve, 50) })
+  assert.is(received.split('HTTP/1.1 200').length, 3)
+  socket.destroy()
+  listener.server.close()
+})
+
 const CONNECTIONS: Array<{ name: string, sent: string, isClosed: boolean }> = [
   { name: 'on which nothing has arrived', sent: '', isClosed: true },
   { name: 'after its answer', sent: 'GET / HTTP/1.1\r\nHost: a\r\n\r\n', isClosed: true },
