Tell less of the losses within answers

Cause: a target that ends breaks all its answers, each with parts of its own; 24 subjects were told to four peers five times a second, for as long as they changed. Small VMs lack the processor time.

Change: six subjects, the strongest first, to two peers; a loss that decides something is told to 24 peers on its own channel only.

Failed try: to one peer, evidence did not reach all of 461 VMs within the contact bound in content-records.spec.

--- a/packages/relay/src/process/suspicion/content-quarantine.ts
+++ b/packages/relay/src/process/suspicion/content-quarantine.ts
@@ -87,8 +87,8 @@
    * @returns whether there was any.
    */
   lift: (kind: SubjectKind, service: string, subject: string) => boolean
-  /** Registers a listener that is called when this VM itself has noticed a loss that peers need to know of at once. */
-  onLoss: (listener: () => void) => void
+  /** Registers a listener for losses noticed by this VM that peers need to know of at once; it gets a kind that the loss concerns. */
+  onLoss: (listener: (kind: SubjectKind) => void) => void
 }
 
 /** Maximum number of subjects of one kind with evidence. */
@@ -145,7 +145,7 @@
   const proofs: Record<Proof, Proofs> = {
     [Proof.Begin]: { byPart: new Map(), last: new Map() }, [Proof.Completion]: { byPart: new Map(), last: new Map() }
   }
-  const listeners: Array<() => void> = []
+  const listeners: Array<(kind: SubjectKind) => void> = []
 
   function keyOf (service: string, subject: string): string {
     return `${service} ${subject}`
@@ -355,7 +355,7 @@
       add(ofRequest, service, digest(), evidenceOf({ ...loss, hasHead: false, companions: [] }), 'loss')
       // All answers of a target break at the same moment. Unless the loss decides something, the next periodic messages tell of it.
       if (hasEvents && mayRepeat(content)) return
-      for (const listener of listeners) listener()
+      for (const listener of listeners) listener(ofPart)
     },
     learn ({ kind, service, subject, evidence }) {
       add(kind, service, subject, evidence, 'peer')
--- a/packages/relay/src/process/suspicion/content-records.ts
+++ b/packages/relay/src/process/suspicion/content-records.ts
@@ -35,17 +35,26 @@
   nextFloat: () => number
 }
 
+/** How one sort of evidence is told. */
+interface EvidenceChannel {
+  kinds: ReadonlySet<SubjectKind>
+  /** Maximum number of subjects in one datagram. */
+  maximumTold: number
+  /** Number of peers that changed evidence is told to each time. */
+  changedFanout: number
+}
+
 /**
- * Notifications that tell evidence, by the kinds of it. Processes of earlier builds refuse a notification with a kind that they do not know
- * as a whole, so later kinds have one of their own, which these processes ignore.
+ * Channels by their notification. Processes of earlier builds refuse a notification with a kind that they do not know as a whole, so later
+ * kinds have one of their own, which these processes ignore. A target that ends breaks all its answers, so that there is much evidence of
+ * losses within answers; little of it is told at once, the strongest first.
  */
-const EVIDENCE_METHODS: Record<string, ReadonlySet<SubjectKind>> = {
-  'prompt-evidence': new Set([SubjectKind.PromptPart, SubjectKind.Request]),
-  'answer-evidence': new Set([SubjectKind.AnsweredPromptPart, SubjectKind.AnsweredRequest])
+const CHANNELS: Record<string, EvidenceChannel> = {
+  'prompt-evidence': { kinds: new Set([SubjectKind.PromptPart, SubjectKind.Request]), maximumTold: 24, changedFanout: 4 },
+  'answer-evidence': { kinds: new Set([SubjectKind.AnsweredPromptPart, SubjectKind.AnsweredRequest]), maximumTold: 6, changedFanout: 2 }
 }
-/** Interval at which changed evidence is told, milliseconds, and the number of peers each time. */
+/** Interval at which changed evidence is told, milliseconds. */
 const CHANGED_INTERVAL_MILLISECONDS = 200
-const CHANGED_FANOUT = 4
 /** Evidence counts as changed for this time, milliseconds: a few times longer than a change takes to reach a large fleet. */
 const CHANGED_MILLISECONDS = 1500
 /** Interval at which all evidence is told, for processes that have started since, milliseconds, and the number of peers each time. */
@@ -53,8 +62,6 @@
 const ALL_FANOUT = 2
 /** Number of peers that are told of a loss at once. */
 const LOSS_FANOUT = 24
-/** Maximum number of subjects in one datagram. */
-const MAXIMUM_TOLD = 24
 /** Length of the digest in a key: short enough for the store's limit, long enough that no two subjects share one. */
 const KEY_DIGEST_CHARACTERS = 32
 /** Interval at which records that the store lacks are written, milliseconds. */
@@ -95,22 +102,21 @@
   const storedKeys = new Set<string>()
   const beingWritten = new Set<string>()
 
-  for (const method of Object.keys(EVIDENCE_METHODS)) {
+  for (const method of Object.keys(CHANNELS)) {
     link.on(method, parameters => {
       for (const told of decode(messageSchema.parse(parameters), 0)) quarantine.learn(told)
     })
   }
-  quarantine.onLoss(() => tell(CHANGED_MILLISECONDS, LOSS_FANOUT))
+  quarantine.onLoss(kind => tell(CHANGED_MILLISECONDS, ({ kinds }) => kinds.has(kind) ? LOSS_FANOUT : 0))
 
-  function tell (changedWithin: number, fanout: number): void {
+  function tell (changedWithin: number, fanoutOf: (channel: EvidenceChannel) => number): void {
     const told = quarantine.tell(changedWithin)
-    if (told.length === 0) return
-    const receivers = peers.sample(fanout)
-    for (const [method, kinds] of Object.entries(EVIDENCE_METHODS)) {
-      const ofMethod = told.filter(({ kind }) => kinds.has(kind)).slice(0, MAXIMUM_TOLD)
-      if (ofMethod.length === 0) continue
-      const message = encode(ofMethod)
-      for (const { address } of receivers) link.notify(address, method, message)
+    for (const [method, channel] of Object.entries(CHANNELS)) {
+      const ofChannel = told.filter(({ kind }) => channel.kinds.has(kind)).slice(0, channel.maximumTold)
+      const fanout = fanoutOf(channel)
+      if (ofChannel.length === 0 || fanout === 0) continue
+      const message = encode(ofChannel)
+      for (const { address } of peers.sample(fanout)) link.notify(address, method, message)
     }
   }
 
@@ -142,8 +148,8 @@
 
   return {
     start () {
-      repeatInBackground(CHANGED_INTERVAL_MILLISECONDS, signal, () => tell(CHANGED_MILLISECONDS, CHANGED_FANOUT))
-      repeatInBackground(ALL_INTERVAL_MILLISECONDS, signal, () => tell(Infinity, ALL_FANOUT))
+      repeatInBackground(CHANGED_INTERVAL_MILLISECONDS, signal, () => tell(CHANGED_MILLISECONDS, ({ changedFanout }) => changedFanout))
+      repeatInBackground(ALL_INTERVAL_MILLISECONDS, signal, () => tell(Infinity, () => ALL_FANOUT))
       repeatInBackground(WRITE_INTERVAL_MILLISECONDS, signal, () => { void writeMissing() })
     },
     put ({ key, value }) {
