--- a/packages/relay/test/crashing-prompt-part.spec.ts
+++ b/packages/relay/test/crashing-prompt-part.spec.ts
@@ -87,7 +87,8 @@
       for (let round = 0; round < BAD_REQUESTS; round++) {
         const common = `common-${round % 2}`
         const bad = await fleet.call(round % VMS, { 'X-Parts': `${common},${BAD_PART},own-${round}` })
-        assert.ok([502, 503].includes(bad.status) || !bad.isComplete, `status ${bad.status}`)
+        const isCutOff = EVENTS_BEFORE[moment] > 0 && bad.status === 200 && !bad.isComplete
+        assert.ok([502, 503].includes(bad.status) || isCutOff, `status ${bad.status}`)
         for (let vm = 0; vm < VMS; vm++) {
           const sound = await fleet.call(vm, { 'X-Parts': `${common},own-${round}-${vm}` })
           assert.is(sound.status, 200, `a sound request at vm-${vm} in round ${round}`)
