Parse requests that are sent ahead a few at a time, on every listener

What callers saw: many requests sent ahead on a connection, their answers unread, ended the process: heap out of memory within seconds. It happened on each listener of both routers, with sound requests, with refused ones, and on those for metrics, readiness and status.

Cause: the HTTP server parses all requests in what it has read, up to 64 KiB at once, and hands each to a handler: thousands of them, with an answer each. It stops to read only once enough answers wait, and the block that it has then is parsed to its end. Change: a guard of the process, one for all its listeners, takes what a connection has sent and gives the parser one head at a time, and at most four requests before the first of them is answered; then the connection is not read until it has been. HTTP/1.1 allows to answer one after the other. What is parsed on after an answer waits for the other connections' turn. Heads are limited to the configured size and 4 KiB, unread bodies on listeners without bodies to 64 KiB. A request without a host gets 400 from the guard, no longer from the server, which answers such requests without a handler.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -20,7 +20,13 @@
 export { createVmListClient } from './platform/vm-list-client.js'
 export { destroyOnAbort, callJson, postStream, type JsonCallOptions } from './platform/http-json.js'
 export { findInvalidAnswerHead, findInvalidHeader } from './platform/invalid-head.js'
+export {
+  BODY_FAULT_STATUSES, GUARDED_SERVER_OPTIONS, createClientGuard, type ClientGuard, type ClientGuardOptions
+} from './listener/client-guard.js'
+export { ClientFault } from './listener/client-connection.js'
+export { BODILESS_LIMITS, type ClientLimits } from './listener/connection-limits.js'
 export { BodyResult, receiveBody, type BodyFault, type ReceivedBody } from './listener/receive-body.js'
+export { SLICE_BYTES, nextSliceLength } from './listener/request-slices.js'
 export { readAnswer, readBody } from './platform/read-body.js'
 export { sendRequest } from './platform/send-request.js'
 export { createLineReader, type LineReader } from './platform/line-reader.js'
--- /dev/null
+++ b/packages/protocol/src/listener/client-guard.ts
@@ -0,0 +1,119 @@
+/**
+ * Protects a process from clients that do not behave, on all its HTTP listeners: carries out what the limits and the memory budget decide.
+ */
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { Server as TlsServer } from 'node:tls'
+import { ClientFault, createClientConnection, type ClientConnection } from './client-connection.js'
+import type { ClientLimits } from './connection-limits.js'
+import { BodyResult, receiveBody, type BodyFault, type ReceivedBody } from './receive-body.js'
+
+/** Options of the guard of a process. */
+export interface ClientGuardOptions {
+  /** Called about once a second with the number of refused clients by fault, if there were any. */
+  onRefused?: (refused: ReadonlyMap<ClientFault, number>) => void
+}
+
+/** The headers and the body of a refusal. */
+export interface RefusalContent {
+  headers?: Record<string, string | number>
+  body?: string
+}
+
+/** The guard of a process. */
+export interface ClientGuard {
+  /** Handles the requests of a listener within limits. Called before it listens. */
+  protect: (server: Server, limits: () => ClientLimits, handle: RequestListener) => void
+  /**
+   * Receives the body of a request.
+   * @throws the error that broke the connection before the whole body arrived.
+   */
+  receive: (incoming: IncomingMessage, maximumBytes: number) => Promise<ReceivedBody>
+  /** Answers a request whose body may not have arrived, and closes the connection. */
+  refuse: (incoming: IncomingMessage, response: ServerResponse, status: number, content?: RefusalContent) => void
+  connections: () => number
+  /** Ends the reports. */
+  close: () => void
+}
+
+/** Options of an HTTP server that leave the check of the host to the guard. */
+export const GUARDED_SERVER_OPTIONS = { requireHostHeader: false } as const
+
+const CHECK_MILLISECONDS = 1000
+
+/** Statuses of the refusals of bodies that were not received. */
+export const BODY_FAULT_STATUSES: Record<BodyFault, number> = {
+  [BodyResult.TooLarge]: 413, [BodyResult.NoMemory]: 503, [BodyResult.TooSlow]: 408
+}
+/** Statuses by the code of the parser's error. */
+const PARSER_STATUSES: Record<string, number> = { HPE_HEADER_OVERFLOW: 431, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413 }
+
+/** Creates the guard of a process. */
+export function createClientGuard ({ onRefused = () => {} }: ClientGuardOptions = {}): ClientGuard {
+  const tables: Array<{ connections: Set<ClientConnection>, limits: () => ClientLimits }> = []
+  const bySocket = new WeakMap<Socket, ClientConnection>()
+  let refused = new Map<ClientFault, number>()
+  const timer = setInterval(check, CHECK_MILLISECONDS).unref()
+
+  function count (fault: ClientFault): void {
+    refused.set(fault, (refused.get(fault) ?? 0) + 1)
+  }
+
+  function check (): void {
+    if (refused.size === 0) return
+    onRefused(refused)
+    refused = new Map()
+  }
+
+  function accept (socket: Socket, connections: Set<ClientConnection>, limits: () => ClientLimits): void {
+    const connection = createClientConnection(socket, limits, count)
+    connections.add(connection)
+    bySocket.set(socket, connection)
+    socket.on('close', () => { connections.delete(connection) })
+  }
+
+  function refuse (
+    incoming: IncomingMessage, response: ServerResponse, status: number, { headers = {}, body = '' }: RefusalContent = {}
+  ): void {
+    if (response.headersSent || response.destroyed) {
+      response.destroy()
+      return
+    }
+    response.writeHead(status, { ...headers, 'Content-Length': Buffer.byteLength(body), Connection: 'close' })
+    response.end(body)
+  }
+
+  function onParserError (error: NodeJS.ErrnoException, socket: Socket, isAnswered: boolean): void {
+    const connection = bySocket.get(socket)
+    if (error.code === 'ECONNRESET' || connection === undefined) {
+      socket.destroy()
+      return
+    }
+    count(ClientFault.Malformed)
+    if (!isAnswered) connection.refuseHead(PARSER_STATUSES[error.code ?? ''] ?? 400)
+  }
+
+  return {
+    protect (server, limits, handle) {
+      const connections = new Set<ClientConnection>()
+      tables.push({ connections, limits })
+      const hasParserErrors = server.listenerCount('clientError') > 0
+      server.on('clientError', (error, socket) => onParserError(error, socket as Socket, hasParserErrors))
+      server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', (socket: Socket) => accept(socket, connections, limits))
+      server.on('request', (incoming, response) => {
+        bySocket.get(incoming.socket)?.begin(incoming, response)
+        const isHostMissing = incoming.headers.host === undefined && incoming.httpVersion === '1.1'
+        if (isHostMissing) refuse(incoming, response, 400)
+        else handle(incoming, response)
+      })
+      server.on('checkExpectation', (incoming, response) => {
+        bySocket.get(incoming.socket)?.begin(incoming, response)
+        refuse(incoming, response, 417)
+      })
+    },
+    receive: receiveBody,
+    refuse,
+    connections: () => tables.reduce((sum, { connections }) => sum + connections.size, 0),
+    close: () => clearInterval(timer)
+  }
+}
--- /dev/null
+++ b/packages/protocol/test/listener/client-guard.spec.ts
@@ -0,0 +1,76 @@
+/**
+ * A guarded listener on the loopback address before single clients, without load.
+ */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { connect, type AddressInfo } from 'node:net'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { BODY_FAULT_STATUSES, BodyResult, GUARDED_SERVER_OPTIONS, createClientGuard, type ClientLimits } from '@wigeonlead/protocol'
+
+const BODY_BYTES = 100_000
+const LIMITS: ClientLimits = { headBytes: 2000 }
+/** Longer than any limit, its slack and the interval of the checks. */
+const EXCHANGE_MILLISECONDS = 6000
+
+interface GuardCase {
+  name: string
+  /** Parts that the client sends, one after the other. */
+  sent: string[]
+  /** What the client receives until the connection ends, with the rest of each answer left out. */
+  statuses: number[]
+}
+
+const HEAD = 'POST / HTTP/1.1\r\nHost: a\r\n'
+const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`
+const LAST_REQUEST = `${HEAD}Content-Length: 1\r\nConnection: close\r\n\r\nx`
+
+const CASES: GuardCase[] = [
+  { name: 'a body of the full size', sent: [`${HEAD}Content-Length: ${BODY_BYTES}\r\nConnection: close\r\n\r\n`, 'x'.repeat(BODY_BYTES)], statuses: [200] },
+  { name: 'a body in chunks of one byte', sent: [`${HEAD}Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n`, chunk('x').repeat(5000), '0\r\n\r\n'], statuses: [200] },
+  { name: 'requests that are sent ahead are all answered', sent: [`${HEAD}Content-Length: 1\r\n\r\nx`.repeat(500) + LAST_REQUEST], statuses: Array(501).fill(200) },
+  { name: 'a head over the limit', sent: [`${HEAD}Long: ${'x'.repeat(5000)}\r\n\r\n`], statuses: [431] },
+  { name: 'no HTTP', sent: ['nonsense\r\n\r\n'], statuses: [400] },
+  { name: 'no host', sent: ['GET / HTTP/1.1\r\n\r\n'], statuses: [400] },
+  { name: 'an expectation that is not known', sent: [`${HEAD}Expect: more\r\n\r\n`], statuses: [417] },
+]
+
+const guarded = suite('guarded listener')
+
+for (const { name, sent, statuses } of CASES) {
+  guarded(`${name}: ${[...new Set(statuses)].join() || 'closed'}`, async () => {
+    const guard = createClientGuard()
+    const server = createServer({ ...GUARDED_SERVER_OPTIONS })
+    guard.protect(server, () => LIMITS, (incoming: IncomingMessage, response: ServerResponse) => {
+      guard.receive(incoming, BODY_BYTES).then(received => {
+        if (received.result === BodyResult.Complete) response.end()
+        else guard.refuse(incoming, response, BODY_FAULT_STATUSES[received.result])
+      }, () => response.destroy())
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const text = await exchange((server.address() as AddressInfo).port, sent).finally(() => {
+      guard.close()
+      server.close()
+      server.closeAllConnections()
+    })
+    assert.equal([...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => Number(status)), statuses)
+    assert.is(guard.connections(), 0)
+  })
+}
+
+/** Sends all parts before it reads, and returns what has arrived when the connection has ended. */
+async function exchange (port: number, sent: string[]): Promise<string> {
+  const socket = connect(port, '127.0.0.1')
+  const timer = setTimeout(() => socket.destroy(), EXCHANGE_MILLISECONDS)
+  socket.on('error', () => {})
+  const closed = new Promise<void>(resolve => { socket.on('close', () => resolve()) })
+  for (const part of sent) await new Promise<void>(resolve => { socket.write(part, () => resolve()) })
+  let text = ''
+  socket.on('data', bytes => { text += bytes.toString('latin1') })
+  await closed
+  clearTimeout(timer)
+  // The server learns of the end a moment later.
+  await new Promise(resolve => { setTimeout(resolve, 50) })
+  return text
+}
+
+guarded.run()
--- a/packages/relay/src/connection/callers.ts
+++ b/packages/relay/src/connection/callers.ts
@@ -4,7 +4,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as SocketServer, type Socket } from 'node:net'
 import { setImmediate as nextTurn } from 'node:timers/promises'
-import { findInvalidHeader, readBody } from '@wigeonlead/protocol'
+import {
+  BODY_FAULT_STATUSES, BodyResult, GUARDED_SERVER_OPTIONS, createClientGuard, findInvalidHeader, type ClientGuard, type ClientLimits,
+  type ReceivedBody
+} from '@wigeonlead/protocol'
 import type { CallerLimits } from '../version/configuration.js'
 import { presentInstant, type Instant } from '../process/instant.js'
 import { watchTurns } from './late-turns.js'
@@ -82,23 +85,36 @@
 const IDLE_SLACK_MILLISECONDS = 1000
 /** Retry delay sent by a stopping vm, seconds: another vm can serve the caller at once. */
 const STOPPING_RETRY_SECONDS = 0.05
+/** What a head has beside the bytes that count for its limit, bytes: the method, the version and separators. */
+const HEAD_SLACK_BYTES = 4096
 const DEFAULT_LIMITS: CallerLimits = {
   headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMilliseconds: 3000, idleTimeoutMilliseconds: 15_000
 }
 
+/** Options of a listener. */
+export interface CallerListenerOptions {
+  /** Whether its callers are peers that hand requests over; false by default. */
+  isHandedOver?: boolean
+  /** The guard of the process; by default, one of this listener. */
+  guard?: ClientGuard
+}
+
 /**
  * Creates the listener; it does not listen yet.
  * @param onFault called with errors that the handler throws.
- * @param isHandedOver whether its callers are peers that hand requests over.
  */
-export function createCallerListener (handle: ExchangeHandler, onFault: (error: unknown) => void, isHandedOver = false): CallerListener {
+export function createCallerListener (
+  handle: ExchangeHandler, onFault: (error: unknown) => void,
+  { isHandedOver = false, guard = createClientGuard() }: CallerListenerOptions = {}
+): CallerListener {
   let limits = DEFAULT_LIMITS
   let isClosing = false
   let isRefusing = false
   const openRequests = new Set<OpenRequest>()
   const connections = new Map<Socket, ConnectionUse>()
   const turns = watchTurns()
-  const server = createServer({ maxHeaderSize: HEAD_BYTES_LIMIT, noDelay: true, requestTimeout: 0 }, (incoming, response) => {
+  const server = createServer({ ...GUARDED_SERVER_OPTIONS, maxHeaderSize: HEAD_BYTES_LIMIT, noDelay: true, requestTimeout: 0 })
+  guard.protect(server, clientLimits, (incoming, response) => {
     const { socket } = incoming
     const open: OpenRequest = { response, callerLeft: new AbortController() }
     openRequests.add(open)
@@ -127,19 +143,23 @@
 
   async function serve (incoming: IncomingMessage, open: OpenRequest): Promise<void> {
     const { response, callerLeft } = open
+    const refuse = (status: number): void => {
+      openRequests.delete(open)
+      guard.refuse(incoming, response, status)
+    }
     if (isRefusing) return endWithStatus(response, 503, STOPPING_RETRY_SECONDS)
-    if (countHeadBytes(incoming) > limits.headerBytes) return endWithStatus(response, 431)
-    if (findInvalidHeader(incoming.rawHeaders) !== undefined) return endWithStatus(response, 400)
-    let body: Buffer | undefined
+    if (countHeadBytes(incoming) > limits.headerBytes) return refuse(431)
+    if (findInvalidHeader(incoming.rawHeaders) !== undefined) return refuse(400)
+    let received: ReceivedBody
     try {
-      body = await readBody(incoming, limits.bodyBytes)
+      received = await guard.receive(incoming, limits.bodyBytes)
     } catch {
       // The caller aborted its request: no one is left to answer.
       response.destroy()
       return
     }
     if (response.writableEnded) return
-    if (body === undefined) return endWithStatus(response, 413)
+    if (received.result !== BodyResult.Complete) return refuse(BODY_FAULT_STATUSES[received.result])
     if (isRefusing) return endWithStatus(response, 503, STOPPING_RETRY_SECONDS)
     const arrivedAt = presentInstant()
     if (turns.wasLate() && await hasLeft(incoming)) {
@@ -152,7 +172,7 @@
       host: incoming.headers.host ?? '',
       headers: incoming.headers,
       rawHeaders: incoming.rawHeaders,
-      body,
+      body: received.body,
       arrivedAt,
       isHandedOver,
       callerLeft: callerLeft.signal,
@@ -187,6 +207,12 @@
     server.headersTimeout = next.headerTimeoutMilliseconds
   }
 
+  function clientLimits (): ClientLimits {
+    return {
+      headBytes: limits.headerBytes + HEAD_SLACK_BYTES
+    }
+  }
+
   return {
     server,
     setLimits,
--- a/packages/relay/src/connection/index.ts
+++ b/packages/relay/src/connection/index.ts
@@ -11,4 +11,4 @@
 export { SendResult, createTargetClient, type SendOutcome, type TargetCall, type TargetClient, type TargetStates } from './target-client.js'
 export { createMessageAssembly, splitMessage, type MessageAssembly, type MessagePart } from './message-parts.js'
 export { createPeerLink, type PeerLink } from './peer-link.js'
-export { createCallerListener, type CallerListener, type Exchange, type ExchangeHandler } from './callers.js'
+export { createCallerListener, type CallerListener, type CallerListenerOptions, type Exchange, type ExchangeHandler } from './callers.js'
--- a/packages/relay/src/process/operators-listener.ts
+++ b/packages/relay/src/process/operators-listener.ts
@@ -2,7 +2,8 @@
  * The listener for operators: metrics, the quarantine of parts of prompts and of requests, the shares of the failure domains, and
  * where a request would go.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, type Server, type ServerResponse } from 'node:http'
+import { BODILESS_LIMITS, GUARDED_SERVER_OPTIONS, createClientGuard } from '@wigeonlead/protocol'
 import type { Metrics } from 'wigeonlead'
 import { readRouteQuestion, type RouteExplanation, type RouteFault, type RouteQuestion } from '../request/explain-route.js'
 import { SubjectKind } from './suspicion/content-evidence.js'
@@ -41,15 +42,20 @@
   }
 }
 
-/** Creates the listener. It must only be reachable for operators. */
-export function createOperatorsListener (view: OperatorsView): Server {
-  return createServer((incoming: IncomingMessage, response) => {
+/**
+ * Creates the listener. It must only be reachable for operators.
+ * @param guard the guard of the process; by default, one of this listener.
+ */
+export function createOperatorsListener (view: OperatorsView, guard = createClientGuard()): Server {
+  const server = createServer({ ...GUARDED_SERVER_OPTIONS })
+  guard.protect(server, () => BODILESS_LIMITS, (incoming, response) => {
     const [path, query] = (incoming.url ?? '').split('?', 2)
     const handler = HANDLERS[`${incoming.method} ${path}`]
     if (handler !== undefined) return handler(view, new URLSearchParams(query), response)
     response.setHeader('Content-Type', 'text/plain; version=0.0.4')
     response.end(view.metrics.render())
   })
+  return server
 }
 
 function sendJson (response: ServerResponse, status: number, value: unknown): void {
--- a/packages/relay/src/process/relay-log.ts
+++ b/packages/relay/src/process/relay-log.ts
@@ -64,6 +64,8 @@
   StreamResumed = 'stream-resumed',
   StreamMoved = 'stream-moved',
   StreamStalled = 'stream-stalled',
+  /** Clients were refused, or their connections closed, because they do not keep to the limits; at most once a second. */
+  ClientsRefused = 'clients-refused',
   InternalFault = 'internal-fault',
   LinesDropped = 'lines-dropped'
 }
--- a/packages/relay/src/process/serve.ts
+++ b/packages/relay/src/process/serve.ts
@@ -2,6 +2,7 @@
  * Runs a relay process on sockets: opens its listeners and shuts it down gracefully.
  */
 import { createServer, type Server } from 'node:http'
+import { BODILESS_LIMITS, GUARDED_SERVER_OPTIONS, createClientGuard, type ClientGuard } from '@wigeonlead/protocol'
 import { pauseInBackground } from 'wigeonlead'
 import { splitAddress } from '../connection/address.js'
 import { createCallerListener, type EndedRequests } from '../connection/callers.js'
@@ -42,15 +43,17 @@
   const reportFault = (error: unknown): void => {
     log.warn(RelayEvent.InternalFault, { reason: (error as Error).stack?.slice(0, 500) ?? String(error) })
   }
-  const callers = createCallerListener(relay.handle, reportFault)
-  const handedOver = createCallerListener(relay.handle, reportFault, true)
+  const guard = createClientGuard({ onRefused: refused => log.warn(RelayEvent.ClientsRefused, Object.fromEntries(refused)) })
+  relay.metrics.gauge('client_connections', guard.connections)
+  const callers = createCallerListener(relay.handle, reportFault, { guard })
+  const handedOver = createCallerListener(relay.handle, reportFault, { guard, isHandedOver: true })
   const listeners = [callers, handedOver]
   relay.configurationState.onChange(({ configuration: { limits } }) => {
     callers.setLimits(limits)
     handedOver.setLimits({ ...limits, headerBytes: limits.headerBytes + ADDED_HEADER_BYTES })
   })
-  const readiness = createStatusListener(ports.dialect.readinessPath, () => relay.isReady() ? READY_STATUS : NOT_READY_STATUS)
-  const metrics = createOperatorsListener(relay)
+  const readiness = createStatusListener(guard, ports.dialect.readinessPath, () => relay.isReady() ? READY_STATUS : NOT_READY_STATUS)
+  const metrics = createOperatorsListener(relay, guard)
   await Promise.all([
     link.open(settings.listen.peers),
     listen(callers.server, settings.listen.callers),
@@ -92,6 +95,7 @@
       milliseconds: Math.round(performance.now() - startedAt)
     })
     relay.stop()
+    guard.close()
     for (const server of [...listeners.map(listener => listener.server), readiness, metrics]) server.closeAllConnections()
     markStopped()
   }
@@ -103,11 +107,13 @@
   return ended.reduce((sum, ofListener) => sum + ofListener[end], 0)
 }
 
-function createStatusListener (path: string, status: () => number): Server {
-  return createServer((incoming, response) => {
+function createStatusListener (guard: ClientGuard, path: string, status: () => number): Server {
+  const server = createServer({ ...GUARDED_SERVER_OPTIONS })
+  guard.protect(server, () => BODILESS_LIMITS, (incoming, response) => {
     response.writeHead(incoming.url === path ? status() : 404, { 'Content-Length': 0 })
     response.end()
   })
+  return server
 }
 
 function listen (server: Server, address: string): Promise<void> {
--- a/packages/relay/test/fleet.ts
+++ b/packages/relay/test/fleet.ts
@@ -144,7 +144,8 @@
       nextFloat: seed === undefined ? undefined : createSeededRandom(seed + names.indexOf(name)).nextFloat
     })
     const onFault = (error: unknown): never => { throw error }
-    const [callers, handedOver] = [createCallerListener(relay.handle, onFault), createCallerListener(relay.handle, onFault, true)]
+    const callers = createCallerListener(relay.handle, onFault)
+    const handedOver = createCallerListener(relay.handle, onFault, { isHandedOver: true })
     const address = await listen(callers.server, '127.0.0.1')
     await listen(handedOver.server, ...splitAddress(peerAddress))
     relay.start()
--- a/packages/wigeonlead/src/connection/callers.ts
+++ b/packages/wigeonlead/src/connection/callers.ts
@@ -3,17 +3,26 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { ProblemType, createProblem, readBody, type Problem } from '@wigeonlead/protocol'
+import {
+  BodyResult, GUARDED_SERVER_OPTIONS, ProblemType, createClientGuard, createProblem, type BodyFault, type ClientGuard, type Problem
+} from '@wigeonlead/protocol'
 import { problemResponse, type CallerHandler, type CallerResponse } from '../request/index.js'
 import type { Settings } from '../process/settings.js'
 import { flattenHeaders } from './headers.js'
 
 const KEEP_ALIVE_MILLISECONDS = 60_000
+const HEAD_SLACK_BYTES = 4096
+/** Retry delay of a request that was refused for want of memory, seconds. */
+const RETRY_SECONDS = 1
 const TIMEOUT_CHECK_INTERVAL_MILLISECONDS = 500
 
-/** Creates the callers' listener without opening its port. */
-export function createCallerListener (limits: Settings['callers'], handle: CallerHandler): Server {
+/**
+ * Creates the callers' listener without opening its port.
+ * @param guard the guard of the process; by default, one of this listener.
+ */
+export function createCallerListener (limits: Settings['callers'], handle: CallerHandler, guard = createClientGuard()): Server {
   const options = {
+    ...GUARDED_SERVER_OPTIONS,
     maxHeaderSize: limits.maximumHeaderBytes,
     headersTimeout: limits.headerTimeoutMilliseconds,
     requestTimeout: limits.requestTimeoutMilliseconds,
@@ -21,33 +30,48 @@
     keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
     noDelay: true
   }
-  const server = createServer(options, (request, response) => {
-    serve(limits, handle, request, response).catch(() => response.destroy())
-  })
+  const server = createServer(options)
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuseConnection(error, socket as Socket))
+  const clientLimits = {
+    // The parser refuses a head over the limit, with a problem document.
+    headBytes: limits.maximumHeaderBytes + HEAD_SLACK_BYTES
+  }
+  guard.protect(server, () => clientLimits, (request, response) => {
+    serve(limits, handle, guard, request, response).catch(() => response.destroy())
+  })
   return server
 }
 
 async function serve (
-  limits: Settings['callers'], handle: CallerHandler, request: IncomingMessage, response: ServerResponse
+  limits: Settings['callers'], handle: CallerHandler, guard: ClientGuard, request: IncomingMessage, response: ServerResponse
 ): Promise<void> {
   const disconnect = new AbortController()
   response.on('close', () => {
     if (!response.writableFinished) disconnect.abort()
   })
-  const body = await readBody(request, limits.maximumBodyBytes)
-  if (body === undefined) {
-    response.setHeader('connection', 'close')
-    const problem = createProblem(ProblemType.BodyTooLarge, `the body is over ${limits.maximumBodyBytes} bytes`)
-    await write(response, problemResponse(problem))
-    return
+  const received = await guard.receive(request, limits.maximumBodyBytes)
+  if (received.result !== BodyResult.Complete) {
+    const { status, headers, body } = problemResponse(BODY_PROBLEMS[received.result](limits))
+    return guard.refuse(request, response, status, { headers, body: body as string })
   }
   const answer = await handle({
-    method: request.method ?? 'GET', url: request.url ?? '/', headers: flattenHeaders(request.headers), body, signal: disconnect.signal
+    method: request.method ?? 'GET',
+    url: request.url ?? '/',
+    headers: flattenHeaders(request.headers),
+    body: received.body,
+    signal: disconnect.signal
   })
   await write(response, answer)
 }
 
+const BODY_PROBLEMS: Record<BodyFault, (limits: Settings['callers']) => Problem> = {
+  [BodyResult.TooLarge]: limits => createProblem(ProblemType.BodyTooLarge, `the body is over ${limits.maximumBodyBytes} bytes`),
+  [BodyResult.NoMemory]: () => createProblem(ProblemType.Overloaded, 'the requests in flight hold all the memory for requests', {
+    retryAfterSeconds: RETRY_SECONDS
+  }),
+  [BodyResult.TooSlow]: () => createProblem(ProblemType.RequestTimeout, 'the body made no progress within the time limit')
+}
+
 async function write (response: ServerResponse, answer: CallerResponse): Promise<void> {
   response.writeHead(answer.status, answer.headers)
   if (typeof answer.body === 'string' || answer.body instanceof Uint8Array) {
--- a/packages/wigeonlead/src/connection/operators.ts
+++ b/packages/wigeonlead/src/connection/operators.ts
@@ -3,7 +3,9 @@
  */
 import { createHash } from 'node:crypto'
 import { createServer, type Server } from 'node:http'
-import type { BurnReport, NodeStatus } from '@wigeonlead/protocol'
+import {
+  BODILESS_LIMITS, GUARDED_SERVER_OPTIONS, createClientGuard, type BurnReport, type NodeStatus
+} from '@wigeonlead/protocol'
 
 /** Data that the operators' listener serves. */
 export interface OperatorViews {
@@ -31,9 +33,11 @@
 /**
  * Creates the operators' listener without opening its port.
  * @param tokenDigests SHA-256 digests of the accepted bearer tokens, lower-case hexadecimal.
+ * @param guard the guard of the process; by default, one of this listener.
  */
-export function createOperatorListener (tokenDigests: string[], views: OperatorViews): Server {
-  return createServer((request, response) => {
+export function createOperatorListener (tokenDigests: string[], views: OperatorViews, guard = createClientGuard()): Server {
+  const server = createServer({ ...GUARDED_SERVER_OPTIONS })
+  guard.protect(server, () => BODILESS_LIMITS, (request, response) => {
     const path = (request.url ?? '/').split('?')[0] ?? '/'
     const isPublic = Object.hasOwn(PUBLIC_VIEWS, path)
     const view = isPublic ? PUBLIC_VIEWS[path] : Object.hasOwn(AUTHENTICATED_VIEWS, path) ? AUTHENTICATED_VIEWS[path] : undefined
@@ -46,6 +50,7 @@
       response.writeHead(status, { 'content-type': type }).end(body)
     }
   })
+  return server
 }
 
 function isAuthorized (tokenDigests: string[], authorization: string | undefined): boolean {
--- a/packages/wigeonlead/src/connection/peers/listener.ts
+++ b/packages/wigeonlead/src/connection/peers/listener.ts
@@ -3,7 +3,7 @@
  */
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
-import { readBody } from '@wigeonlead/protocol'
+import { BodyResult, GUARDED_SERVER_OPTIONS, type ClientGuard, type ClientLimits } from '@wigeonlead/protocol'
 import { bodyHeaders, encodeBody, decodeBody, receivedBody } from './body.js'
 import { SIGNATURE_HEADER, type PeerLimits, type PeerTlsCredentials, type TrafficCounter } from './shared.js'
 import { SignatureCheck, type SignedRequest, type Signer } from './signature.js'
@@ -17,6 +17,7 @@
   limits: PeerLimits
   traffic: TrafficCounter
   tls?: PeerTlsCredentials
+  guard: ClientGuard
   handleRequest: PeerRequestHandler
   /** Called with the address of a refused caller and the reason. */
   onRefused: (peer: string, reason: string) => void
@@ -31,14 +32,18 @@
 const HEADERS_TIMEOUT_MILLISECONDS = 5000
 const REQUEST_TIMEOUT_MILLISECONDS = 10_000
 const KEEP_ALIVE_MILLISECONDS = 60_000
+const CLIENT_LIMITS: ClientLimits = { headBytes: 16_384 }
 const REPORT_INTERVAL_MILLISECONDS = 1000
 const MAXIMUM_REPORTED_PEERS = 256
 
 /** Creates the listener without opening its port. */
 export function createPeerListener (dependencies: PeerListenerDependencies): Server {
-  const { signer, limits, traffic, tls } = dependencies
-  const timeouts = {
-    headersTimeout: HEADERS_TIMEOUT_MILLISECONDS, requestTimeout: REQUEST_TIMEOUT_MILLISECONDS, keepAliveTimeout: KEEP_ALIVE_MILLISECONDS
+  const { signer, limits, traffic, tls, guard } = dependencies
+  const options = {
+    ...GUARDED_SERVER_OPTIONS,
+    headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
+    requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS
   }
   const reportedAt = new Map<string, number>()
   let callsInFlight = 0
@@ -54,9 +59,9 @@
 
   async function reply (incoming: IncomingMessage): Promise<Reply> {
     const peer = incoming.socket.remoteAddress ?? 'unknown'
-    const content = await readBody(incoming, limits.maximumMessageBytes)
-    if (content === undefined) throw new Error('the message is too large')
-    const body = receivedBody(content, incoming.headers)
+    const received = await guard.receive(incoming, limits.maximumMessageBytes)
+    if (received.result !== BodyResult.Complete) throw new Error(`the message was not received: ${received.result}`)
+    const body = receivedBody(received.body, incoming.headers)
     const header = incoming.headers[SIGNATURE_HEADER]
     const { check, request } = signer.checkRequest(typeof header === 'string' ? header : undefined, body.bytes)
     if (check === SignatureCheck.OffTime) return { status: 409, body: JSON.stringify({ nowMilliseconds: Date.now() }), request }
@@ -84,10 +89,15 @@
   const listener: RequestListener = (incoming, response) => {
     reply(incoming).then(answer => write(response, answer), () => response.destroy())
   }
-  if (tls === undefined) return createServer(timeouts, listener)
+  if (tls === undefined) return protect(createServer(options))
   const server = createTlsServer({
-    ...timeouts, cert: tls.certificate, key: tls.key, ca: tls.authority, requestCert: true, rejectUnauthorized: true
-  }, listener)
+    ...options, cert: tls.certificate, key: tls.key, ca: tls.authority, requestCert: true, rejectUnauthorized: true
+  })
   server.on('tlsClientError', (error, socket) => report(socket.remoteAddress ?? 'unknown', error.message))
-  return server
+  return protect(server)
+
+  function protect (server: Server): Server {
+    guard.protect(server, () => CLIENT_LIMITS, listener)
+    return server
+  }
 }
--- a/packages/wigeonlead/src/connection/peers/peers.ts
+++ b/packages/wigeonlead/src/connection/peers/peers.ts
@@ -4,7 +4,8 @@
 import type { Server } from 'node:http'
 import { JSONRPCErrorCode, JSONRPCServer, createJSONRPCErrorResponse, createJSONRPCRequest, type JSONRPCResponse } from 'json-rpc-2.0'
 import {
-  FailureKind, Step, failed, success, type PeerHandler, type PeerHandlers, type PeerMethod, type PeerPort
+  FailureKind, Step, createClientGuard, failed, success, type ClientGuard, type PeerHandler, type PeerHandlers, type PeerMethod,
+  type PeerPort
 } from '@wigeonlead/protocol'
 import { createPeerSender } from './client.js'
 import { createPeerListener } from './listener.js'
@@ -22,6 +23,8 @@
   tls?: PeerTlsCredentials
   /** Limits that replace the default ones. */
   limits?: Partial<PeerLimits>
+  /** The guard of the process; by default, one of the listener for peers. */
+  guard?: ClientGuard
   /** Called with the address of a refused caller and the reason, at most once a second for each address. */
   onRefused?: (peer: string, reason: string) => void
 }
@@ -49,7 +52,13 @@
 
   return {
     listener: createPeerListener({
-      signer, limits, traffic, tls: options.tls, handleRequest, onRefused: options.onRefused ?? (() => {})
+      signer,
+      limits,
+      traffic,
+      tls: options.tls,
+      guard: options.guard ?? createClientGuard(),
+      handleRequest,
+      onRefused: options.onRefused ?? (() => {})
     }),
     traffic: traffic.counts,
     serve: handlers => { server = createRpcServer(handlers) },
--- a/packages/wigeonlead/src/process/logging.ts
+++ b/packages/wigeonlead/src/process/logging.ts
@@ -24,6 +24,8 @@
   TargetServing = 'target-serving',
   SessionMoved = 'session-moved',
   RequestCutOff = 'request-cut-off',
+  /** Clients were refused, or their connections closed, because they do not keep to the limits; at most once a second. */
+  ClientsRefused = 'clients-refused',
   InternalFault = 'internal-fault'
 }
 
--- a/packages/wigeonlead/src/process/serve.ts
+++ b/packages/wigeonlead/src/process/serve.ts
@@ -2,7 +2,7 @@
  * Runs a router on sockets: creates the HTTP adapters for its ports and opens its three listeners.
  */
 import { readFileSync } from 'node:fs'
-import { createEtcdKeyValue, createVmListClient } from '@wigeonlead/protocol'
+import { createClientGuard, createEtcdKeyValue, createVmListClient } from '@wigeonlead/protocol'
 import {
   createCallerListener, createHttpEngines, createHttpPeers, createHttpServices, createOperatorListener, type PeerTlsCredentials
 } from '../connection/index.js'
@@ -24,7 +24,9 @@
 
 /** Starts a router and opens its listeners; rejects if one can't be opened. */
 export async function serveRouter (settings: Settings, logger: Logger): Promise<RunningRouter> {
+  const guard = createClientGuard({ onRefused: refused => logger.warn(LogEvent.ClientsRefused, Object.fromEntries(refused)) })
   const peers = createHttpPeers(settings.peers.secrets, {
+    guard,
     tls: readPeerTls(settings),
     onRefused: (peer, reason) => logger.warn(LogEvent.PeerRefused, { peer, reason })
   })
@@ -39,8 +41,8 @@
     random: createSystemRandom(),
     logger
   })
-  const callers = createCallerListener(settings.callers, router.handle)
-  const operators = createOperatorListener(settings.operators.tokenDigests, router)
+  const callers = createCallerListener(settings.callers, router.handle, guard)
+  const operators = createOperatorListener(settings.operators.tokenDigests, router, guard)
   const drainableCallers = createDrainableListener(callers)
   await listen(peers.listener, settings.listen.peers)
   await listen(operators, settings.listen.operators)
@@ -53,6 +55,7 @@
     logger.info(LogEvent.Stopping)
     drainableCallers.announceClose()
     await router.shutdown(drainableCallers.drain)
+    guard.close()
     await Promise.all([closeNow(operators), closeNow(peers.listener)])
     logger.info(LogEvent.Stopped)
     markStopped()
