Bound the memory that a process holds for its clients

What callers saw: chunked bodies that stop just short of the size limit and stay open, and answers that nobody reads, took a process far over the memory of its machine.

Cause: the limits are for one request; nothing bounded what a process holds in all. Evidence: 120 such bodies took 599 MB at the relay and 595 MB at the other router, on the listeners for callers and for peers, 120 clients that do not read 1,091 MB, on a machine of 350 MB. Change: a budget for all listeners of a process, of heads, bodies, what waits unparsed, requests that are handled and answers, as code of its own without a network. Where it does not suffice, the unfinished body or the unread answer ends that costs the most, its bytes times the time for which they have been held: a new, short or quick request goes before a crowd that stays. Requests that are being handled do not give way; where they hold all of it, the new one is refused. Both refusals are 503 with Retry-After: not run. The default is 0.18 of the memory of the VM (63 MB of 350), or 64 MiB at the other router, and at least two of the longest bodies.

--- a/packages/protocol/src/listener/client-connection.ts
+++ b/packages/protocol/src/listener/client-connection.ts
@@ -3,48 +3,75 @@
  */
 import { STATUS_CODES, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { ClientLimits } from './connection-limits.js'
+import { ClientPhase, type ClientLimits, type ClientState } from './connection-limits.js'
+import { HoldingPhase, type MemoryBudget } from './memory-budget.js'
+import { BodyResult, type BodyFault } from './receive-body.js'
 import { nextSliceLength } from './request-slices.js'
 
 /** Why a client was refused, or its connection closed. */
 export enum ClientFault {
   HeadTooLarge = 'head-too-large',
   BodyTooLarge = 'body-too-large',
-  Malformed = 'malformed'
+  Malformed = 'malformed',
+  /** The process holds too much for its clients. */
+  NoMemory = 'no-memory',
+  /** The client does not read its answer. */
+  Unread = 'unread'
 }
 
 /** A connection of a client. */
-export interface ClientConnection {
+export interface ClientConnection extends ClientState {
   /** Counts a request whose head has arrived. */
   begin: (incoming: IncomingMessage, response: ServerResponse) => void
+  /** Takes memory until the answer to a request has been read. @returns whether it may be taken. */
+  hold: (incoming: IncomingMessage, bytes: number) => boolean
+  /** Sets how the receipt of the present body can be ended. */
+  setReceipt: (end: (fault: BodyFault) => void) => void
   /** Answers where no request has been parsed, and closes the connection. */
   refuseHead: (status: number) => void
 }
 
 /** Requests of one connection that are parsed before the first of them is answered. */
 const REQUESTS_AT_A_TIME = 4
+/** Retry delay of a request that was refused for want of room, seconds. */
+export const RETRY_SECONDS = 1
 
 /**
  * Takes over a connection that the HTTP server has just accepted.
  * @param count called with each fault of the client.
  */
 export function createClientConnection (
-  socket: Socket, limits: () => ClientLimits, count: (fault: ClientFault) => void
+  socket: Socket, limits: () => ClientLimits, budget: MemoryBudget, count: (fault: ClientFault) => void
 ): ClientConnection {
   const parse = socket.listeners('data') as Array<(bytes: Buffer) => void>
   let unparsed: Buffer[] = []
+  let unparsedHeld = 0
   let isParsing = false
   let isParsingLater = false
   let isPaused = false
-  let openRequests = 0
-  let latest: IncomingMessage | undefined
+  /** Bytes that are held for each request without a whole answer. */
+  const openRequests = new Map<IncomingMessage, number>()
+  let latest: { incoming: IncomingMessage, response: ServerResponse } | undefined
+  let endReceipt: ((fault: BodyFault) => void) | undefined
   /** Bytes of the present body that are known to come, from its declared length. */
   let declaredBytes = 0
   let headBytes = 0
   let bodyBytes = 0
+  const holding = budget.open(evict)
+  const connection: ClientConnection = {
+    phase: ClientPhase.Idle,
+    since: performance.now(),
+    begin,
+    hold,
+    setReceipt: end => { endReceipt = end },
+    refuseHead
+  }
   socket.removeAllListeners('data')
   socket.on('data', receive)
-  socket.on('close', () => { unparsed = [] })
+  socket.on('close', () => {
+    unparsed = []
+    holding.clear()
+  })
 
   function receive (bytes: Buffer): void {
     unparsed.push(bytes)
@@ -64,8 +91,9 @@
       parseSlice(isWhole ? bytes : bytes.subarray(0, length))
     }
     isParsing = false
-    if (unparsed.length > 0) wait()
-    else if (isPaused) resume()
+    if (unparsed.length > 0) return wait()
+    holdUnparsed(0)
+    if (isPaused) resume()
   }
 
   /** Parses on after the other connections have had their turn. */
@@ -79,13 +107,24 @@
   }
 
   function mayParse (): boolean {
-    return unparsed.length > 0 && !socket.destroyed && (openRequests < REQUESTS_AT_A_TIME || isReceivingBody())
+    return unparsed.length > 0 && !socket.destroyed && (openRequests.size < REQUESTS_AT_A_TIME || isReceivingBody())
   }
 
   /** Reads no more until a request has been answered. */
   function wait (): void {
     isPaused = true
     socket.pause()
+    if (holdUnparsed(unparsed.reduce((sum, { length }) => sum + length, 0))) return
+    count(ClientFault.NoMemory)
+    socket.destroy()
+  }
+
+  /** @returns whether the memory for what has not been parsed may be taken. */
+  function holdUnparsed (bytes: number): boolean {
+    if (bytes > unparsedHeld && !holding.add(bytes - unparsedHeld)) return false
+    holding.remove(Math.max(0, unparsedHeld - bytes))
+    unparsedHeld = bytes
+    return true
   }
 
   function resume (): void {
@@ -94,16 +133,26 @@
   }
 
   function isReceivingBody (): boolean {
-    return latest !== undefined && !latest.complete
+    return latest !== undefined && !latest.incoming.complete
   }
 
   function parseSlice (slice: Buffer): void {
     const isAccepted = isReceivingBody() ? acceptBody(slice.length) : acceptHead(slice.length)
     if (!isAccepted) return
     for (const listener of parse) listener.call(socket, slice)
+    if (connection.phase === ClientPhase.Body) followAnswer()
+  }
+
+  /** Notes that the whole request has arrived, or that its answer is ready. */
+  function followAnswer (): void {
+    if (latest === undefined || !latest.incoming.complete) return
+    const isEnded = latest.response.writableEnded
+    holding.enter(isEnded ? HoldingPhase.Sending : HoldingPhase.Handling)
+    enter(isEnded ? ClientPhase.Unread : ClientPhase.Waiting)
   }
 
   function acceptBody (length: number): boolean {
+    connection.since = performance.now()
     declaredBytes = Math.max(0, declaredBytes - length)
     bodyBytes += length
     if (bodyBytes <= (limits().unreadBodyBytes ?? Infinity)) return true
@@ -113,34 +162,72 @@
   }
 
   function acceptHead (length: number): boolean {
+    enter(ClientPhase.Head)
+    if (openRequests.size === 0) holding.enter(HoldingPhase.Receiving)
     headBytes += length
-    if (headBytes <= limits().headBytes) return true
-    count(ClientFault.HeadTooLarge)
-    refuseHead(431)
+    const isTooLarge = headBytes > limits().headBytes
+    if (!isTooLarge && holding.add(length)) return true
+    count(isTooLarge ? ClientFault.HeadTooLarge : ClientFault.NoMemory)
+    refuseHead(isTooLarge ? 431 : 503)
     return false
   }
 
+  function enter (phase: ClientPhase): void {
+    if (connection.phase === phase) return
+    connection.phase = phase
+    connection.since = performance.now()
+  }
+
   function begin (incoming: IncomingMessage, response: ServerResponse): void {
-    openRequests += 1
-    latest = incoming
+    openRequests.set(incoming, headBytes)
+    latest = { incoming, response }
+    endReceipt = undefined
     headBytes = 0
     bodyBytes = 0
     declaredBytes = Number(incoming.headers['content-length'] ?? 0)
+    enter(ClientPhase.Body)
+    holding.enter(HoldingPhase.Receiving)
+    response.on('prefinish', followAnswer)
     response.on('close', () => {
-      openRequests -= 1
+      holding.remove(openRequests.get(incoming) ?? 0)
+      openRequests.delete(incoming)
+      if (openRequests.size === 0) enter(ClientPhase.Idle)
       parseLater()
     })
   }
 
+  function hold (incoming: IncomingMessage, bytes: number): boolean {
+    const held = openRequests.get(incoming)
+    if (held === undefined || !holding.add(bytes)) return false
+    openRequests.set(incoming, held + bytes)
+    return true
+  }
+
+  function evict (phase: HoldingPhase): void {
+    unparsedHeld = 0
+    count(phase === HoldingPhase.Sending ? ClientFault.Unread : ClientFault.NoMemory)
+    if (phase === HoldingPhase.Sending) socket.destroy()
+    else endUnfinished(BodyResult.NoMemory, 503)
+  }
+
+  /** Ends the request that is arriving, whether its head is complete or not. */
+  function endUnfinished (fault: BodyFault, status: number): void {
+    if (connection.phase !== ClientPhase.Body) return refuseHead(status)
+    // A handler that does not receive the body has answered already.
+    if (endReceipt === undefined) socket.destroy()
+    else endReceipt(fault)
+  }
+
   function refuseHead (status: number): void {
     // The answers to earlier requests come first, and nothing must be written between them.
-    if (!socket.writable || openRequests > 0) {
+    if (!socket.writable || openRequests.size > 0) {
       socket.destroy()
       return
     }
-    socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
+    const retryAfter = status === 503 ? `Retry-After: ${RETRY_SECONDS}\r\n` : ''
+    socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nContent-Length: 0\r\nConnection: close\r\n${retryAfter}\r\n`)
     socket.destroySoon()
   }
 
-  return { begin, refuseHead }
+  return connection
 }
--- a/packages/protocol/src/listener/client-guard.ts
+++ b/packages/protocol/src/listener/client-guard.ts
@@ -4,12 +4,18 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { Server as TlsServer } from 'node:tls'
-import { ClientFault, createClientConnection, type ClientConnection } from './client-connection.js'
+import { ClientFault, RETRY_SECONDS, createClientConnection, type ClientConnection } from './client-connection.js'
 import type { ClientLimits } from './connection-limits.js'
+import { createMemoryBudget } from './memory-budget.js'
 import { BodyResult, receiveBody, type BodyFault, type ReceivedBody } from './receive-body.js'
 
 /** Options of the guard of a process. */
 export interface ClientGuardOptions {
+  /**
+   * Bytes that the process holds for all its clients: unfinished requests, requests that are handled, and unread answers; 64 MiB by
+   * default.
+   */
+  heldBytes?: () => number
   /** Called about once a second with the number of refused clients by fault, if there were any. */
   onRefused?: (refused: ReadonlyMap<ClientFault, number>) => void
 }
@@ -29,8 +35,11 @@
    * @throws the error that broke the connection before the whole body arrived.
    */
   receive: (incoming: IncomingMessage, maximumBytes: number) => Promise<ReceivedBody>
+  /** Takes memory for the answer to a request, bytes. @returns whether it may be taken. */
+  hold: (incoming: IncomingMessage, bytes: number) => boolean
   /** Answers a request whose body may not have arrived, and closes the connection. */
   refuse: (incoming: IncomingMessage, response: ServerResponse, status: number, content?: RefusalContent) => void
+  heldBytes: () => number
   connections: () => number
   /** Ends the reports. */
   close: () => void
@@ -39,6 +48,9 @@
 /** Options of an HTTP server that leave the check of the host to the guard. */
 export const GUARDED_SERVER_OPTIONS = { requireHostHeader: false } as const
 
+const DEFAULT_HELD_BYTES = 67_108_864
+/** What a parsed request takes beside its own bytes, bytes. */
+const REQUEST_BYTES = 8192
 const CHECK_MILLISECONDS = 1000
 
 /** Statuses of the refusals of bodies that were not received. */
@@ -48,8 +60,13 @@
 /** Statuses by the code of the parser's error. */
 const PARSER_STATUSES: Record<string, number> = { HPE_HEADER_OVERFLOW: 431, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413 }
 
+function retryHeaders (status: number): Record<string, number> {
+  return status === 503 ? { 'Retry-After': RETRY_SECONDS } : {}
+}
+
 /** Creates the guard of a process. */
-export function createClientGuard ({ onRefused = () => {} }: ClientGuardOptions = {}): ClientGuard {
+export function createClientGuard ({ heldBytes = () => DEFAULT_HELD_BYTES, onRefused = () => {} }: ClientGuardOptions = {}): ClientGuard {
+  const budget = createMemoryBudget(heldBytes)
   const tables: Array<{ connections: Set<ClientConnection>, limits: () => ClientLimits }> = []
   const bySocket = new WeakMap<Socket, ClientConnection>()
   let refused = new Map<ClientFault, number>()
@@ -66,14 +83,14 @@
   }
 
   function accept (socket: Socket, connections: Set<ClientConnection>, limits: () => ClientLimits): void {
-    const connection = createClientConnection(socket, limits, count)
+    const connection = createClientConnection(socket, limits, budget, count)
     connections.add(connection)
     bySocket.set(socket, connection)
     socket.on('close', () => { connections.delete(connection) })
   }
 
   function refuse (
-    incoming: IncomingMessage, response: ServerResponse, status: number, { headers = {}, body = '' }: RefusalContent = {}
+    incoming: IncomingMessage, response: ServerResponse, status: number, { headers = retryHeaders(status), body = '' }: RefusalContent = {}
   ): void {
     if (response.headersSent || response.destroyed) {
       response.destroy()
@@ -93,6 +110,10 @@
     if (!isAnswered) connection.refuseHead(PARSER_STATUSES[error.code ?? ''] ?? 400)
   }
 
+  function hold (incoming: IncomingMessage, bytes: number): boolean {
+    return bySocket.get(incoming.socket)?.hold(incoming, bytes) ?? true
+  }
+
   return {
     protect (server, limits, handle) {
       const connections = new Set<ClientConnection>()
@@ -100,19 +121,33 @@
       const hasParserErrors = server.listenerCount('clientError') > 0
       server.on('clientError', (error, socket) => onParserError(error, socket as Socket, hasParserErrors))
       server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', (socket: Socket) => accept(socket, connections, limits))
-      server.on('request', (incoming, response) => {
+      const begin = (incoming: IncomingMessage, response: ServerResponse): boolean => {
         bySocket.get(incoming.socket)?.begin(incoming, response)
+        if (hold(incoming, REQUEST_BYTES)) return true
+        count(ClientFault.NoMemory)
+        refuse(incoming, response, 503)
+        return false
+      }
+      server.on('request', (incoming, response) => {
+        if (!begin(incoming, response)) return
         const isHostMissing = incoming.headers.host === undefined && incoming.httpVersion === '1.1'
         if (isHostMissing) refuse(incoming, response, 400)
         else handle(incoming, response)
       })
       server.on('checkExpectation', (incoming, response) => {
-        bySocket.get(incoming.socket)?.begin(incoming, response)
-        refuse(incoming, response, 417)
+        if (begin(incoming, response)) refuse(incoming, response, 417)
+      })
+    },
+    async receive (incoming, maximumBytes) {
+      const connection = bySocket.get(incoming.socket)
+      return await receiveBody(incoming, maximumBytes, {
+        hold: bytes => hold(incoming, bytes),
+        onStart: end => connection?.setReceipt(end)
       })
     },
-    receive: receiveBody,
+    hold,
     refuse,
+    heldBytes: budget.heldBytes,
     connections: () => tables.reduce((sum, { connections }) => sum + connections.size, 0),
     close: () => clearInterval(timer)
   }
--- a/packages/protocol/src/listener/connection-limits.ts
+++ b/packages/protocol/src/listener/connection-limits.ts
@@ -2,6 +2,18 @@
  * Limits of what a client sends on one connection.
  */
 
+/** What a client does at the moment. */
+export enum ClientPhase {
+  /** Nothing of a request has arrived since the last answer. */
+  Idle = 'idle',
+  Head = 'head',
+  Body = 'body',
+  /** The whole request has arrived and is handled. */
+  Waiting = 'waiting',
+  /** The answer is ready, and the client has not read it. */
+  Unread = 'unread'
+}
+
 /** Limits of one listener for its clients. */
 export interface ClientLimits {
   /** Size limit of a head, bytes. */
@@ -14,3 +26,10 @@
 export const BODILESS_LIMITS: ClientLimits = {
   headBytes: 16_384, unreadBodyBytes: 65_536
 }
+
+/** What is known of a connection. */
+export interface ClientState {
+  phase: ClientPhase
+  /** Start of the phase; for a body, its latest byte. Milliseconds of the monotonic clock. */
+  since: number
+}
--- a/packages/protocol/test/listener/client-guard.spec.ts
+++ b/packages/protocol/test/listener/client-guard.spec.ts
@@ -1,5 +1,5 @@
 /**
- * A guarded listener on the loopback address before single clients, without load.
+ * A guarded listener on the loopback address before single clients, without load but for the case that fills the memory.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { connect, type AddressInfo } from 'node:net'
@@ -18,6 +18,7 @@
   sent: string[]
   /** What the client receives until the connection ends, with the rest of each answer left out. */
   statuses: number[]
+  heldBytes?: number
 }
 
 const HEAD = 'POST / HTTP/1.1\r\nHost: a\r\n'
@@ -32,13 +33,14 @@
   { name: 'no HTTP', sent: ['nonsense\r\n\r\n'], statuses: [400] },
   { name: 'no host', sent: ['GET / HTTP/1.1\r\n\r\n'], statuses: [400] },
   { name: 'an expectation that is not known', sent: [`${HEAD}Expect: more\r\n\r\n`], statuses: [417] },
+  { name: 'a body for which there is no memory', sent: [`${HEAD}Content-Length: ${BODY_BYTES}\r\n\r\n`, 'x'.repeat(BODY_BYTES)], statuses: [503], heldBytes: 50_000 }
 ]
 
 const guarded = suite('guarded listener')
 
-for (const { name, sent, statuses } of CASES) {
+for (const { name, sent, statuses, heldBytes = 1_000_000 } of CASES) {
   guarded(`${name}: ${[...new Set(statuses)].join() || 'closed'}`, async () => {
-    const guard = createClientGuard()
+    const guard = createClientGuard({ heldBytes: () => heldBytes })
     const server = createServer({ ...GUARDED_SERVER_OPTIONS })
     guard.protect(server, () => LIMITS, (incoming: IncomingMessage, response: ServerResponse) => {
       guard.receive(incoming, BODY_BYTES).then(received => {
@@ -53,7 +55,9 @@
       server.closeAllConnections()
     })
     assert.equal([...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => Number(status)), statuses)
+    assert.is(/Retry-After/i.test(text), statuses.includes(503))
     assert.is(guard.connections(), 0)
+    assert.is(guard.heldBytes(), 0)
   })
 }
 
--- a/packages/relay/src/connection/callers.ts
+++ b/packages/relay/src/connection/callers.ts
@@ -27,6 +27,8 @@
   /** Aborts when the caller's connection closes before its answer has ended, or when the listener ends the request itself. */
   callerLeft: AbortSignal
   response: ServerResponse
+  /** Takes memory for the answer, bytes. @returns whether it may be taken; without the function, all may be. */
+  holdAnswer?: (bytes: number) => boolean
   /** Whether a target may have run the request; set by the handler, and false before. */
   mayHaveRun?: () => boolean
 }
@@ -176,7 +178,8 @@
       arrivedAt,
       isHandedOver,
       callerLeft: callerLeft.signal,
-      response
+      response,
+      holdAnswer: bytes => guard.hold(incoming, bytes)
     }
     await handle(open.exchange)
   }
--- a/packages/relay/src/process/serve.ts
+++ b/packages/relay/src/process/serve.ts
@@ -32,6 +32,9 @@
 const LAST_ANSWERS_MILLISECONDS = 200
 /** Headers that a peer adds to a request that it hands over, bytes at most: their longest part lists up to 64 targets. */
 const ADDED_HEADER_BYTES = 4096
+const BYTES_PER_MEGABYTE = 1_048_576
+/** Share of the memory of the VM that is held for clients; the rest is for the runtime, its garbage and what is in transit. */
+const HELD_SHARE = 0.18
 const READY_STATUS = 200
 const NOT_READY_STATUS = 503
 
@@ -43,12 +46,20 @@
   const reportFault = (error: unknown): void => {
     log.warn(RelayEvent.InternalFault, { reason: (error as Error).stack?.slice(0, 500) ?? String(error) })
   }
-  const guard = createClientGuard({ onRefused: refused => log.warn(RelayEvent.ClientsRefused, Object.fromEntries(refused)) })
+  const { heldMegabytes = settings.node.memoryMegabytes * HELD_SHARE } = settings.clients
+  let bodyBytesLimit = 0
+  const guard = createClientGuard({
+    // A request within the limits of the configuration is served in calm, with its answer.
+    heldBytes: () => Math.max(heldMegabytes * BYTES_PER_MEGABYTE, 2 * bodyBytesLimit),
+    onRefused: refused => log.warn(RelayEvent.ClientsRefused, Object.fromEntries(refused))
+  })
+  relay.metrics.gauge('clients_held_bytes', guard.heldBytes)
   relay.metrics.gauge('client_connections', guard.connections)
   const callers = createCallerListener(relay.handle, reportFault, { guard })
   const handedOver = createCallerListener(relay.handle, reportFault, { guard, isHandedOver: true })
   const listeners = [callers, handedOver]
   relay.configurationState.onChange(({ configuration: { limits } }) => {
+    bodyBytesLimit = limits.bodyBytes
     callers.setLimits(limits)
     handedOver.setLimits({ ...limits, headerBytes: limits.headerBytes + ADDED_HEADER_BYTES })
   })
--- a/packages/relay/src/process/settings.ts
+++ b/packages/relay/src/process/settings.ts
@@ -11,7 +11,13 @@
 
 /** Schema of the settings. Times are in milliseconds unless the name says another unit. */
 export const relaySettingsSchema = z.strictObject({
-  node: z.strictObject({ vm: z.string().min(1), failureDomain: z.string().min(1), ip: z.string().min(1) }),
+  node: z.strictObject({
+    vm: z.string().min(1),
+    failureDomain: z.string().min(1),
+    ip: z.string().min(1),
+    /** Memory that the process may take. */
+    memoryMegabytes: positive.default(350)
+  }),
   listen: z.strictObject({
     callers: address,
     readiness: address,
@@ -71,6 +77,14 @@
     megabyteMilliseconds: z.number({ error: 'a number of milliseconds of wait that a megabyte is worth' })
       .min(0, 'a price of 0 or more milliseconds of wait').default(1000)
   }).prefault({}),
+  /** Limits for all clients of the process together. */
+  clients: z.strictObject({
+    /**
+     * Memory for unfinished requests, requests that are handled, and unread answers; by default, a share of the memory of the VM. Two of
+     * the longest bodies that the configuration allows fit in any case.
+     */
+    heldMegabytes: positive.optional()
+  }).prefault({}),
   logging: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') }).prefault({})
 })
 
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -164,7 +164,7 @@
   try {
     const outcome = await sendToPeer(request, dependencies, peer, send, { ...terms, waitMilliseconds }, abortController.signal)
     if (outcome.kind !== SendResult.Answered) throw new Error(outcome.reason)
-    const body = await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)
+    const body = await readAnswer(outcome.response, ANSWER_BYTES_LIMIT, request.exchange.holdAnswer)
     if (isRefusal(outcome, body, send, handOver)) throw new Error(`status ${outcome.response.statusCode}`)
     checkAnswer(request, outcome)
     return { response: outcome.response, body }
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -283,7 +283,7 @@
     }
     const { response, terms } = outcome
     const isNotRun = terms.isNotRun || response.statusCode === MISDIRECTED_STATUS
-    const body = await readAnswer(response, ANSWER_BYTES_LIMIT)
+    const body = await readAnswer(response, ANSWER_BYTES_LIMIT, exchange.holdAnswer)
     if (!isNotRun && (response.statusCode ?? 0) < 300 && !terms.isSealed) throw new Error('a successful answer without a seal')
     if (!await outcome.isEndConfirmed()) throw new Error('the connection was reset')
     if (!hasLength(response) && !await dependencies.engines.isAlive(target)) throw new Error('the target no longer answers, so the body may be incomplete')
--- a/packages/wigeonlead/src/connection/callers.ts
+++ b/packages/wigeonlead/src/connection/callers.ts
@@ -61,6 +61,8 @@
     body: received.body,
     signal: disconnect.signal
   })
+  const wholeBytes = typeof answer.body === 'string' || answer.body instanceof Uint8Array ? answer.body.length : 0
+  if (!guard.hold(request, wholeBytes)) throw new Error('no memory for the answer')
   await write(response, answer)
 }
 
--- a/packages/wigeonlead/src/process/serve.ts
+++ b/packages/wigeonlead/src/process/serve.ts
@@ -24,7 +24,11 @@
 
 /** Starts a router and opens its listeners; rejects if one can't be opened. */
 export async function serveRouter (settings: Settings, logger: Logger): Promise<RunningRouter> {
-  const guard = createClientGuard({ onRefused: refused => logger.warn(LogEvent.ClientsRefused, Object.fromEntries(refused)) })
+  const { maximumHeldBytes, maximumBodyBytes } = settings.callers
+  const guard = createClientGuard({
+    heldBytes: () => Math.max(maximumHeldBytes, 2 * maximumBodyBytes),
+    onRefused: refused => logger.warn(LogEvent.ClientsRefused, Object.fromEntries(refused))
+  })
   const peers = createHttpPeers(settings.peers.secrets, {
     guard,
     tls: readPeerTls(settings),
