Bound the number of connections of clients

What callers saw: a crowd that only opens connections, or leaves its heads unfinished, takes all descriptors of a process; targets, peers and the store then get none.

Cause: no listener bounds its connections. Evidence: 4,400 such clients took 4,428 descriptors of 4,100 at each router. Change: each listener keeps so many connections: 2,000 of callers, 500 of peers that hand requests over (1,500 at the other router), 100 of operators and probes. At the limit, the connection that is idle for longest closes for a new one, else the head that takes longest, the body without progress for longest, or the answer that is unread for longest; a new connection is refused with 503 and Retry-After only where the requests of all are being handled. The order is code of its own without a network.

--- a/packages/protocol/src/listener/client-connection.ts
+++ b/packages/protocol/src/listener/client-connection.ts
@@ -15,6 +15,8 @@
   Malformed = 'malformed',
   /** The process holds too much for its clients. */
   NoMemory = 'no-memory',
+  /** The process has too many connections of clients. */
+  NoConnection = 'no-connection',
   /** The client does not read its answer. */
   Unread = 'unread'
 }
@@ -27,6 +29,8 @@
   hold: (incoming: IncomingMessage, bytes: number) => boolean
   /** Sets how the receipt of the present body can be ended. */
   setReceipt: (end: (fault: BodyFault) => void) => void
+  /** Closes the connection for another one. */
+  giveWay: () => void
   /** Answers where no request has been parsed, and closes the connection. */
   refuseHead: (status: number) => void
 }
@@ -64,6 +68,7 @@
     begin,
     hold,
     setReceipt: end => { endReceipt = end },
+    giveWay,
     refuseHead
   }
   socket.removeAllListeners('data')
@@ -218,6 +223,11 @@
     else endReceipt(fault)
   }
 
+  function giveWay (): void {
+    if (connection.phase === ClientPhase.Head) refuseHead(503)
+    else socket.destroy()
+  }
+
   function refuseHead (status: number): void {
     // The answers to earlier requests come first, and nothing must be written between them.
     if (!socket.writable || openRequests.size > 0) {
--- a/packages/protocol/src/listener/client-guard.ts
+++ b/packages/protocol/src/listener/client-guard.ts
@@ -5,7 +5,7 @@
 import type { Socket } from 'node:net'
 import { Server as TlsServer } from 'node:tls'
 import { ClientFault, RETRY_SECONDS, createClientConnection, type ClientConnection } from './client-connection.js'
-import type { ClientLimits } from './connection-limits.js'
+import { chooseConnectionToClose, type ClientLimits } from './connection-limits.js'
 import { createMemoryBudget } from './memory-budget.js'
 import { BodyResult, receiveBody, type BodyFault, type ReceivedBody } from './receive-body.js'
 
@@ -84,6 +84,13 @@
 
   function accept (socket: Socket, connections: Set<ClientConnection>, limits: () => ClientLimits): void {
     const connection = createClientConnection(socket, limits, budget, count)
+    if (connections.size >= limits().connections) {
+      count(ClientFault.NoConnection)
+      const closing = chooseConnectionToClose(connections)
+      if (closing === undefined) return connection.refuseHead(503)
+      connections.delete(closing)
+      closing.giveWay()
+    }
     connections.add(connection)
     bySocket.set(socket, connection)
     socket.on('close', () => { connections.delete(connection) })
--- a/packages/protocol/src/listener/connection-limits.ts
+++ b/packages/protocol/src/listener/connection-limits.ts
@@ -1,5 +1,5 @@
 /**
- * Limits of what a client sends on one connection.
+ * Decides which connection closes where there are too many.
  */
 
 /** What a client does at the moment. */
@@ -20,11 +20,12 @@
   headBytes: number
   /** Size limit of what a client sends as a body to a listener that reads no bodies, bytes; by default, the handler limits the body. */
   unreadBodyBytes?: number
+  connections: number
 }
 
 /** Limits of a listener that reads no bodies, for operators and probes. */
 export const BODILESS_LIMITS: ClientLimits = {
-  headBytes: 16_384, unreadBodyBytes: 65_536
+  headBytes: 16_384, unreadBodyBytes: 65_536, connections: 100
 }
 
 /** What is known of a connection. */
@@ -33,3 +34,19 @@
   /** Start of the phase; for a body, its latest byte. Milliseconds of the monotonic clock. */
   since: number
 }
+
+/** Phases in which a connection may be closed for a new one, the first ones first. */
+const CLOSING_ORDER = [ClientPhase.Idle, ClientPhase.Head, ClientPhase.Body, ClientPhase.Unread]
+
+/** @returns the connection that closes for a new one: the longest in its phase; undefined if the requests of all are being handled. */
+export function chooseConnectionToClose<Connection extends ClientState> (connections: Iterable<Connection>): Connection | undefined {
+  let chosen: Connection | undefined
+  let chosenRank = Infinity
+  for (const connection of connections) {
+    const rank = CLOSING_ORDER.indexOf(connection.phase)
+    if (rank < 0 || rank > chosenRank || (rank === chosenRank && connection.since >= chosen!.since)) continue
+    chosen = connection
+    chosenRank = rank
+  }
+  return chosen
+}
--- a/packages/protocol/test/listener/client-guard.spec.ts
+++ b/packages/protocol/test/listener/client-guard.spec.ts
@@ -8,7 +8,7 @@
 import { BODY_FAULT_STATUSES, BodyResult, GUARDED_SERVER_OPTIONS, createClientGuard, type ClientLimits } from '@wigeonlead/protocol'
 
 const BODY_BYTES = 100_000
-const LIMITS: ClientLimits = { headBytes: 2000 }
+const LIMITS: ClientLimits = { headBytes: 2000, connections: 20 }
 /** Longer than any limit, its slack and the interval of the checks. */
 const EXCHANGE_MILLISECONDS = 6000
 
--- a/packages/protocol/test/listener/connection-limits.spec.ts
+++ b/packages/protocol/test/listener/connection-limits.spec.ts
@@ -1,12 +1,28 @@
 /**
- * The slices in which the parser gets what a client sends.
+ * Which connection closes where there are too many: the load is a full table of connections.
  */
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { SLICE_BYTES, nextSliceLength } from '@wigeonlead/protocol'
+import { ClientPhase, SLICE_BYTES, chooseConnectionToClose, nextSliceLength } from '@wigeonlead/protocol'
 
 const limits = suite('limits of connections')
 
+/** Connections by phase, with the start of the phase. */
+const FULL_TABLES: Array<{ name: string, connections: Array<[ClientPhase, number]>, closed: number | undefined }> = [
+  { name: 'the longest idle one', connections: [[ClientPhase.Body, 1], [ClientPhase.Idle, 9], [ClientPhase.Idle, 5]], closed: 2 },
+  { name: 'the slowest head where none is idle', connections: [[ClientPhase.Body, 1], [ClientPhase.Head, 4], [ClientPhase.Head, 7]], closed: 1 },
+  { name: 'a body without progress', connections: [[ClientPhase.Waiting, 1], [ClientPhase.Body, 8], [ClientPhase.Body, 3]], closed: 2 },
+  { name: 'an unread answer', connections: [[ClientPhase.Waiting, 1], [ClientPhase.Unread, 8]], closed: 1 },
+  { name: 'none whose request is handled', connections: [[ClientPhase.Waiting, 1], [ClientPhase.Waiting, 2]], closed: undefined }
+]
+
+for (const { name, connections, closed } of FULL_TABLES) {
+  limits(`closes for a new connection: ${name}`, () => {
+    const table = connections.map(([phase, since], index) => ({ phase, since, index }))
+    assert.is(chooseConnectionToClose(table)?.index, closed)
+  })
+}
+
 const HEAD = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 
 const SLICES: Array<{ name: string, bytes: string, bodyBytes: number, length: number }> = [
--- a/packages/relay/src/connection/callers.ts
+++ b/packages/relay/src/connection/callers.ts
@@ -89,6 +89,7 @@
 const STOPPING_RETRY_SECONDS = 0.05
 /** What a head has beside the bytes that count for its limit, bytes: the method, the version and separators. */
 const HEAD_SLACK_BYTES = 4096
+const DEFAULT_CONNECTIONS = 2000
 const DEFAULT_LIMITS: CallerLimits = {
   headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMilliseconds: 3000, idleTimeoutMilliseconds: 15_000
 }
@@ -99,6 +100,8 @@
   isHandedOver?: boolean
   /** The guard of the process; by default, one of this listener. */
   guard?: ClientGuard
+  /** Connections that stay open at a time; 2,000 by default. */
+  connections?: number
 }
 
 /**
@@ -107,7 +110,7 @@
  */
 export function createCallerListener (
   handle: ExchangeHandler, onFault: (error: unknown) => void,
-  { isHandedOver = false, guard = createClientGuard() }: CallerListenerOptions = {}
+  { isHandedOver = false, guard = createClientGuard(), connections: maximumConnections = DEFAULT_CONNECTIONS }: CallerListenerOptions = {}
 ): CallerListener {
   let limits = DEFAULT_LIMITS
   let isClosing = false
@@ -212,7 +215,8 @@
 
   function clientLimits (): ClientLimits {
     return {
-      headBytes: limits.headerBytes + HEAD_SLACK_BYTES
+      headBytes: limits.headerBytes + HEAD_SLACK_BYTES,
+      connections: maximumConnections
     }
   }
 
--- a/packages/relay/src/process/serve.ts
+++ b/packages/relay/src/process/serve.ts
@@ -46,7 +46,7 @@
   const reportFault = (error: unknown): void => {
     log.warn(RelayEvent.InternalFault, { reason: (error as Error).stack?.slice(0, 500) ?? String(error) })
   }
-  const { heldMegabytes = settings.node.memoryMegabytes * HELD_SHARE } = settings.clients
+  const { heldMegabytes = settings.node.memoryMegabytes * HELD_SHARE, connections, peerConnections } = settings.clients
   let bodyBytesLimit = 0
   const guard = createClientGuard({
     // A request within the limits of the configuration is served in calm, with its answer.
@@ -55,8 +55,8 @@
   })
   relay.metrics.gauge('clients_held_bytes', guard.heldBytes)
   relay.metrics.gauge('client_connections', guard.connections)
-  const callers = createCallerListener(relay.handle, reportFault, { guard })
-  const handedOver = createCallerListener(relay.handle, reportFault, { guard, isHandedOver: true })
+  const callers = createCallerListener(relay.handle, reportFault, { guard, connections })
+  const handedOver = createCallerListener(relay.handle, reportFault, { guard, connections: peerConnections, isHandedOver: true })
   const listeners = [callers, handedOver]
   relay.configurationState.onChange(({ configuration: { limits } }) => {
     bodyBytesLimit = limits.bodyBytes
--- a/packages/relay/src/process/settings.ts
+++ b/packages/relay/src/process/settings.ts
@@ -83,7 +83,11 @@
      * Memory for unfinished requests, requests that are handled, and unread answers; by default, a share of the memory of the VM. Two of
      * the longest bodies that the configuration allows fit in any case.
      */
-    heldMegabytes: positive.optional()
+    heldMegabytes: positive.optional(),
+    /** Connections of callers. */
+    connections: positive.default(2000),
+    /** Connections of peers that hand requests over. */
+    peerConnections: positive.default(500)
   }).prefault({}),
   logging: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') }).prefault({})
 })
--- a/packages/wigeonlead/src/connection/callers.ts
+++ b/packages/wigeonlead/src/connection/callers.ts
@@ -34,7 +34,8 @@
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuseConnection(error, socket as Socket))
   const clientLimits = {
     // The parser refuses a head over the limit, with a problem document.
-    headBytes: limits.maximumHeaderBytes + HEAD_SLACK_BYTES
+    headBytes: limits.maximumHeaderBytes + HEAD_SLACK_BYTES,
+    connections: limits.maximumConnections
   }
   guard.protect(server, () => clientLimits, (request, response) => {
     serve(limits, handle, guard, request, response).catch(() => response.destroy())
--- a/packages/wigeonlead/src/connection/peers/listener.ts
+++ b/packages/wigeonlead/src/connection/peers/listener.ts
@@ -32,7 +32,10 @@
 const HEADERS_TIMEOUT_MILLISECONDS = 5000
 const REQUEST_TIMEOUT_MILLISECONDS = 10_000
 const KEEP_ALIVE_MILLISECONDS = 60_000
-const CLIENT_LIMITS: ClientLimits = { headBytes: 16_384 }
+const CLIENT_LIMITS: ClientLimits = {
+  headBytes: 16_384,
+  connections: 1500
+}
 const REPORT_INTERVAL_MILLISECONDS = 1000
 const MAXIMUM_REPORTED_PEERS = 256
 
--- a/packages/wigeonlead/src/process/settings.ts
+++ b/packages/wigeonlead/src/process/settings.ts
@@ -42,6 +42,8 @@
   callers: z.strictObject({
     maximumHeaderBytes: positiveInteger.default(16_384),
     maximumBodyBytes: positiveInteger.default(1_048_576),
+    /** Connections that stay open at a time; the longest idle one closes for a new one. */
+    maximumConnections: positiveInteger.default(2000),
     /** Memory for unfinished requests, requests in flight and unread answers of all clients; two of the longest bodies fit in any case. */
     maximumHeldBytes: positiveInteger.default(67_108_864),
     /** Maximum time to receive the headers of a request. */
