End requests whose heads or bodies make no progress

What callers saw: nothing at once; but each half head and each unfinished body kept its connection and its memory, the body without end.

Cause: the head's time limit was checked every 30 s only, no time limit held for a body, and none for an answer that its client has stopped to read. Evidence, at the listener for callers with its default limits: a half head of 3 s, and a connection without a byte, were closed after 30.0 s; a body without progress was open after 45 s, when the trial ended. Change: the guard checks all connections of a process once a second: a head within its time limit, a body by its latest byte and an idle connection by the idle time, each with a second of slack, so that slow callers who make progress are spared. It answers 408 (not run), or closes an idle connection. An answer that has ended must make progress within the idle time. The decision is code of its own. A connection on which nothing has been sent counts as idle now, not as a slow head. No timer is set for a request.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -24,7 +24,7 @@
   BODY_FAULT_STATUSES, GUARDED_SERVER_OPTIONS, createClientGuard, type ClientGuard, type ClientGuardOptions
 } from './listener/client-guard.js'
 export { ClientFault } from './listener/client-connection.js'
-export { BODILESS_LIMITS, ClientPhase, chooseConnectionToClose, type ClientLimits, type ClientState } from './listener/connection-limits.js'
+export { BODILESS_LIMITS, ClientPhase, chooseConnectionToClose, isOverdue, type ClientLimits, type ClientState } from './listener/connection-limits.js'
 export { HoldingPhase, createMemoryBudget, type Holding, type MemoryBudget } from './listener/memory-budget.js'
 export { BodyResult, receiveBody, type BodyFault, type ReceivedBody } from './listener/receive-body.js'
 export { SLICE_BYTES, nextSliceLength } from './listener/request-slices.js'
--- a/packages/protocol/src/listener/client-connection.ts
+++ b/packages/protocol/src/listener/client-connection.ts
@@ -13,6 +13,7 @@
   HeadTooLarge = 'head-too-large',
   BodyTooLarge = 'body-too-large',
   Malformed = 'malformed',
+  TooSlow = 'too-slow',
   /** The process holds too much for its clients. */
   NoMemory = 'no-memory',
   /** The process has too many connections of clients. */
@@ -29,6 +30,10 @@
   hold: (incoming: IncomingMessage, bytes: number) => boolean
   /** Sets how the receipt of the present body can be ended. */
   setReceipt: (end: (fault: BodyFault) => void) => void
+  /** Ends a client that has taken too long. */
+  endOverdue: () => void
+  /** Closes the connection if its client reads nothing of an answer for the idle time. */
+  watchReading: () => void
   /** Closes the connection for another one. */
   giveWay: () => void
   /** Answers where no request has been parsed, and closes the connection. */
@@ -68,6 +73,8 @@
     begin,
     hold,
     setReceipt: end => { endReceipt = end },
+    endOverdue,
+    watchReading,
     giveWay,
     refuseHead
   }
@@ -215,6 +222,12 @@
     else endUnfinished(BodyResult.NoMemory, 503)
   }
 
+  function endOverdue (): void {
+    if (connection.phase === ClientPhase.Idle) return socket.destroySoon()
+    count(ClientFault.TooSlow)
+    endUnfinished(BodyResult.TooSlow, 408)
+  }
+
   /** Ends the request that is arriving, whether its head is complete or not. */
   function endUnfinished (fault: BodyFault, status: number): void {
     if (connection.phase !== ClientPhase.Body) return refuseHead(status)
@@ -223,6 +236,11 @@
     else endReceipt(fault)
   }
 
+  function watchReading (): void {
+    const isEnded = latest?.response.writableEnded === true && !latest.response.writableFinished
+    if (isEnded && (socket.timeout ?? 0) === 0) socket.setTimeout(limits().idleTimeoutMilliseconds)
+  }
+
   function giveWay (): void {
     if (connection.phase === ClientPhase.Head) refuseHead(503)
     else socket.destroy()
--- a/packages/protocol/src/listener/client-guard.ts
+++ b/packages/protocol/src/listener/client-guard.ts
@@ -5,7 +5,7 @@
 import type { Socket } from 'node:net'
 import { Server as TlsServer } from 'node:tls'
 import { ClientFault, RETRY_SECONDS, createClientConnection, type ClientConnection } from './client-connection.js'
-import { chooseConnectionToClose, type ClientLimits } from './connection-limits.js'
+import { chooseConnectionToClose, isOverdue, type ClientLimits } from './connection-limits.js'
 import { createMemoryBudget } from './memory-budget.js'
 import { BodyResult, receiveBody, type BodyFault, type ReceivedBody } from './receive-body.js'
 
@@ -41,12 +41,12 @@
   refuse: (incoming: IncomingMessage, response: ServerResponse, status: number, content?: RefusalContent) => void
   heldBytes: () => number
   connections: () => number
-  /** Ends the reports. */
+  /** Ends the checks of times. */
   close: () => void
 }
 
-/** Options of an HTTP server that leave the check of the host to the guard. */
-export const GUARDED_SERVER_OPTIONS = { requireHostHeader: false } as const
+/** Options of an HTTP server that leave the timeouts and the check of the host to the guard. */
+export const GUARDED_SERVER_OPTIONS = { headersTimeout: 0, requestTimeout: 0, requireHostHeader: false } as const
 
 const DEFAULT_HELD_BYTES = 67_108_864
 /** What a parsed request takes beside its own bytes, bytes. */
@@ -77,6 +77,13 @@
   }
 
   function check (): void {
+    const now = performance.now()
+    for (const { connections, limits } of tables) {
+      for (const connection of connections) {
+        if (isOverdue(connection, limits(), now)) connection.endOverdue()
+        else connection.watchReading()
+      }
+    }
     if (refused.size === 0) return
     onRefused(refused)
     refused = new Map()
--- a/packages/protocol/src/listener/connection-limits.ts
+++ b/packages/protocol/src/listener/connection-limits.ts
@@ -1,5 +1,5 @@
 /**
- * Decides which connection closes where there are too many.
+ * Decides when a client has taken too long, and which connection closes where there are too many.
  */
 
 /** What a client does at the moment. */
@@ -20,12 +20,16 @@
   headBytes: number
   /** Size limit of what a client sends as a body to a listener that reads no bodies, bytes; by default, the handler limits the body. */
   unreadBodyBytes?: number
+  /** Time for a whole head, milliseconds. */
+  headTimeoutMilliseconds: number
+  /** Time without any progress of a request, of an answer, or between two requests, milliseconds. */
+  idleTimeoutMilliseconds: number
   connections: number
 }
 
 /** Limits of a listener that reads no bodies, for operators and probes. */
 export const BODILESS_LIMITS: ClientLimits = {
-  headBytes: 16_384, unreadBodyBytes: 65_536, connections: 100
+  headBytes: 16_384, unreadBodyBytes: 65_536, headTimeoutMilliseconds: 3000, idleTimeoutMilliseconds: 15_000, connections: 100
 }
 
 /** What is known of a connection. */
@@ -35,6 +39,23 @@
   since: number
 }
 
+/** How much longer than the limits a connection is kept, milliseconds: what a client has sent in time may arrive late. */
+const SLACK_MILLISECONDS = 1000
+
+const TIMEOUTS: Record<ClientPhase, (limits: ClientLimits) => number> = {
+  [ClientPhase.Idle]: limits => limits.idleTimeoutMilliseconds,
+  [ClientPhase.Head]: limits => limits.headTimeoutMilliseconds,
+  [ClientPhase.Body]: limits => limits.idleTimeoutMilliseconds,
+  [ClientPhase.Waiting]: () => Infinity,
+  // The runtime notices whether an answer makes progress.
+  [ClientPhase.Unread]: () => Infinity
+}
+
+/** Whether a client has exceeded its time. */
+export function isOverdue ({ phase, since }: ClientState, limits: ClientLimits, now: number): boolean {
+  return now - since > TIMEOUTS[phase](limits) + SLACK_MILLISECONDS
+}
+
 /** Phases in which a connection may be closed for a new one, the first ones first. */
 const CLOSING_ORDER = [ClientPhase.Idle, ClientPhase.Head, ClientPhase.Body, ClientPhase.Unread]
 
--- a/packages/protocol/test/listener/client-guard.spec.ts
+++ b/packages/protocol/test/listener/client-guard.spec.ts
@@ -8,7 +8,7 @@
 import { BODY_FAULT_STATUSES, BodyResult, GUARDED_SERVER_OPTIONS, createClientGuard, type ClientLimits } from '@wigeonlead/protocol'
 
 const BODY_BYTES = 100_000
-const LIMITS: ClientLimits = { headBytes: 2000, connections: 20 }
+const LIMITS: ClientLimits = { headBytes: 2000, headTimeoutMilliseconds: 200, idleTimeoutMilliseconds: 300, connections: 20 }
 /** Longer than any limit, its slack and the interval of the checks. */
 const EXCHANGE_MILLISECONDS = 6000
 
@@ -29,6 +29,9 @@
   { name: 'a body of the full size', sent: [`${HEAD}Content-Length: ${BODY_BYTES}\r\nConnection: close\r\n\r\n`, 'x'.repeat(BODY_BYTES)], statuses: [200] },
   { name: 'a body in chunks of one byte', sent: [`${HEAD}Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n`, chunk('x').repeat(5000), '0\r\n\r\n'], statuses: [200] },
   { name: 'requests that are sent ahead are all answered', sent: [`${HEAD}Content-Length: 1\r\n\r\nx`.repeat(500) + LAST_REQUEST], statuses: Array(501).fill(200) },
+  { name: 'a head that does not end', sent: ['POST / HTTP/1.1\r\nHos'], statuses: [408] },
+  { name: 'a body without progress', sent: [`${HEAD}Content-Length: 10\r\n\r\nx`], statuses: [408] },
+  { name: 'nothing at all', sent: [], statuses: [] },
   { name: 'a head over the limit', sent: [`${HEAD}Long: ${'x'.repeat(5000)}\r\n\r\n`], statuses: [431] },
   { name: 'no HTTP', sent: ['nonsense\r\n\r\n'], statuses: [400] },
   { name: 'no host', sent: ['GET / HTTP/1.1\r\n\r\n'], statuses: [400] },
--- a/packages/protocol/test/listener/connection-limits.spec.ts
+++ b/packages/protocol/test/listener/connection-limits.spec.ts
@@ -1,12 +1,30 @@
 /**
- * Which connection closes where there are too many: the load is a full table of connections.
+ * Times of clients, and which connection closes where there are too many. The load of the second table is a full table of connections.
  */
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { ClientPhase, SLICE_BYTES, chooseConnectionToClose, nextSliceLength } from '@wigeonlead/protocol'
+import { ClientPhase, SLICE_BYTES, chooseConnectionToClose, isOverdue, nextSliceLength, type ClientLimits } from '@wigeonlead/protocol'
+
+const LIMITS: ClientLimits = { headBytes: 16_384, headTimeoutMilliseconds: 3000, idleTimeoutMilliseconds: 15_000, connections: 3 }
+
+const TIMES: Array<{ phase: ClientPhase, elapsed: number, isEnded: boolean }> = [
+  { phase: ClientPhase.Head, elapsed: 3000, isEnded: false },
+  { phase: ClientPhase.Head, elapsed: 4001, isEnded: true },
+  { phase: ClientPhase.Idle, elapsed: 15_000, isEnded: false },
+  { phase: ClientPhase.Idle, elapsed: 16_001, isEnded: true },
+  { phase: ClientPhase.Body, elapsed: 15_000, isEnded: false },
+  { phase: ClientPhase.Body, elapsed: 16_001, isEnded: true },
+  { phase: ClientPhase.Waiting, elapsed: 600_000, isEnded: false }
+]
 
 const limits = suite('limits of connections')
 
+for (const { phase, elapsed, isEnded } of TIMES) {
+  limits(`a client in the phase "${phase}" for ${elapsed} ms is ${isEnded ? 'overdue' : 'in time'}`, () => {
+    assert.is(isOverdue({ phase, since: 1000 }, LIMITS, 1000 + elapsed), isEnded)
+  })
+}
+
 /** Connections by phase, with the start of the phase. */
 const FULL_TABLES: Array<{ name: string, connections: Array<[ClientPhase, number]>, closed: number | undefined }> = [
   { name: 'the longest idle one', connections: [[ClientPhase.Body, 1], [ClientPhase.Idle, 9], [ClientPhase.Idle, 5]], closed: 2 },
--- a/packages/relay/src/connection/callers.ts
+++ b/packages/relay/src/connection/callers.ts
@@ -118,7 +118,7 @@
   const openRequests = new Set<OpenRequest>()
   const connections = new Map<Socket, ConnectionUse>()
   const turns = watchTurns()
-  const server = createServer({ ...GUARDED_SERVER_OPTIONS, maxHeaderSize: HEAD_BYTES_LIMIT, noDelay: true, requestTimeout: 0 })
+  const server = createServer({ ...GUARDED_SERVER_OPTIONS, maxHeaderSize: HEAD_BYTES_LIMIT, noDelay: true })
   guard.protect(server, clientLimits, (incoming, response) => {
     const { socket } = incoming
     const open: OpenRequest = { response, callerLeft: new AbortController() }
@@ -210,12 +210,13 @@
   function setLimits (next: CallerLimits): void {
     limits = next
     server.keepAliveTimeout = next.idleTimeoutMilliseconds + IDLE_SLACK_MILLISECONDS
-    server.headersTimeout = next.headerTimeoutMilliseconds
   }
 
   function clientLimits (): ClientLimits {
     return {
       headBytes: limits.headerBytes + HEAD_SLACK_BYTES,
+      headTimeoutMilliseconds: limits.headerTimeoutMilliseconds,
+      idleTimeoutMilliseconds: limits.idleTimeoutMilliseconds,
       connections: maximumConnections
     }
   }
--- a/packages/wigeonlead/src/connection/callers.ts
+++ b/packages/wigeonlead/src/connection/callers.ts
@@ -15,6 +15,8 @@
 /** Retry delay of a request that was refused for want of memory, seconds. */
 const RETRY_SECONDS = 1
 const TIMEOUT_CHECK_INTERVAL_MILLISECONDS = 500
+/** Longest time in which a request makes no progress, or none begins, milliseconds. */
+const IDLE_TIMEOUT_MILLISECONDS = 60_000
 
 /**
  * Creates the callers' listener without opening its port.
@@ -35,6 +37,8 @@
   const clientLimits = {
     // The parser refuses a head over the limit, with a problem document.
     headBytes: limits.maximumHeaderBytes + HEAD_SLACK_BYTES,
+    headTimeoutMilliseconds: limits.headerTimeoutMilliseconds,
+    idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS,
     connections: limits.maximumConnections
   }
   guard.protect(server, () => clientLimits, (request, response) => {
--- a/packages/wigeonlead/src/connection/peers/listener.ts
+++ b/packages/wigeonlead/src/connection/peers/listener.ts
@@ -34,6 +34,8 @@
 const KEEP_ALIVE_MILLISECONDS = 60_000
 const CLIENT_LIMITS: ClientLimits = {
   headBytes: 16_384,
+  headTimeoutMilliseconds: HEADERS_TIMEOUT_MILLISECONDS,
+  idleTimeoutMilliseconds: KEEP_ALIVE_MILLISECONDS,
   connections: 1500
 }
 const REPORT_INTERVAL_MILLISECONDS = 1000
