Let the refusal of a body arrive before its connection closes

What callers saw: a reset in place of the 413 for a body over the limit, while they still sent it.

Cause: the connection was closed as soon as the refusal was written. A connection that is closed with unread bytes is reset, and the reset drops what the client has not read yet. Change: after a refusal whose request has not arrived as a whole, the guard writes the answer, then reads and drops for 2 s or 8 MiB at most, without the parser, and closes the connection once its client has. The memory of the request is given back at once.

--- a/packages/protocol/src/listener/client-connection.ts
+++ b/packages/protocol/src/listener/client-connection.ts
@@ -36,12 +36,17 @@
   watchReading: () => void
   /** Closes the connection for another one. */
   giveWay: () => void
-  /** Answers where no request has been parsed, and closes the connection. */
-  refuseHead: (status: number) => void
+  /** Answers where no request has been parsed. @param isLingering whether the client gets time to read the answer. */
+  refuseHead: (status: number, isLingering: boolean) => void
+  /** Reads and drops what the client still sends for a while, then closes the connection. */
+  drop: () => void
 }
 
 /** Requests of one connection that are parsed before the first of them is answered. */
 const REQUESTS_AT_A_TIME = 4
+/** How much of a refused request is dropped, bytes, and for how long, milliseconds. */
+const DROPPED_BYTES = 8_388_608
+const DROPPING_MILLISECONDS = 2000
 /** Retry delay of a request that was refused for want of room, seconds. */
 export const RETRY_SECONDS = 1
 
@@ -58,6 +63,8 @@
   let isParsing = false
   let isParsingLater = false
   let isPaused = false
+  let isDropping = false
+  let droppable = DROPPED_BYTES
   /** Bytes that are held for each request without a whole answer. */
   const openRequests = new Map<IncomingMessage, number>()
   let latest: { incoming: IncomingMessage, response: ServerResponse } | undefined
@@ -76,7 +83,8 @@
     endOverdue,
     watchReading,
     giveWay,
-    refuseHead
+    refuseHead,
+    drop
   }
   socket.removeAllListeners('data')
   socket.on('data', receive)
@@ -86,8 +94,12 @@
   })
 
   function receive (bytes: Buffer): void {
-    unparsed.push(bytes)
-    parseOn()
+    if (!isDropping) {
+      unparsed.push(bytes)
+      return parseOn()
+    }
+    droppable -= bytes.length
+    if (droppable < 0) socket.destroy()
   }
 
   /** Parses what has arrived, up to the requests that are handled at a time. */
@@ -180,7 +192,7 @@
     const isTooLarge = headBytes > limits().headBytes
     if (!isTooLarge && holding.add(length)) return true
     count(isTooLarge ? ClientFault.HeadTooLarge : ClientFault.NoMemory)
-    refuseHead(isTooLarge ? 431 : 503)
+    refuseHead(isTooLarge ? 431 : 503, true)
     return false
   }
 
@@ -223,6 +235,7 @@
   }
 
   function endOverdue (): void {
+    if (isDropping) return
     if (connection.phase === ClientPhase.Idle) return socket.destroySoon()
     count(ClientFault.TooSlow)
     endUnfinished(BodyResult.TooSlow, 408)
@@ -230,7 +243,7 @@
 
   /** Ends the request that is arriving, whether its head is complete or not. */
   function endUnfinished (fault: BodyFault, status: number): void {
-    if (connection.phase !== ClientPhase.Body) return refuseHead(status)
+    if (connection.phase !== ClientPhase.Body) return refuseHead(status, true)
     // A handler that does not receive the body has answered already.
     if (endReceipt === undefined) socket.destroy()
     else endReceipt(fault)
@@ -242,11 +255,11 @@
   }
 
   function giveWay (): void {
-    if (connection.phase === ClientPhase.Head) refuseHead(503)
+    if (connection.phase === ClientPhase.Head) refuseHead(503, false)
     else socket.destroy()
   }
 
-  function refuseHead (status: number): void {
+  function refuseHead (status: number, isLingering: boolean): void {
     // The answers to earlier requests come first, and nothing must be written between them.
     if (!socket.writable || openRequests.size > 0) {
       socket.destroy()
@@ -254,7 +267,23 @@
     }
     const retryAfter = status === 503 ? `Retry-After: ${RETRY_SECONDS}\r\n` : ''
     socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nContent-Length: 0\r\nConnection: close\r\n${retryAfter}\r\n`)
-    socket.destroySoon()
+    if (isLingering) {
+      drop()
+      socket.end()
+    } else {
+      socket.destroySoon()
+    }
+  }
+
+  function drop (): void {
+    if (isDropping) return
+    isDropping = true
+    unparsed = []
+    holding.clear()
+    socket.once('end', () => socket.destroySoon())
+    setTimeout(() => socket.destroy(), DROPPING_MILLISECONDS).unref()
+    // The server also pauses the connection, where a body is not read.
+    resume()
   }
 
   return connection
--- a/packages/protocol/src/listener/client-guard.ts
+++ b/packages/protocol/src/listener/client-guard.ts
@@ -37,7 +37,10 @@
   receive: (incoming: IncomingMessage, maximumBytes: number) => Promise<ReceivedBody>
   /** Takes memory for the answer to a request, bytes. @returns whether it may be taken. */
   hold: (incoming: IncomingMessage, bytes: number) => boolean
-  /** Answers a request whose body may not have arrived, and closes the connection. */
+  /**
+   * Answers a request whose body may not have arrived, and closes the connection. What still arrives is dropped for a while, because a
+   * connection that is closed with unread bytes is reset, which can overtake the answer.
+   */
   refuse: (incoming: IncomingMessage, response: ServerResponse, status: number, content?: RefusalContent) => void
   heldBytes: () => number
   connections: () => number
@@ -94,7 +97,7 @@
     if (connections.size >= limits().connections) {
       count(ClientFault.NoConnection)
       const closing = chooseConnectionToClose(connections)
-      if (closing === undefined) return connection.refuseHead(503)
+      if (closing === undefined) return connection.refuseHead(503, false)
       connections.delete(closing)
       closing.giveWay()
     }
@@ -111,7 +114,15 @@
       return
     }
     response.writeHead(status, { ...headers, 'Content-Length': Buffer.byteLength(body), Connection: 'close' })
-    response.end(body)
+    const connection = bySocket.get(incoming.socket)
+    if (incoming.complete || connection === undefined) {
+      response.end(body)
+      return
+    }
+    // The end of the response would close the connection.
+    if (body === '') response.flushHeaders()
+    else response.write(body)
+    connection.drop()
   }
 
   function onParserError (error: NodeJS.ErrnoException, socket: Socket, isAnswered: boolean): void {
@@ -121,7 +132,8 @@
       return
     }
     count(ClientFault.Malformed)
-    if (!isAnswered) connection.refuseHead(PARSER_STATUSES[error.code ?? ''] ?? 400)
+    if (isAnswered) connection.drop()
+    else connection.refuseHead(PARSER_STATUSES[error.code ?? ''] ?? 400, true)
   }
 
   function hold (incoming: IncomingMessage, bytes: number): boolean {
--- a/packages/protocol/test/listener/client-guard.spec.ts
+++ b/packages/protocol/test/listener/client-guard.spec.ts
@@ -29,6 +29,9 @@
   { name: 'a body of the full size', sent: [`${HEAD}Content-Length: ${BODY_BYTES}\r\nConnection: close\r\n\r\n`, 'x'.repeat(BODY_BYTES)], statuses: [200] },
   { name: 'a body in chunks of one byte', sent: [`${HEAD}Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n`, chunk('x').repeat(5000), '0\r\n\r\n'], statuses: [200] },
   { name: 'requests that are sent ahead are all answered', sent: [`${HEAD}Content-Length: 1\r\n\r\nx`.repeat(500) + LAST_REQUEST], statuses: Array(501).fill(200) },
+  // Guards against a reset that overtakes the refusal while the client still sends.
+  { name: 'a body far over the limit, announced', sent: [`${HEAD}Content-Length: 6000000\r\n\r\n`, 'x'.repeat(6_000_000)], statuses: [413] },
+  { name: 'a body far over the limit, in chunks', sent: [`${HEAD}Transfer-Encoding: chunked\r\n\r\n`, chunk('x'.repeat(6_000_000))], statuses: [413] },
   { name: 'a head that does not end', sent: ['POST / HTTP/1.1\r\nHos'], statuses: [408] },
   { name: 'a body without progress', sent: [`${HEAD}Content-Length: 10\r\n\r\nx`], statuses: [408] },
   { name: 'nothing at all', sent: [], statuses: [] },
