Keep requests in hand while the next head on their connection is slow

What callers would have seen: a request that takes longer than the time limit for heads, and is followed by a part of the next head or by a stray line end, was cut off with its connection. The guard of this issue had counted the connection as one with a slow head. Change: the time of a head counts only while no request of its connection is open.

--- a/packages/protocol/src/listener/client-connection.ts
+++ b/packages/protocol/src/listener/client-connection.ts
@@ -186,8 +186,11 @@
   }
 
   function acceptHead (length: number): boolean {
-    enter(ClientPhase.Head)
-    if (openRequests.size === 0) holding.enter(HoldingPhase.Receiving)
+    // A request that is being handled outlasts the time limit of the head after it.
+    if (openRequests.size === 0) {
+      enter(ClientPhase.Head)
+      holding.enter(HoldingPhase.Receiving)
+    }
     headBytes += length
     const isTooLarge = headBytes > limits().headBytes
     if (!isTooLarge && holding.add(length)) return true
--- a/packages/protocol/test/listener/client-guard.spec.ts
+++ b/packages/protocol/test/listener/client-guard.spec.ts
@@ -11,6 +11,8 @@
 const LIMITS: ClientLimits = { headBytes: 2000, headTimeoutMilliseconds: 200, idleTimeoutMilliseconds: 300, connections: 20 }
 /** Longer than any limit, its slack and the interval of the checks. */
 const EXCHANGE_MILLISECONDS = 6000
+/** Longer than the time limit for a head, its slack and the interval of the checks. */
+const HANDLING_MILLISECONDS = 3000
 
 interface GuardCase {
   name: string
@@ -67,6 +69,21 @@
   })
 }
 
+// Guards against the end of a request in hand by the time limit for the next head, which some clients begin with a stray line.
+guarded('a request that takes longer than the time limit for the head that is sent ahead: 200', async () => {
+  const guard = createClientGuard()
+  const server = createServer({ ...GUARDED_SERVER_OPTIONS })
+  guard.protect(server, () => LIMITS, (_incoming, response) => { setTimeout(() => response.end(), HANDLING_MILLISECONDS) })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const text = await exchange((server.address() as AddressInfo).port, ['GET / HTTP/1.1\r\nHost: a\r\n\r\n\r\nGET'])
+    .finally(() => {
+      guard.close()
+      server.close()
+      server.closeAllConnections()
+    })
+  assert.match(text, /^HTTP\/1\.1 200 /)
+})
+
 /** Sends all parts before it reads, and returns what has arrived when the connection has ended. */
 async function exchange (port: number, sent: string[]): Promise<string> {
   const socket = connect(port, '127.0.0.1')
