--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -24,10 +24,11 @@
  * @param options.run how the replica with the given index runs a request; see `openReplica`.
  */
 export async function startDeployment (
-  note, { relays = 3, desks = 3, models = 6, run, config, version = 7, deskOptions, modelOptions } = {}
+  note, { relays = 3, desks = 3, models = 6, run, config, version = 7, deskOptions, modelOptions, proxyStore } = {}
 ) {
   const store = await openStore()
   store.write('op/config', makeConfiguration(version, config))
+  const storeProxy = await proxyStore?.(store.address)
   const runs = new Map()
   const record = {
     run ({ requestId, id, method, path, headers, body }) {
@@ -44,12 +45,13 @@
   const machines = []
   for (let index = 0; index < relays; index++) {
     machines.push(await startRelay({
-      name: `front-${index + 1}`, zone: ZONES[index % ZONES.length], zones: ZONES, storeAddress: store.address
+      name: `front-${index + 1}`, zone: ZONES[index % ZONES.length], zones: ZONES, storeAddress: (storeProxy ?? store).address
     }))
   }
   const callers = machines.map(machine => createCaller(machine.address))
   const deployment = {
     store,
+    storeProxy,
     replicas,
     machines,
     callers,
@@ -59,6 +61,7 @@
       for (const caller of callers) caller.close()
       for (const machine of machines) await machine.end()
       for (const replica of replicas) replica.close()
+      storeProxy?.close()
       store.close()
     }
   }
--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -1,11 +1,11 @@
 /**
- * A small stand-in of a replica, after PROTOCOL.md. It works on plain sockets, so that a fault can put any bytes on the wire.
+ * A small stand-in of a replica, after PROTOCOL.md. Its entry is written as it changes; beats that change nothing but `Sequence` are left
+ * out, since they don't change the entry.
  */
 import { createServer } from 'node:http'
 import { LAYERS } from './configuration.mjs'
 
 let nextNumber = 1
-const HEARTBEAT_MS = 1200
 
 /**
  * Opens a replica and registers it.
@@ -20,7 +20,6 @@
   let layers
   let state = 'ready'
   let sequence = 0
-  let beats = 0
   let isOpen = true
   const running = new Map()
 
@@ -34,7 +33,6 @@
       State: state,
       ColdRemainingMs: 0,
       Sequence: sequence,
-      Beat: beats++,
       born,
       Kind: isModel ? 'card' : undefined,
       Models: isModel ? [{ Name: 'm', Version: 1, Adapters: [] }] : [],
@@ -137,7 +135,6 @@
   await new Promise(resolve => server.listen(0, host, resolve))
   const address = `${host}:${server.address().port}`
   publish()
-  const timer = setInterval(publish, HEARTBEAT_MS)
 
   return {
     id,
@@ -153,7 +150,6 @@
     },
     close () {
       isOpen = false
-      clearInterval(timer)
       server.close()
       server.closeAllConnections()
     }
