--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -22,9 +22,10 @@
 /**
  * Starts a small deployment.
  * @param options.run how the replica with the given index runs a request; see `openReplica`.
+ * @param options.openModel opens a replica of the model in another way.
  */
 export async function startDeployment (
-  note, { relays = 3, desks = 3, models = 6, run, config, version = 7, deskOptions, modelOptions, proxyStore } = {}
+  note, { relays = 3, desks = 3, models = 6, run, config, version = 7, deskOptions, modelOptions, proxyStore, openModel } = {}
 ) {
   const store = await openStore()
   store.write('op/config', makeConfiguration(version, config))
@@ -40,7 +41,10 @@
     service, zone: ZONES[index % ZONES.length], store, record, run: run?.bind(undefined, index), ...options
   })
   const replicas = []
-  for (let index = 0; index < models; index++) replicas.push(await open('model', index, modelOptions))
+  for (let index = 0; index < models; index++) {
+    const zone = ZONES[index % ZONES.length]
+    replicas.push(openModel === undefined ? await open('model', index, modelOptions) : await openModel({ index, zone, store, record }))
+  }
   for (let index = 0; index < desks; index++) replicas.push(await open('desk', index, deskOptions))
   const machines = []
   for (let index = 0; index < relays; index++) {
--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -11,8 +11,9 @@
  * Opens a replica and registers it.
  * @param options.run overrides how a request is run: called with the request's terms and the response, after it was counted as run.
  */
-export async function openReplica ({ service, zone, store, record, host = '127.0.0.1', workMs = 30, eventMs = 20, run, slots }) {
-  const number = nextNumber++
+export async function openReplica ({
+  service, zone, store, record, host = '127.0.0.1', workMs = 30, eventMs = 20, run, slots, number = nextNumber++, backlog
+}) {
   const born = Date.now()
   const id = `i-${number}`
   const isModel = service === 'model'
@@ -132,7 +133,7 @@
     })
   })
   server.keepAliveTimeout = 10_000
-  await new Promise(resolve => server.listen(0, host, resolve))
+  await new Promise(resolve => server.listen({ port: 0, host, backlog }, resolve))
   const address = `${host}:${server.address().port}`
   publish()
 
