review: case 10, an event without end in chunks of one byte makes a process stand still

Cause: nothing bounds the work of the parser for an answer in tiny chunks but a mebibyte of content; 13.7 s of 35 s are spent there.

--- a/review/lib-2/child-replica.mjs
+++ b/review/lib-2/child-replica.mjs
@@ -7,8 +7,8 @@
 const PROGRAM = fileURLToPath(new URL('./replica-process.mjs', import.meta.url))
 
 /** Opens a replica of the model. `stop` makes its process stand still, `go` lets it go on. */
-export async function openChildReplica ({ zone, number, backlog, store, record, eventMs }) {
-  const child = fork(PROGRAM, [JSON.stringify({ service: 'model', zone, number, backlog, eventMs })])
+export async function openChildReplica ({ zone, number, backlog, store, record, eventMs, endless, onFlood }) {
+  const child = fork(PROGRAM, [JSON.stringify({ service: 'model', zone, number, backlog, eventMs, endless })])
   let layers
   const opened = new Promise((resolve, reject) => {
     child.on('message', message => {
@@ -17,6 +17,7 @@
         store.write(message.entry.key, message.entry.value)
       }
       if (message.run !== undefined) record.run(message.run)
+      if (message.flooding !== undefined) onFlood?.(message.flooding)
       if (message.opened !== undefined) resolve(message.opened)
     })
     child.on('exit', () => reject(new Error('the process of a replica ended')))
@@ -27,6 +28,7 @@
     address,
     service: 'model',
     layers: () => layers,
+    setFlooding: isFlooding => child.send({ isFlooding }),
     stop: () => child.kill('SIGSTOP'),
     go: () => child.kill('SIGCONT'),
     close () {
