--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -28,7 +28,7 @@
   id => chunk(event(id, 1)) + 'no chunk\r\n'
 ]
 
-await runCase(import.meta.dirname, async (note, start) => {
+await runCase(import.meta.url, async (note, start) => {
   let isGarbling = false
   const begun = new Array(MODELS).fill(0)
   const spoiled = new Set()
--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -3,7 +3,6 @@
  */
 import { writeFileSync } from 'node:fs'
 import { request } from 'node:http'
-import { join } from 'node:path'
 import { createCaller } from './client.mjs'
 import { makeConfiguration } from './configuration.mjs'
 import { pause, startRelay, waitFor } from './fleet.mjs'
@@ -98,12 +97,13 @@
 
 /**
  * Runs a case: writes `record.txt` beside it and ends the process with the status of the verdict.
+ * @param caseUrl URL of the module of the case.
  * @param body called with a function that notes a line; returns whether the rule held.
  */
-export async function runCase (folder, body) {
+export async function runCase (caseUrl, body) {
   const lines = []
   const startedAt = performance.now()
-  const write = () => writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`)
+  const write = () => writeFileSync(new URL('record.txt', caseUrl), `${lines.join('\n')}\n`)
   const note = line => { lines.push(`${String(Math.round(performance.now() - startedAt)).padStart(6)} ms  ${line}`) }
   note(HAS_TROUBLE ? 'with the disruption' : 'TROUBLE=0: without the disruption')
   const guard = setTimeout(() => {
@@ -111,6 +111,8 @@
     write()
     process.exit(EXIT_NOT_RUN)
   }, TIME_LIMIT_MS)
+  // The processes that were started are ended as this one exits.
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => process.exit(EXIT_NOT_RUN))
   let status = EXIT_NOT_RUN
   const started = { deployment: undefined }
   try {
--- a/review/lib-2/child-replica.mjs
+++ b/review/lib-2/child-replica.mjs
@@ -9,6 +9,7 @@
 /** Opens a replica of the model. `stop` makes its process stand still, `go` lets it go on. */
 export async function openChildReplica ({ zone, number, backlog, store, record, eventMs, endless, onFlood }) {
   const child = fork(PROGRAM, [JSON.stringify({ service: 'model', zone, number, backlog, eventMs, endless })])
+  process.on('exit', () => { child.kill('SIGKILL') })
   let layers
   const opened = new Promise((resolve, reject) => {
     child.on('message', message => {
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -51,6 +51,7 @@
     child.on('exit', (code, signal) => exits.push({ pid: started.pid, code, signal, at: performance.now() }))
   }
   start()
+  process.on('exit', () => { child.kill('SIGKILL') })
   return {
     name,
     address: callers,
