--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -111,7 +111,8 @@
     write()
     process.exit(EXIT_NOT_RUN)
   }, TIME_LIMIT_MS)
-  // The processes that were started are ended as this one exits.
+  // The processes that were started are ended as this one exits, by a listener each.
+  process.setMaxListeners(0)
   for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => process.exit(EXIT_NOT_RUN))
   let status = EXIT_NOT_RUN
   const started = { deployment: undefined }
