Answer streams whose answers ended before they were followed

Cause: the parser reports the head and the fault in one turn. `send` resolves with the head, and whoever awaits it listens some microtasks later; a script that sends such a segment showed 'error' and 'close' of the answer emitted before that continuation. forwardEvents and the line reader (store streams, engines of the other router) then waited for events that never came; receiveBody did so for a body that someone else had read.

Change: followBody looks at the message before it listens and tells its end exactly once. forwardEvents, receiveBody (all other readers) and the line reader use it, so the moment between "answered" and "listened to" belongs to one place.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -28,6 +28,7 @@
 export { HoldingPhase, createMemoryBudget, type Holding, type MemoryBudget } from './listener/memory-budget.js'
 export { BodyResult, receiveBody, type BodyFault, type ReceivedBody } from './listener/receive-body.js'
 export { SLICE_BYTES, nextSliceLength } from './listener/request-slices.js'
+export { followBody, type BodyHandlers } from './platform/follow-body.js'
 export { readAnswer, readBody } from './platform/read-body.js'
 export { sendRequest } from './platform/send-request.js'
 export { createLineReader, type LineReader } from './platform/line-reader.js'
--- a/packages/protocol/src/listener/receive-body.ts
+++ b/packages/protocol/src/listener/receive-body.ts
@@ -2,6 +2,7 @@
  * Receives the body of an HTTP message up to a size limit, at the cost of about its size in memory, however it is cut into chunks.
  */
 import type { IncomingMessage } from 'node:http'
+import { followBody } from '../platform/follow-body.js'
 
 /** How the receipt of a body has ended. */
 export enum BodyResult {
@@ -39,17 +40,14 @@
 ): Promise<ReceivedBody> {
   const declared = Number(message.headers['content-length'] ?? 0)
   if (declared > maximumBytes) return Promise.resolve({ result: BodyResult.TooLarge })
-  if (message.destroyed && !message.readableEnded) return Promise.reject(message.errored ?? new Error('the body ended early'))
   return new Promise((resolve, reject) => {
     let buffer: Buffer = EMPTY
     let bytes = 0
 
-    function finish (received: ReceivedBody): void {
-      message.off('data', onData)
-      message.off('end', onEnd)
-      message.off('close', onClose)
+    function fail (result: BodyFault): void {
+      stopFollowing()
       buffer = EMPTY
-      resolve(received)
+      resolve({ result })
     }
 
     /** Makes room for a chunk. A buffer at least doubles, so that short chunks seldom make it grow. */
@@ -65,32 +63,24 @@
     }
 
     function onData (chunk: Buffer): void {
-      if (bytes + chunk.length > maximumBytes) return finish({ result: BodyResult.TooLarge })
+      if (bytes + chunk.length > maximumBytes) return fail(BodyResult.TooLarge)
       if (bytes === 0 && chunk.length === declared) {
         // The whole body in one piece needs no copy.
-        if (!hold(declared)) return finish({ result: BodyResult.NoMemory })
+        if (!hold(declared)) return fail(BodyResult.NoMemory)
         buffer = chunk
       } else {
-        if (!reserve(chunk.length)) return finish({ result: BodyResult.NoMemory })
+        if (!reserve(chunk.length)) return fail(BodyResult.NoMemory)
         chunk.copy(buffer, bytes)
       }
       bytes += chunk.length
     }
 
-    function onEnd (): void {
-      if (!message.complete) return reject(new Error('the body ended early'))
-      finish({ result: BodyResult.Complete, body: buffer.subarray(0, bytes) })
+    function onEnd (error?: Error): void {
+      if (error !== undefined) return reject(error)
+      resolve({ result: BodyResult.Complete, body: buffer.subarray(0, bytes) })
     }
 
-    function onClose (): void {
-      reject(message.errored ?? new Error('the body ended early'))
-    }
-
-    message.on('data', onData)
-    message.on('end', onEnd)
-    message.on('close', onClose)
-    // A broken connection is told by the event 'close' too.
-    message.on('error', () => {})
-    onStart?.(fault => finish({ result: fault }))
+    const stopFollowing = followBody(message, { onData, onEnd })
+    onStart?.(fail)
   })
 }
--- a/packages/protocol/src/platform/line-reader.ts
+++ b/packages/protocol/src/platform/line-reader.ts
@@ -2,6 +2,7 @@
  * Reads an HTTP answer line by line; lines that arrive together are returned together.
  */
 import type { IncomingMessage } from 'node:http'
+import { followBody } from './follow-body.js'
 
 /** Reads the lines of one answer. */
 export interface LineReader {
@@ -29,14 +30,7 @@
     wake = undefined
   }
 
-  function finish (error?: Error): void {
-    isEnded = true
-    connectionError ??= error
-    wakeReader()
-  }
-
-  response.setEncoding('utf8')
-  response.on('data', (chunk: string) => {
+  function onData (chunk: string): void {
     const pieces = (partialLine + chunk).split('\n')
     partialLine = pieces.pop() ?? ''
     if (partialLine.length > maximumCharacters) response.destroy(new Error(`a line is over ${maximumCharacters} characters`))
@@ -44,13 +38,18 @@
     if (lines.length === 0) return
     if (wake === undefined) response.pause()
     wakeReader()
+  }
+
+  response.setEncoding('utf8')
+  followBody<string>(response, {
+    onData,
+    onEnd (error) {
+      if (error === undefined && partialLine.trim() !== '') lines.push(partialLine)
+      isEnded = true
+      connectionError = error
+      wakeReader()
+    }
   })
-  response.on('end', () => {
-    if (partialLine.trim() !== '') lines.push(partialLine)
-    finish()
-  })
-  response.on('error', finish)
-  response.on('close', () => finish(response.complete ? undefined : new Error('the connection closed')))
 
   function takeLines (): string[] {
     const taken = lines
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -2,7 +2,7 @@
  * One run of a request whose answer is a series of events: sends it over one path and forwards the events until the run ends.
  */
 import type { IncomingMessage } from 'node:http'
-import { readAnswer } from '@wigeonlead/protocol'
+import { followBody, readAnswer } from '@wigeonlead/protocol'
 import { SendResult, hasLength, type SendOutcome } from '../connection/target-client.js'
 import type { AnswerTerms } from '../connection/dialect.js'
 import type { FoundPath } from '../process/routing/path-finder.js'
@@ -287,7 +287,9 @@
       }
     }
 
-    response.on('data', guarded((chunk: Buffer) => {
+    followBody(response, { onData: guarded(onData), onEnd: guarded(onEnd) })
+
+    function onData (chunk: Buffer): void {
       if (response.destroyed || caller.destroyed) return
       const completeEvents: StreamEvent[] = []
       for (const event of splitter.push(chunk)) {
@@ -304,26 +306,21 @@
         completeEvents.push(event)
       }
       forward(completeEvents)
-    }))
-    response.on('end', guarded(() => {
-      // A destroyed response may still emit 'end'.
+    }
+
+    function onEnd (error?: Error): void {
       if (isFinished) return
-      if (!response.complete || splitter.hasRemainder()) return finish(RunEnd.Broken, 'the answer ended within an event')
+      if (error !== undefined) {
+        return finish(request.exchange.callerLeft.aborted ? RunEnd.CallerLeft : RunEnd.Broken, abortReason() || error.message)
+      }
+      if (splitter.hasRemainder()) return finish(RunEnd.Broken, 'the answer ended within an event')
       if (hasLength(response)) return finishComplete()
       void Promise.all([answer.isEndConfirmed(), isSenderAlive()]).then(guarded(([isConfirmed, isAlive]) => {
         if (isFinished) return
         if (isConfirmed && isAlive) finishComplete()
         else finish(RunEnd.Broken, 'the connection was reset, or the target no longer answers: the answer may be incomplete')
       }), (error: Error) => abortAnswer(error.message))
-    }))
-    response.on('error', error => finish(
-      request.exchange.callerLeft.aborted ? RunEnd.CallerLeft : RunEnd.Broken, abortReason() || error.message
-    ))
-    response.on('close', () => {
-      // The 'end' handler still checks whether a body without a length is complete, and finishes the run.
-      if (response.complete && !response.errored && !hasLength(response) && !request.exchange.callerLeft.aborted) return
-      finish(request.exchange.callerLeft.aborted ? RunEnd.CallerLeft : RunEnd.Broken, abortReason() || 'the connection was closed')
-    })
+    }
 
     function finishComplete (): void {
       // One answer without events does not prove that the earlier run had sent the last one.
