Keep a whole answer that further bytes follow

Callers saw: 502 for a request that may run once, and a second run of a stream, where the target had sent the whole answer and further bytes in the same segment ("Such bytes belong to no request").

Cause: the parser reports the further bytes as a fault of the request; the target client destroyed the answer with it, with what was not read yet. Change: an answer that declares where it ends and is complete is kept.

--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -188,7 +188,8 @@
       outgoing.on('error', error => {
         // Node.js reports a reset as the regular end of a body without a length: the body must not count as complete.
         isReset = true
-        answer?.destroy(error)
+        // Bytes that follow a complete answer belong to no request, and take nothing from the answer.
+        if (answer !== undefined && !(answer.complete && hasLength(answer))) answer.destroy(error)
         fail(error.message, (error as NodeJS.ErrnoException).code === CONNECTION_REFUSED)
       })
       outgoing.on('close', () => {
