Take no status above 599 for an answer

Callers saw: a request that may run once got status 600 or 999, and the body beside it, as the answer of its target. 000, 001, 099 and 199 reached no caller. A report with status 600 counted as a sign of life, an order as refused, and a generation of the other router as refused, which promises that nothing has run.

--- a/packages/protocol/src/platform/invalid-head.ts
+++ b/packages/protocol/src/platform/invalid-head.ts
@@ -3,8 +3,10 @@
  */
 import { validateHeaderName, validateHeaderValue } from 'node:http'
 
-/** Lower statuses are informational: no message that ends an exchange has one. */
+/** Lower statuses are informational, or none at all: no message that ends an exchange has one. */
 const FIRST_FINAL_STATUS = 200
+/** Higher statuses are in no class of HTTP (RFC 9110, section 15). The parser of Node.js takes any three digits. */
+const LAST_FINAL_STATUS = 599
 
 /**
  * @param rawHeaders flat name-value pairs, as received.
@@ -27,5 +29,6 @@
  * @returns why the head of an answer cannot be forwarded, described for a log; undefined if it can.
  */
 export function findInvalidAnswerHead (status: number, rawHeaders: readonly string[]): string | undefined {
-  return status < FIRST_FINAL_STATUS ? `status ${status} ends no answer` : findInvalidHeader(rawHeaders)
+  const isFinal = status >= FIRST_FINAL_STATUS && status <= LAST_FINAL_STATUS
+  return isFinal ? findInvalidHeader(rawHeaders) : `status ${status} ends no answer`
 }
--- a/packages/protocol/test/platform/vm-list.spec.ts
+++ b/packages/protocol/test/platform/vm-list.spec.ts
@@ -26,6 +26,7 @@
     failure: FailureKind.Malformed
   },
   { name: 'an unavailable service is reported as broken', listener: (_request, response) => answerJson(response, 503, {}), failure: FailureKind.Broken },
+  { name: 'a status that is none is reported as broken', listener: (_request, response) => answerJson(response, 600, { vms: [] }), failure: FailureKind.Broken },
   { name: 'a rejected request is refused', listener: (_request, response) => answerJson(response, 404, {}), failure: FailureKind.Refused }
 ]
 
--- a/packages/relay/test/connection/engine-client.spec.ts
+++ b/packages/relay/test/connection/engine-client.spec.ts
@@ -5,7 +5,7 @@
 import { createServer, type AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createEngineClient, createTargetClient } from '@wigeonlead/relay'
+import { OrderResult, createEngineClient, createTargetClient } from '@wigeonlead/relay'
 import { PLAIN_DIALECT } from '../plain-dialect.js'
 import { testTarget } from '../test-engine.js'
 
@@ -21,7 +21,9 @@
   { name: 'that another target has the address', answer: answer('421 Misdirected', ''), isAlive: false },
   { name: 'a report without an incarnation', answer: answer('200 OK', '{"bornAtMilliseconds":0}'), isAlive: true },
   { name: 'that it gives no reports', answer: answer('404 Not Found', ''), isAlive: true },
-  { name: 'nothing, and closes', answer: '', isAlive: false }
+  { name: 'nothing, and closes', answer: '', isAlive: false },
+  { name: 'status 000', answer: answer('000 None', `{"bornAtMilliseconds":${BORN}}`), isAlive: false },
+  { name: 'status 600', answer: answer('600 None', `{"bornAtMilliseconds":${BORN}}`), isAlive: false }
 ]
 
 const liveness = suite('whether a target still runs')
@@ -42,4 +44,22 @@
   })
 }
 
+/** Guards against an order that counts as obeyed, or as refused, by an answer with an impossible status. */
+for (const status of ['000', '099', '600', '999']) {
+  liveness(`it answers orders with status ${status}: nothing is known of them`, async () => {
+    const server = createServer(socket => {
+      socket.on('error', () => {})
+      socket.once('data', () => socket.end(answer(`${status} None`, '')))
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const targets = createTargetClient(PLAIN_DIALECT, { pauseRemaining: () => 0, onSlowConnect () {}, onSend () {}, onAnswer () {} })
+    const engines = createEngineClient(PLAIN_DIALECT, targets)
+    const target = testTarget('t1', undefined, { address: `127.0.0.1:${(server.address() as AddressInfo).port}` })
+    assert.is(await engines.place(target, { from: 0, to: 8, expectedOrders: 0, fence: 1 }), OrderResult.Unknown)
+    assert.equal(await engines.moveRequest(target, 'r-1', []), { isAccepted: false, status: 0, isUnknown: false })
+    targets.close()
+    server.close()
+  })
+}
+
 liveness.run()
--- a/packages/relay/test/connection/target-client.spec.ts
+++ b/packages/relay/test/connection/target-client.spec.ts
@@ -38,6 +38,9 @@
   { name: 'a reset without an answer', answer: socket => socket.resetAndDestroy(), result: SendResult.Unknown }
 ]
 
+/** Statuses that end no answer: none, informational ones, and such as are in no class. The parser takes those of three digits. */
+const IMPOSSIBLE_STATUSES = ['000', '001', '099', '199', '600', '999', '0200', '20', '2x0']
+
 async function listen (onRequest: (socket: Socket) => void): Promise<{ server: Server, address: string }> {
   const server = createServer(socket => {
     socket.on('error', () => {})
@@ -81,6 +84,26 @@
   })
 }
 
+// Guards against a target, or a peer, whose answer with an impossible status reaches a caller as an answer.
+for (const status of IMPOSSIBLE_STATUSES) {
+  for (const { sender, mayOmitId, head } of [
+    { sender: 'a target', mayOmitId: false, head: 'X-Request: r-1\r\nX-Seal: s\r\n' },
+    { sender: 'a peer that names no request', mayOmitId: true, head: '' }
+  ]) {
+    sends(`status ${status} of ${sender}: no answer`, async () => {
+      const { server, address } = await listen(socket => socket.write(`HTTP/1.1 ${status} None\r\n${head}Content-Length: 2\r\n\r\nok`))
+      const client = createTargetClient(PLAIN_DIALECT, { ...UNPAUSED, onAnswer () { throw new Error('it counted as an answer') } })
+      const deadline = new AbortController()
+      const timer = setTimeout(() => deadline.abort(), 1000)
+      const outcome = await client.send({ ...createCall(address), mayOmitId, signal: deadline.signal })
+      clearTimeout(timer)
+      assert.is(outcome.kind, SendResult.Unknown)
+      client.close()
+      server.close()
+    })
+  }
+}
+
 sends('a port on which nothing listens: not sent', async () => {
   const { server, address } = await listen(() => {})
   await new Promise(resolve => { server.close(resolve) })
--- a/packages/relay/test/continued-streams.spec.ts
+++ b/packages/relay/test/continued-streams.spec.ts
@@ -11,6 +11,15 @@
   else completeSeries(incoming, response)
 }
 
+/** Answers with a status that ends no answer, and with an event that would continue the series. */
+function withStatus (status: string): Behaviour {
+  return (incoming, response) => {
+    const head = Object.entries(EVENT_STREAM_HEADERS).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+    incoming.socket.end(`HTTP/1.1 ${status} None\r\n${head}\r\nid: ${Number(incoming.headers['x-last']) + 1}\ndata: fault\n\n`)
+    response.destroy()
+  }
+}
+
 const FAULTS: Record<string, Behaviour> = {
   'an error with text': (_incoming, response) => { response.writeHead(500, ANSWER_HEADERS); response.end('fault') },
   'an error as events': (_incoming, response) => { response.writeHead(500, EVENT_STREAM_HEADERS); response.end('data: fault\n\n') },
@@ -23,6 +32,10 @@
     response.writeHead(200, EVENT_STREAM_HEADERS)
     response.end(`${events(Number(incoming.headers['x-last']) + 1, 4)}HTTP/1.1 500 Fault\r\nContent-Type: text/plain\r\n\r\n`)
   },
+  'status 000 and events': withStatus('000'),
+  'status 099 and events': withStatus('099'),
+  'status 600 and events': withStatus('600'),
+  'status 999 and events': withStatus('999'),
   'no event at all': (_incoming, response) => { response.writeHead(200, EVENT_STREAM_HEADERS); response.end() }
 }
 
--- a/packages/relay/test/malformed-heads.spec.ts
+++ b/packages/relay/test/malformed-heads.spec.ts
@@ -13,6 +13,8 @@
   { name: 'a header without a name', header: ': a' },
   { name: 'status 0', status: 'HTTP/1.1 000 None' },
   { name: 'status 99', status: 'HTTP/1.1 099 None' },
+  { name: 'status 600', status: 'HTTP/1.1 600 None' },
+  { name: 'status 999', status: 'HTTP/1.1 999 None' },
   { name: 'a change of protocol that nothing asked for', status: 'HTTP/1.1 101 Other' }
 ]
 
--- a/packages/wigeonlead/test/connection/engines.spec.ts
+++ b/packages/wigeonlead/test/connection/engines.spec.ts
@@ -50,6 +50,8 @@
   { name: 'a stream that ends without a finish', chunks: [`${token(0)}\n`], events: [0, 'broken first'] },
   { name: 'a broken connection', chunks: [`${token(0)}\n`], isBroken: true, events: [0, 'broken first'] },
   { name: 'a refusal with a status', status: 503, chunks: ['full'], events: ['refused first'] },
+  // Guards against a refusal, which promises that nothing has run, by a status that promises nothing.
+  { name: 'a status that is none', status: 600, chunks: [`${token(0)}\n`], events: ['broken first'] },
   { name: 'a line that is not JSON', chunks: ['{\n'], events: ['malformed first'] },
   { name: 'an event of an unknown kind', chunks: ['{"kind":"other"}\n'], events: ['malformed first'] },
   { name: 'a token without a receipt', chunks: [`${token(0, { receipt: undefined })}\n`], events: ['malformed first'] },
--- a/packages/wigeonlead/test/services-port.spec.ts
+++ b/packages/wigeonlead/test/services-port.spec.ts
@@ -72,6 +72,12 @@
     kind: ServiceResult.Ambiguous,
     failure: FailureKind.Malformed
   },
+  ...['000', '099', '600', '999'].map(status => ({
+    name: `an answer with status ${status}, which is none`,
+    answer: (socket: Socket) => socket.end(`HTTP/1.1 ${status} None\r\ncontent-length: 2\r\n\r\n{}`),
+    kind: ServiceResult.Ambiguous,
+    failure: FailureKind.Malformed
+  })),
   {
     name: 'an answer over the limit',
     answer: socket => socket.end(`HTTP/1.1 201 Created\r\ncontent-length: 2000\r\n\r\n${'x'.repeat(2000)}`),
