Bound what a process holds of answers that are arriving

Cause: incomplete events, refusals, errors, reports and what peers answer to streams counted in no budget; plain answers counted as handled requests of clients, which never give way, so the first that came kept the memory.

Change: the memory budget knows owners; of the owner whose holdings cost the most together the costliest is given up. The target client opens a holding for each answer that it hands out, in a budget of its own (targets.heldMegabytes, 0.1 of the machine, at least 18), apart from that of clients; a whole answer then passes to the budget of its caller. The event splitter holds what it keeps between chunks, nothing where a chunk ends with an event.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -29,7 +29,7 @@
 export { BodyResult, receiveBody, type BodyFault, type ReceivedBody } from './listener/receive-body.js'
 export { SLICE_BYTES, nextSliceLength } from './listener/request-slices.js'
 export { followBody, type BodyHandlers } from './platform/follow-body.js'
-export { readAnswer, readBody } from './platform/read-body.js'
+export { NO_MEMORY, readAnswer, readBody, type OpenHolding } from './platform/read-body.js'
 export { sendRequest } from './platform/send-request.js'
 export { createLineReader, type LineReader } from './platform/line-reader.js'
 export {
--- a/packages/protocol/src/listener/memory-budget.ts
+++ b/packages/protocol/src/listener/memory-budget.ts
@@ -1,5 +1,6 @@
 /**
- * Bounds the memory that a process holds for its clients, and decides whose request ends where it does not suffice.
+ * Bounds the memory that a process holds of the bytes of others, such as its clients or its targets, and decides whose message is given up
+ * where it does not suffice.
  */
 
 /** What the bytes of a holding are. */
@@ -23,17 +24,20 @@
   clear: () => void
 }
 
-/** The memory for all clients of a process. */
+/** The memory for all clients, or for all targets, of a process. */
 export interface MemoryBudget {
   /**
    * Opens an empty holding.
    * @param onEvicted called when the request or the answer must end to make room. The holding has been cleared before.
+   * @param owner who sends the bytes, where one sender has several holdings; by default, each holding has a sender of its own.
    */
-  open: (onEvicted: (phase: HoldingPhase) => void) => Holding
+  open: (onEvicted: (phase: HoldingPhase) => void, owner?: string) => Holding
   heldBytes: () => number
 }
 
 interface HoldingState {
+  /** The sender, or the holding itself where it is the only one of its sender. */
+  owner: unknown
   bytes: number
   phase: HoldingPhase
   /** When the phase began, milliseconds of the monotonic clock. */
@@ -56,18 +60,29 @@
     state.bytes = bytes
   }
 
-  /** @returns what costs the most: bytes times the time for which they have been held. Requests that are handled cost nothing. */
+  /**
+   * @returns the costliest holding of the owner whose holdings cost the most together. A holding costs its bytes times the time for which
+   * they have been held; requests that are handled cost nothing.
+   */
   function findCostliest (): HoldingState | undefined {
     const now = performance.now()
-    let costliest: HoldingState | undefined
-    let highest = -1
+    const owners = new Map<unknown, { cost: number, costliest: HoldingState, highest: number }>()
     for (const state of states) {
-      const cost = state.phase === HoldingPhase.Handling ? -1 : state.bytes * (now - state.since)
-      if (cost <= highest) continue
-      highest = cost
-      costliest = state
+      if (state.phase === HoldingPhase.Handling) continue
+      const cost = state.bytes * (now - state.since)
+      const owner = owners.get(state.owner)
+      if (owner === undefined) {
+        owners.set(state.owner, { cost, costliest: state, highest: cost })
+        continue
+      }
+      owner.cost += cost
+      if (cost <= owner.highest) continue
+      owner.highest = cost
+      owner.costliest = state
     }
-    return costliest
+    let chosen: { cost: number, costliest: HoldingState } | undefined
+    for (const owner of owners.values()) if (chosen === undefined || owner.cost > chosen.cost) chosen = owner
+    return chosen?.costliest
   }
 
   function makeRoom (forState: HoldingState, bytes: number): boolean {
@@ -81,8 +96,9 @@
   }
 
   return {
-    open (onEvicted) {
-      const state: HoldingState = { bytes: 0, phase: HoldingPhase.Receiving, since: performance.now(), onEvicted }
+    open (onEvicted, owner) {
+      const state: HoldingState = { owner, bytes: 0, phase: HoldingPhase.Receiving, since: performance.now(), onEvicted }
+      state.owner ??= state
       return {
         add (bytes) {
           if (held + bytes > limitBytes() && !makeRoom(state, bytes)) return false
--- a/packages/protocol/test/listener/memory-budget.spec.ts
+++ b/packages/protocol/test/listener/memory-budget.spec.ts
@@ -11,7 +11,7 @@
 /** What holds memory when one more request asks for it, in the order of arrival, a second apart. */
 interface BudgetCase {
   name: string
-  held: Array<{ name: string, bytes: number, phase: HoldingPhase }>
+  held: Array<{ name: string, bytes: number, phase: HoldingPhase, owner?: string }>
   asked: number
   isGiven: boolean
   evicted: string[]
@@ -56,6 +56,16 @@
     isGiven: false,
     evicted: []
   },
+  {
+    name: 'many holdings of one sender cost more than one of another that is older and longer',
+    held: [
+      { name: 'sound', bytes: 16, phase: Receiving, owner: 'other' },
+      ...['a', 'b', 'c', 'd', 'e', 'f'].map(name => ({ name, bytes: 14, phase: Receiving, owner: 'faulty' }))
+    ],
+    asked: 25,
+    isGiven: true,
+    evicted: ['a', 'b']
+  },
   { name: 'more is asked for than there is: nothing gives way that does not help', held: [], asked: 101, isGiven: false, evicted: [] }
 ]
 
@@ -65,8 +75,8 @@
   memoryBudget(name, () => withPausedClock(async clock => {
     const budget = createMemoryBudget(() => LIMIT_BYTES)
     const ended: string[] = []
-    for (const { name: holder, bytes, phase } of held) {
-      const holding = budget.open(() => { ended.push(holder) })
+    for (const { name: holder, bytes, phase, owner } of held) {
+      const holding = budget.open(() => { ended.push(holder) }, owner)
       assert.ok(holding.add(bytes))
       holding.enter(phase)
       await clock.advance(1000)
--- a/packages/relay/src/connection/engine-client.ts
+++ b/packages/relay/src/connection/engine-client.ts
@@ -93,7 +93,7 @@
         signal: abortController.signal
       })
       if (outcome.kind !== SendResult.Answered) return undefined
-      const text = (await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)).toString()
+      const text = (await readAnswer(outcome.response, ANSWER_BYTES_LIMIT, outcome.openHolding)).toString()
       return { status: outcome.response.statusCode ?? 0, text, faultyAddress: outcome.terms.faultyAddress }
     } catch {
       // An answer that was cut off counts as no answer; each method has its own result for that.
@@ -133,7 +133,7 @@
       if (outcome.kind === SendResult.Withheld) return ProbeResult.Reachable
       if (outcome.kind !== SendResult.Answered) return ProbeResult.Silent
       if (outcome.response.statusCode === MISDIRECTED_STATUS) return ProbeResult.Replaced
-      const text = (await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)).toString()
+      const text = (await readAnswer(outcome.response, ANSWER_BYTES_LIMIT, outcome.openHolding)).toString()
       return isOtherIncarnation(target, text) ? ProbeResult.Replaced : ProbeResult.Reachable
     } catch {
       // The target answers, though not with a valid report.
--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -4,7 +4,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { findInvalidAnswerHead } from '@wigeonlead/protocol'
+import { createMemoryBudget, findInvalidAnswerHead, type MemoryBudget, type OpenHolding } from '@wigeonlead/protocol'
 import { isAddress, splitAddress } from './address.js'
 import type { AnswerTerms, Dialect } from './dialect.js'
 import { scanHead, type HeadScanner } from './head-scanner.js'
@@ -28,6 +28,8 @@
     terms: AnswerTerms
     /** To be called once the body has ended: whether it ended regularly, and not by a reset that looked like an end. */
     isEndConfirmed: () => Promise<boolean>
+    /** Opens a holding of the memory for answers, in which what is kept of this answer counts. */
+    openHolding: OpenHolding
   }
   | { kind: SendResult.NotSent, reason: string, isRefused: boolean }
   | { kind: SendResult.Withheld, reason: string }
@@ -96,8 +98,13 @@
 /** Status of an answer that comes from another target than the expected one. */
 const MISDIRECTED_STATUS = 421
 
-/** Creates a client. */
-export function createTargetClient (dialect: Dialect, states: TargetStates): TargetClient {
+/**
+ * Creates a client.
+ * @param memory the memory for answers; by default, it is not bounded.
+ */
+export function createTargetClient (
+  dialect: Dialect, states: TargetStates, memory: MemoryBudget = createMemoryBudget(() => Infinity)
+): TargetClient {
   const pooledAgent = createPooledAgent()
   /** Requests whose connections are being established, with the incarnations of their targets. */
   const connecting = new Map<ClientRequest, string>()
@@ -183,7 +190,13 @@
         }
         if (response.statusCode !== MISDIRECTED_STATUS) states.onAnswer(call.incarnation, response.statusCode ?? 0, terms)
         setIdleLimit(outgoing, terms)
-        resolve({ kind: SendResult.Answered, response, terms, isEndConfirmed: async () => await isEndConfirmed(response, () => isReset) })
+        resolve({
+          kind: SendResult.Answered,
+          response,
+          terms,
+          isEndConfirmed: async () => await isEndConfirmed(response, () => isReset),
+          openHolding: onEvicted => memory.open(onEvicted, call.incarnation)
+        })
       })
       outgoing.on('error', error => {
         // Node.js reports a reset as the regular end of a body without a length: the body must not count as complete.
--- a/packages/relay/src/process/settings.ts
+++ b/packages/relay/src/process/settings.ts
@@ -89,6 +89,11 @@
     /** Connections of peers that hand requests over. */
     peerConnections: positive.default(500)
   }).prefault({}),
+  /** Limits for all targets, and the peers that requests are handed over to, together. */
+  targets: z.strictObject({
+    /** Memory for answers that are arriving, and incomplete events; by default, a share of the memory of the VM. */
+    heldMegabytes: positive.optional()
+  }).prefault({}),
   logging: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') }).prefault({})
 })
 
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -2,7 +2,7 @@
  * Composition root: builds one relay process from its ports. No other module connects the parts.
  */
 import { setMaxListeners } from 'node:events'
-import type { KeyValueEntry, PollableKeyValue } from '@wigeonlead/protocol'
+import { createMemoryBudget, type KeyValueEntry, type PollableKeyValue } from '@wigeonlead/protocol'
 import { createMetrics, type Metrics } from 'wigeonlead'
 import type { Exchange } from '../connection/callers.js'
 import type { Dialect } from '../connection/dialect.js'
@@ -111,6 +111,18 @@
 const STATELESS: TargetStates = { pauseRemaining: () => 0, onSlowConnect () {}, onSend () {}, onAnswer () {} }
 const QUARANTINE_GAUGES = { prompt_parts_quarantined: true, requests_quarantined: false }
 
+const BYTES_PER_MEGABYTE = 1_048_576
+/** Share of the memory of the VM that is held of answers that are arriving, beside the share for clients. */
+const ANSWERS_HELD_SHARE = 0.1
+/** Memory for answers that is there in any case, megabytes: for the longest answer of one body, and some events. */
+const LEAST_ANSWERS_HELD_MEGABYTES = 18
+
+/** @returns how much a process may hold of answers that are arriving, from targets and peers together, bytes. */
+function answerBytesLimit ({ node, targets }: RelaySettings): number {
+  const megabytes = targets.heldMegabytes ?? Math.max(LEAST_ANSWERS_HELD_MEGABYTES, node.memoryMegabytes * ANSWERS_HELD_SHARE)
+  return megabytes * BYTES_PER_MEGABYTE
+}
+
 /** Builds a relay process. */
 export function createRelay (settings: RelaySettings, ports: RelayPorts): Relay {
   const { log, dialect, store } = ports
@@ -129,9 +141,11 @@
   const limits = createRateLimits({ ownVm: self.vm, sendersTo, log })
   const sendWait = (incarnation: string): number => Math.max(directory.pauseRemaining(incarnation), limits.waitFor(incarnation))
   const paths = createPathFinder(directory, load, ports.nextFloat, sendWait)
-  const targets = createTargetClient(dialect, createTargetStates(directory, limits, log, target => { void reach.check(target) }))
+  const answerMemory = createMemoryBudget(() => answerBytesLimit(settings))
+  const states = createTargetStates(directory, limits, log, target => { void reach.check(target) })
+  const targets = createTargetClient(dialect, states, answerMemory)
   const engines = ports.engines ?? createEngineClient(dialect, targets)
-  const peerRequests = createTargetClient(dialect, STATELESS)
+  const peerRequests = createTargetClient(dialect, STATELESS, answerMemory)
   const reach: TargetReach = createTargetReach({
     ownFailureDomain: settings.node.failureDomain, directory, engines, log, signal: stopped.signal, nextFloat: ports.nextFloat
   })
@@ -332,6 +346,7 @@
   function registerGauges (): void {
     metrics.gauge('belief_age_seconds', () => configurationState.age() / 1000)
     metrics.gauge('configuration_version', () => configurationState.current()?.configuration.version ?? 0)
+    metrics.gauge('answers_held_bytes', answerMemory.heldBytes)
     metrics.gauge('streams_under_way', () => watch.size())
     for (const [name, isPart] of Object.entries(QUARANTINE_GAUGES)) {
       metrics.gauge(name, () => new Set(contentQuarantine.quarantined().filter(({ kind }) => SUBJECT_TRAITS[kind].isPart === isPart)
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -1,10 +1,8 @@
 /**
  * One run of a request whose answer is a series of events: sends it over one path and forwards the events until the run ends.
  */
-import type { IncomingMessage } from 'node:http'
-import { followBody, readAnswer } from '@wigeonlead/protocol'
+import { NO_MEMORY, followBody, readAnswer } from '@wigeonlead/protocol'
 import { SendResult, hasLength, type SendOutcome } from '../connection/target-client.js'
-import type { AnswerTerms } from '../connection/dialect.js'
 import type { FoundPath } from '../process/routing/path-finder.js'
 import type { Reservation } from '../process/routing/load.js'
 import type { Target } from '../version/target.js'
@@ -188,7 +186,7 @@
     }
     const { response, terms } = outcome
     if (response.statusCode !== SUCCESS_STATUS || !terms.isEventStream || !terms.isSealed) {
-      return await readNonStreamAnswer(response, terms, send, dependencies, path)
+      return await readNonStreamAnswer(outcome, send, dependencies, path)
     }
     send.state = SendState.MayHaveRun
     progress.presentRun = AnswerProgress.Head
@@ -221,14 +219,14 @@
 const PREFILL_TOKENS_PER_MILLISECOND = 10
 
 async function readNonStreamAnswer (
-  response: IncomingMessage, terms: AnswerTerms, send: Send, dependencies: RequestDependencies, path: FoundPath
+  { response, terms, openHolding }: AnsweredSend, send: Send, dependencies: RequestDependencies, path: FoundPath
 ): Promise<RunOutcome> {
   const status = response.statusCode ?? 0
   const isNotRun = terms.isNotRun || status === MISDIRECTED_STATUS
   send.state = isNotRun ? SendState.ReportedNotRun : SendState.MayHaveRun
   let reason = `status ${status}`
   try {
-    reason += ` ${(await readAnswer(response, NON_STREAM_ANSWER_BYTES_LIMIT)).toString().slice(0, 100)}`
+    reason += ` ${(await readAnswer(response, NON_STREAM_ANSWER_BYTES_LIMIT, openHolding)).toString().slice(0, 100)}`
   } catch (error) {
     reason += `, body cut off: ${(error as Error).message}`
   }
@@ -261,13 +259,15 @@
 ): Promise<RunOutcome> {
   const caller = request.exchange.response
   const { response } = answer
-  const splitter = createEventSplitter()
   const isContinuation = progress.isHeadSent
   return new Promise(resolve => {
     let isFinished = false
+    const holding = answer.openHolding(() => abortAnswer(NO_MEMORY))
+    const splitter = createEventSplitter(holding)
 
     function finish (end: RunEnd, reason: string): void {
       isFinished = true
+      holding.clear()
       resolve({ end, status: SUCCESS_STATUS, reason })
     }
 
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -15,7 +15,7 @@
 import { isIncarnationGone } from './lost-target.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields, sendLogFields } from './outcome.js'
 import { Refusal, readRefusal } from './refusal.js'
-import { writeBody } from './write-body.js'
+import { holdForCaller, writeBody } from './write-body.js'
 
 /** Maximum number of peers that one request is handed over to. */
 const MAXIMUM_PEERS = 4
@@ -164,7 +164,8 @@
   try {
     const outcome = await sendToPeer(request, dependencies, peer, send, { ...terms, waitMilliseconds }, abortController.signal)
     if (outcome.kind !== SendResult.Answered) throw new Error(outcome.reason)
-    const body = await readAnswer(outcome.response, ANSWER_BYTES_LIMIT, request.exchange.holdAnswer)
+    const body = await readAnswer(outcome.response, ANSWER_BYTES_LIMIT, outcome.openHolding)
+    holdForCaller(request, body)
     if (isRefusal(outcome, body, send, handOver)) throw new Error(`status ${outcome.response.statusCode}`)
     checkAnswer(request, outcome)
     return { response: outcome.response, body }
@@ -207,7 +208,7 @@
     )
     if (outcome.kind !== SendResult.Answered) return { end: RunEnd.Broken, status: 0, reason: state.reason || outcome.reason }
     if (outcome.response.statusCode !== SUCCESS_STATUS || !outcome.terms.isEventStream) {
-      const body = await readAnswer(outcome.response, ANSWER_BYTES_LIMIT)
+      const body = await readAnswer(outcome.response, ANSWER_BYTES_LIMIT, outcome.openHolding)
       const end = isRefusal(outcome, body, send, handOver) ? RunEnd.Refused : RunEnd.Broken
       return { end, status: outcome.response.statusCode ?? 0, reason: `status ${outcome.response.statusCode}` }
     }
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -18,7 +18,7 @@
 import { recordAnswered, recordCallerLeft, refuse, reportReach, requestLogFields, sendLogFields } from './outcome.js'
 import { commonPause } from './pauses.js'
 import { waitEndOf } from './wait-end.js'
-import { writeBody } from './write-body.js'
+import { holdForCaller, writeBody } from './write-body.js'
 
 /**
  * Share of the remaining time given to a send of an idempotent request, so that another target can still answer. It applies while no
@@ -283,7 +283,8 @@
     }
     const { response, terms } = outcome
     const isNotRun = terms.isNotRun || response.statusCode === MISDIRECTED_STATUS
-    const body = await readAnswer(response, ANSWER_BYTES_LIMIT, exchange.holdAnswer)
+    const body = await readAnswer(response, ANSWER_BYTES_LIMIT, outcome.openHolding)
+    holdForCaller(request, body)
     if (!isNotRun && (response.statusCode ?? 0) < 300 && !terms.isSealed) throw new Error('a successful answer without a seal')
     if (!await outcome.isEndConfirmed()) throw new Error('the connection was reset')
     if (!hasLength(response) && !await dependencies.engines.isAlive(target)) throw new Error('the target no longer answers, so the body may be incomplete')
--- a/packages/relay/test/request/event-splitter.spec.ts
+++ b/packages/relay/test/request/event-splitter.spec.ts
@@ -48,6 +48,35 @@
   assert.throws(() => { for (let chunk = 0; chunk < 64; chunk++) push(Buffer.alloc(65_536, '\n')) }, RangeError)
 })
 
+/** The load of each case is one stream, in chunks of the given size. Guards against incomplete events that count in no budget. */
+const KEPT: Array<{ name: string, text: string, chunkBytes: number, most: number, last: number }> = [
+  { name: 'whole events', text: 'id: 1\ndata: abcd\n\n'.repeat(1000), chunkBytes: 18, most: 0, last: 0 },
+  { name: 'an event in two chunks', text: `id: 1\ndata: ${'a'.repeat(4986)}\n\n`, chunkBytes: 2500, most: 10_000, last: 0 },
+  { name: 'an event that never ends', text: 'a'.repeat(300_000), chunkBytes: 50_000, most: 500_000, last: 500_000 },
+  { name: 'an event up to the size limit', text: 'a'.repeat(1_048_576), chunkBytes: 65_536, most: 1_048_576, last: 1_048_576 },
+  { name: 'one byte of a long read', text: 'id: 1\ndata: a\n\na', chunkBytes: 16, most: 1, last: 1 }
+]
+
+for (const { name, text, chunkBytes, most, last } of KEPT) {
+  splitter(`holds what it keeps between chunks: ${name}`, () => {
+    let held = 0
+    let highest = 0
+    const { push } = createEventSplitter({
+      add (bytes) { held += bytes; highest = Math.max(highest, held); return true },
+      clear () { held = 0 }
+    })
+    const bytes = Buffer.from(text)
+    for (let start = 0; start < bytes.length; start += chunkBytes) push(bytes.subarray(start, start + chunkBytes))
+    assert.equal({ most: highest, last: held }, { most, last })
+  })
+}
+
+splitter('throws if the memory for an incomplete event does not suffice', () => {
+  const { push } = createEventSplitter({ add: bytes => bytes < 1000, clear () {} })
+  push(Buffer.alloc(999, 'x'))
+  assert.throws(() => push(Buffer.alloc(999, 'x')), /no memory/)
+})
+
 const STREAM_BYTES = 524_288
 
 function chunksOf (text: string, chunkBytes: number): Buffer[] {
