The other router: bound what it holds of answers that are arriving

Change: engines and services open holdings in one budget for answers (targets.maximumHeldBytes, 32 MiB). The line reader keeps an incomplete line in the buffer that the event splitter used, now pending-bytes.ts: the work grows with the bytes, and what is kept counts.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -31,6 +31,7 @@
 export { followBody, type BodyHandlers } from './platform/follow-body.js'
 export { NO_MEMORY, readAnswer, readBody, type OpenHolding } from './platform/read-body.js'
 export { sendRequest } from './platform/send-request.js'
+export { createPendingBytes, type PendingBytes, type PendingMemory } from './platform/pending-bytes.js'
 export { createLineReader, type LineReader } from './platform/line-reader.js'
 export {
   CacheEventKind, EngineEventKind, EngineOrderKind, EngineRole, FinishReason, cacheExportSchema, engineOrderSchema,
--- a/packages/protocol/src/platform/http-json.ts
+++ b/packages/protocol/src/platform/http-json.ts
@@ -5,7 +5,7 @@
 import type { z } from 'zod'
 import { FailureKind, failed, success, type Failure, type Outcome, type Step } from '../failure.js'
 import { createLineReader } from './line-reader.js'
-import { readAnswer } from './read-body.js'
+import { readAnswer, type OpenHolding } from './read-body.js'
 import { sendRequest } from './send-request.js'
 
 const KEEP_ALIVE_AGENT = new Agent({ keepAlive: true, maxSockets: 256, maxFreeSockets: 64 })
@@ -15,6 +15,8 @@
 export interface JsonCallOptions {
   method?: 'GET' | 'POST' | 'DELETE'
   headers?: Record<string, string>
+  /** Opens the holding in which the answer counts until it is complete; without it, only its length is bounded. */
+  openHolding?: OpenHolding
   /**
    * Called with the headers of each answer, also of refusals.
    * @returns whether the answer may be used. If not, the call fails as outdated.
@@ -44,7 +46,7 @@
   const timer = setTimeout(() => aborter.abort(), deadlineMilliseconds)
   try {
     response = await send(url, body, aborter.signal, options, () => { isConnected = true })
-    const text = (await readAnswer(response, MAXIMUM_ANSWER_BYTES)).toString()
+    const text = (await readAnswer(response, MAXIMUM_ANSWER_BYTES, options.openHolding)).toString()
     const status = response.statusCode ?? 0
     if (options.mayUse?.(response.headers) === false) {
       return failed({ ...origin, kind: FailureKind.Outdated, detail: `status ${status} of an earlier era` })
--- a/packages/protocol/src/platform/line-reader.ts
+++ b/packages/protocol/src/platform/line-reader.ts
@@ -3,6 +3,8 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { followBody } from './follow-body.js'
+import { createPendingBytes } from './pending-bytes.js'
+import { NO_MEMORY, type OpenHolding } from './read-body.js'
 
 /** Reads the lines of one answer. */
 export interface LineReader {
@@ -14,13 +16,17 @@
   next: () => Promise<string[] | undefined>
 }
 
+const LINE_FEED = 0x0a
+
 /**
  * Creates a reader of an answer's lines. The answer is paused while received lines have not been read.
- * @param maximumCharacters maximum length of a line; a longer one breaks the connection.
+ * @param maximumBytes maximum length of a line; a longer one breaks the connection.
+ * @param openHolding opens the holding in which an incomplete line counts; without it, the memory is not bounded.
  */
-export function createLineReader (response: IncomingMessage, maximumCharacters: number): LineReader {
+export function createLineReader (response: IncomingMessage, maximumBytes: number, openHolding?: OpenHolding): LineReader {
+  const holding = openHolding?.(() => response.destroy(new Error(NO_MEMORY)))
+  const pending = createPendingBytes(maximumBytes, holding)
   let lines: string[] = []
-  let partialLine = ''
   let isEnded = false
   let connectionError: Error | undefined
   let wake: (() => void) | undefined
@@ -30,21 +36,40 @@
     wake = undefined
   }
 
-  function onData (chunk: string): void {
-    const pieces = (partialLine + chunk).split('\n')
-    partialLine = pieces.pop() ?? ''
-    if (partialLine.length > maximumCharacters) response.destroy(new Error(`a line is over ${maximumCharacters} characters`))
-    for (const piece of pieces) if (piece.trim() !== '') lines.push(piece)
+  function addLine (bytes: Buffer): void {
+    const line = bytes.toString()
+    if (line.trim() !== '') lines.push(line)
+  }
+
+  /** Adds the lines that a chunk completes, and keeps the rest. */
+  function addLines (chunk: Buffer): void {
+    const scanFrom = pending.length()
+    const bytes = pending.append(chunk)
+    let lineStart = 0
+    for (let end = bytes.indexOf(LINE_FEED, scanFrom); end >= 0; end = bytes.indexOf(LINE_FEED, lineStart)) {
+      addLine(bytes.subarray(lineStart, end))
+      lineStart = end + 1
+    }
+    pending.dropBefore(lineStart)
+    if (pending.length() > maximumBytes) throw new RangeError(`a line is over ${maximumBytes} bytes`)
+  }
+
+  function onData (chunk: Buffer): void {
+    try {
+      addLines(chunk)
+    } catch (error) {
+      response.destroy(error as Error)
+    }
     if (lines.length === 0) return
     if (wake === undefined) response.pause()
     wakeReader()
   }
 
-  response.setEncoding('utf8')
-  followBody<string>(response, {
+  followBody(response, {
     onData,
     onEnd (error) {
-      if (error === undefined && partialLine.trim() !== '') lines.push(partialLine)
+      if (error === undefined && pending.length() > 0) addLine(pending.rest())
+      holding?.clear()
       isEnded = true
       connectionError = error
       wakeReader()
--- a/packages/relay/src/request/event-splitter.ts
+++ b/packages/relay/src/request/event-splitter.ts
@@ -3,7 +3,7 @@
  * bytes, however they are cut into events, lines and chunks.
  */
 
-import { NO_MEMORY, type Holding } from '@wigeonlead/protocol'
+import { createPendingBytes, type PendingMemory } from '@wigeonlead/protocol'
 
 /** One complete event, or several in a row that have no `id` line and are alike in `isComment`. */
 export interface StreamEvent {
@@ -40,18 +40,13 @@
   id?: number
 }
 
-/** The memory that a splitter uses. */
-export type SplitterMemory = Pick<Holding, 'add' | 'clear'>
-
-const UNBOUNDED_MEMORY: SplitterMemory = { add: () => true, clear () {} }
-
 /**
  * Creates a splitter. Its `push` throws a `RangeError` where an event, or the comments before it, exceed the size limit, and an `Error`
  * where the memory for an incomplete event does not suffice.
  * @param memory by default, it is not bounded.
  */
-export function createEventSplitter (memory: SplitterMemory = UNBOUNDED_MEMORY): EventSplitter {
-  const pending = createPendingBytes(memory)
+export function createEventSplitter (memory?: PendingMemory): EventSplitter {
+  const pending = createPendingBytes(EVENT_BYTES_LIMIT, memory)
   let event: PresentEvent = { lineStart: 0, hasField: false }
   let commentBytes = 0
 
@@ -101,65 +96,3 @@
     events.push({ bytes: bytes.subarray(start, end), id, isComment: !hasField })
   }
 }
-
-/** Bytes that arrive in chunks and are used up from the front. */
-interface PendingBytes {
-  length: () => number
-  /** @returns all bytes that are held, which stay as they are until the next call. */
-  append: (chunk: Buffer) => Buffer
-  /** Drops the first bytes, and keeps the rest until more arrives. Buffers that were returned before keep their content. */
-  dropBefore: (offset: number) => void
-}
-
-const EMPTY: Buffer = Buffer.alloc(0)
-
-/** Holds bytes in a buffer that doubles, so that each byte is copied a few times at most. What is kept between chunks counts as held. */
-function createPendingBytes (memory: SplitterMemory): PendingBytes {
-  let buffer: Buffer = EMPTY
-  let length = 0
-  let heldBytes = 0
-
-  function hold (bytes: number): void {
-    if (bytes <= heldBytes) return
-    if (!memory.add(bytes - heldBytes)) throw new Error(NO_MEMORY)
-    heldBytes = bytes
-  }
-
-  function release (): void {
-    if (heldBytes > 0) memory.clear()
-    heldBytes = 0
-  }
-
-  return {
-    length: () => length,
-    append (chunk) {
-      if (length === 0) {
-        buffer = chunk
-        length = chunk.length
-        return chunk
-      }
-      const needed = length + chunk.length
-      if (needed > buffer.length) {
-        const capacity = Math.max(needed, Math.min(2 * needed, EVENT_BYTES_LIMIT))
-        hold(capacity)
-        const larger = Buffer.allocUnsafeSlow(capacity)
-        buffer.copy(larger, 0, 0, length)
-        buffer = larger
-      }
-      chunk.copy(buffer, length)
-      length = needed
-      return buffer.subarray(0, length)
-    },
-    dropBefore (offset) {
-      if (offset > 0) {
-        release()
-        buffer = offset === length ? EMPTY : Buffer.from(buffer.subarray(offset, length))
-        length = buffer.length
-      }
-      if (length === 0) return
-      // A short chunk may be a view of a long read, all of which it would keep.
-      if (heldBytes === 0 && buffer.buffer.byteLength > 2 * length) buffer = Buffer.from(buffer.subarray(0, length))
-      hold(buffer.length)
-    }
-  }
-}
--- a/packages/wigeonlead/src/connection/engines.ts
+++ b/packages/wigeonlead/src/connection/engines.ts
@@ -4,27 +4,46 @@
 import { Agent, request, type IncomingMessage } from 'node:http'
 import { z } from 'zod'
 import {
-  EngineEventKind, FailureKind, Step, cacheExportSchema, destroyOnAbort, engineReportSchema, engineWireEventSchema, failed, callJson,
-  createLineReader, sendRequest, stepAnswerSchema, success,
-  type EngineEvent, type EnginePort, type EngineWireEvent, type Failure, type GenerationRequest, type Outcome, type TargetAddress
+  EngineEventKind, FailureKind, Step, cacheExportSchema, callJson, createLineReader, createMemoryBudget, destroyOnAbort, engineReportSchema,
+  engineWireEventSchema, failed, sendRequest, stepAnswerSchema, success,
+  type EngineEvent, type EnginePort, type EngineWireEvent, type Failure, type GenerationRequest, type JsonCallOptions, type MemoryBudget,
+  type OpenHolding, type Outcome, type TargetAddress
 } from '@wigeonlead/protocol'
 
 const CONTROL_DEADLINE_MILLISECONDS = 2000
 const STEP_DEADLINE_MILLISECONDS = 30_000
 const CACHE_DEADLINE_MILLISECONDS = 10_000
-const MAXIMUM_LINE_CHARACTERS = 1_048_576
+const MAXIMUM_LINE_BYTES = 1_048_576
 const DRAIN_TIMEOUT_MILLISECONDS = 1000
 const EMPTY_SCHEMA = z.object({})
 
-/** Creates an engine port over HTTP. */
-export function createHttpEngines (): EnginePort {
+/**
+ * Creates an engine port over HTTP.
+ * @param memory the memory for incomplete lines; by default, it is not bounded.
+ */
+export function createHttpEngines (memory: MemoryBudget = createMemoryBudget(() => Infinity)): EnginePort {
   const agent = new Agent({ keepAlive: true, maxFreeSockets: 256 })
 
+  async function call<T> (
+    target: TargetAddress, path: string, body: unknown, schema: z.ZodType<T>, step: Step, deadlineMilliseconds: number,
+    options: JsonCallOptions = {}
+  ): Promise<Outcome<T>> {
+    const openHolding: OpenHolding = onEvicted => memory.open(onEvicted, target.target)
+    const url = `http://${target.address}${path}`
+    return nameTarget(target, await callJson(url, body, schema, step, deadlineMilliseconds, { ...options, openHolding }))
+  }
+
+  async function post (
+    target: TargetAddress, path: string, body: unknown, step: Step, deadlineMilliseconds: number
+  ): Promise<Outcome<undefined>> {
+    const outcome = await call(target, path, body, EMPTY_SCHEMA, step, deadlineMilliseconds)
+    return outcome.ok ? success(undefined) : outcome
+  }
+
   return {
-    generate: (target, generation, signal) => generate(agent, target, generation, signal),
+    generate: (target, generation, signal) => generate(agent, memory, target, generation, signal),
     async step (target, stepRequest) {
-      const url = `http://${target.address}/v1/step`
-      const outcome = nameTarget(target, await callJson(url, stepRequest, stepAnswerSchema, Step.Engine, STEP_DEADLINE_MILLISECONDS))
+      const outcome = await call(target, '/v1/step', stepRequest, stepAnswerSchema, Step.Engine, STEP_DEADLINE_MILLISECONDS)
       if (!outcome.ok) return outcome
       if (outcome.value.attempt === stepRequest.attempt) return success(outcome.value.results)
       return failed(malformed(target, 'the answer belongs to another attempt'))
@@ -32,32 +51,23 @@
     async cancel (target, session, epoch) {
       return await post(target, '/v1/cancel', { session, epoch }, Step.Engine, CONTROL_DEADLINE_MILLISECONDS)
     },
-    async report (target, deadlineMilliseconds) {
-      const url = `http://${target.address}/v1/report`
-      return nameTarget(target, await callJson(url, undefined, engineReportSchema, Step.Engine, deadlineMilliseconds, { method: 'GET' }))
-    },
+    report: (target, deadlineMilliseconds) =>
+      call(target, '/v1/report', undefined, engineReportSchema, Step.Engine, deadlineMilliseconds, { method: 'GET' }),
     order: (target, fencingToken, order, deadlineMilliseconds) =>
       post(target, '/v1/orders', { fencingToken, order }, Step.EngineOrder, deadlineMilliseconds),
-    async exportCache (target, session, epoch) {
-      const url = `http://${target.address}/v1/cache/export`
-      return nameTarget(target, await callJson(url, { session, epoch }, cacheExportSchema, Step.CacheTransfer, CACHE_DEADLINE_MILLISECONDS))
-    },
+    exportCache: (target, session, epoch) =>
+      call(target, '/v1/cache/export', { session, epoch }, cacheExportSchema, Step.CacheTransfer, CACHE_DEADLINE_MILLISECONDS),
     importCache: (target, cache, epoch) => post(target, '/v1/cache/import', { cache, epoch }, Step.CacheTransfer, CACHE_DEADLINE_MILLISECONDS)
   }
 }
 
-async function post (target: TargetAddress, path: string, body: unknown, step: Step, deadlineMilliseconds: number) {
-  const outcome = nameTarget(target, await callJson(`http://${target.address}${path}`, body, EMPTY_SCHEMA, step, deadlineMilliseconds))
-  return outcome.ok ? success(undefined) : outcome
-}
-
 /** Sets the target's name as the peer of a failure, in place of the address that the HTTP client sets. */
 function nameTarget<T> (target: TargetAddress, outcome: Outcome<T>): Outcome<T> {
   return outcome.ok ? outcome : failed({ ...outcome.failure, peer: target.target })
 }
 
 async function * generate (
-  agent: Agent, target: TargetAddress, generation: GenerationRequest, signal: AbortSignal
+  agent: Agent, memory: MemoryBudget, target: TargetAddress, generation: GenerationRequest, signal: AbortSignal
 ): AsyncIterable<EngineEvent> {
   const connection = { isConnected: false }
   const aborter = new AbortController()
@@ -73,7 +83,7 @@
       yield failure(generation, { ...origin(target), kind: FailureKind.Refused, detail: `status ${status}`, status })
       return
     }
-    const reader = createLineReader(response, MAXIMUM_LINE_CHARACTERS)
+    const reader = createLineReader(response, MAXIMUM_LINE_BYTES, onEvicted => memory.open(onEvicted, target.target))
     for (let lines = await reader.next(); lines !== undefined; lines = await reader.next()) {
       for (const line of lines) {
         const event = readEvent(line, target, generation)
--- a/packages/wigeonlead/src/connection/services.ts
+++ b/packages/wigeonlead/src/connection/services.ts
@@ -5,8 +5,8 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step, destroyOnAbort, findInvalidAnswerHead, readAnswer,
-  type Failure, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type ServicePort, type TargetAddress
+  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step, createMemoryBudget, destroyOnAbort, findInvalidAnswerHead, readAnswer,
+  type Failure, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type MemoryBudget, type ServicePort, type TargetAddress
 } from '@wigeonlead/protocol'
 import { flattenHeaders } from './headers.js'
 
@@ -14,6 +14,8 @@
 export interface HttpServicesOptions {
   /** Timeout of establishing a connection; 1,000 ms by default. */
   connectTimeoutMilliseconds?: number
+  /** The memory for answers that are arriving; by default, it is not bounded. */
+  memory?: MemoryBudget
 }
 
 interface Exchange {
@@ -22,6 +24,7 @@
   call: ServiceCall
   signal: AbortSignal
   connectTimeoutMilliseconds: number
+  memory: MemoryBudget
   /** Set once the socket is connected, since the request's header may have been sent from then on. */
   isPossiblySent: boolean
 }
@@ -36,16 +39,19 @@
  */
 export function createHttpServices (options: HttpServicesOptions = {}): ServicePort {
   const agent = new Agent({ keepAlive: true, maxFreeSockets: 256 })
-  const { connectTimeoutMilliseconds = CONNECT_TIMEOUT_MILLISECONDS } = options
-  return { call: (target, call, signal) => callService({ agent, target, call, signal, connectTimeoutMilliseconds, isPossiblySent: false }) }
+  const { connectTimeoutMilliseconds = CONNECT_TIMEOUT_MILLISECONDS, memory = createMemoryBudget(() => Infinity) } = options
+  return {
+    call: (target, call, signal) =>
+      callService({ agent, target, call, signal, connectTimeoutMilliseconds, memory, isPossiblySent: false })
+  }
 }
 
 async function callService (exchange: Exchange): Promise<ServiceOutcome> {
-  const { target, call, signal } = exchange
+  const { target, call, signal, memory } = exchange
   if (signal.aborted) return notSent(exchange, FailureKind.Aborted, 'given up before it was sent')
   try {
     const response = await send(exchange)
-    const body = await readAnswer(response, call.maximumResponseBytes)
+    const body = await readAnswer(response, call.maximumResponseBytes, onEvicted => memory.open(onEvicted, target.target))
     return classifyAnswer(target, { status: response.statusCode ?? 502, headers: flattenHeaders(response.headers), body })
   } catch (cause) {
     const detail = cause instanceof Error ? cause.message : String(cause)
--- a/packages/wigeonlead/src/process/serve.ts
+++ b/packages/wigeonlead/src/process/serve.ts
@@ -2,7 +2,7 @@
  * Runs a router on sockets: creates the HTTP adapters for its ports and opens its three listeners.
  */
 import { readFileSync } from 'node:fs'
-import { createClientGuard, createEtcdKeyValue, createVmListClient } from '@wigeonlead/protocol'
+import { createClientGuard, createEtcdKeyValue, createMemoryBudget, createVmListClient } from '@wigeonlead/protocol'
 import {
   createCallerListener, createHttpEngines, createHttpPeers, createHttpServices, createOperatorListener, type PeerTlsCredentials
 } from '../connection/index.js'
@@ -29,6 +29,7 @@
     heldBytes: () => Math.max(maximumHeldBytes, 2 * maximumBodyBytes),
     onRefused: refused => logger.warn(LogEvent.ClientsRefused, Object.fromEntries(refused))
   })
+  const answerMemory = createMemoryBudget(() => settings.targets.maximumHeldBytes)
   const peers = createHttpPeers(settings.peers.secrets, {
     guard,
     tls: readPeerTls(settings),
@@ -39,8 +40,8 @@
       endpoints: settings.platform.keyValue, deadlineMilliseconds: settings.platform.callDeadlineMilliseconds
     }),
     vmList: createVmListClient(settings.platform.vmList),
-    engines: createHttpEngines(),
-    services: createHttpServices(),
+    engines: createHttpEngines(answerMemory),
+    services: createHttpServices({ memory: answerMemory }),
     peers,
     random: createSystemRandom(),
     logger
--- a/packages/wigeonlead/src/process/settings.ts
+++ b/packages/wigeonlead/src/process/settings.ts
@@ -53,6 +53,10 @@
     /** Deadline of a request that states none. */
     defaultDeadlineMilliseconds: positiveInteger.default(120_000)
   }).prefault({}),
+  targets: z.strictObject({
+    /** Memory for the answers that are arriving from all engines and services; two of the longest ones, 16 MiB, fit. */
+    maximumHeldBytes: positiveInteger.default(33_554_432)
+  }).prefault({}),
   shutdown: z.strictObject({
     /** How long the balancer may keep sending requests after this node reports that it is not ready. */
     balancerLagMilliseconds: z.number().int().min(0).default(5000),
--- a/packages/wigeonlead/test/crowd-fixture.ts
+++ b/packages/wigeonlead/test/crowd-fixture.ts
@@ -1,6 +1,7 @@
 /**
  * One router process on the loopback address, with a platform and a target of a plain service, in front of which crowds gather.
  */
+import type { ServerResponse } from 'node:http'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -36,6 +37,20 @@
 const HEAP_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=4']
 const LONG_ANSWER = 'x'.repeat(4_000_000)
 
+/** Pieces of a body that does not end, up to the size limit of an answer. */
+const ENDLESS_PIECE = 'x'.repeat(8000)
+const ENDLESS_PIECES = 125
+const ENDLESS_INTERVAL_MILLISECONDS = 20
+
+function sendWithoutEnd (response: ServerResponse): void {
+  response.writeHead(200)
+  let left = ENDLESS_PIECES
+  const timer = setInterval(() => {
+    if (response.destroyed || left-- <= 0) clearInterval(timer)
+    else response.write(ENDLESS_PIECE)
+  }, ENDLESS_INTERVAL_MILLISECONDS)
+}
+
 /** Starts a router process and waits until it serves. */
 export async function startCrowdFixture (): Promise<CrowdFixture> {
   const folder = mkdtempSync(join(tmpdir(), 'wigeonlead-crowd-'))
@@ -46,7 +61,10 @@
   const vmList = await startVmListServer(() => [loopbackVm('entry-1', 'howrah', Number(addresses[Listener.Peers].split(':')[1]))])
   const target = await listen((incoming, response) => {
     incoming.resume()
-    incoming.on('end', () => answerJson(response, 200, incoming.url === '/jobs/long' ? LONG_ANSWER : 'done'))
+    incoming.on('end', () => {
+      if (incoming.url === '/jobs/endless') sendWithoutEnd(response)
+      else answerJson(response, 200, incoming.url === '/jobs/long' ? LONG_ANSWER : 'done')
+    })
   })
   const manifest = checkManifestText(`format = 1
 failureDomains = ["howrah"]
--- a/packages/wigeonlead/test/crowds.spec.ts
+++ b/packages/wigeonlead/test/crowds.spec.ts
@@ -1,6 +1,6 @@
 /**
- * Crowds of clients outside the limits, each in front of one router process: the process lives, stays within the memory and descriptors of
- * its machine, and serves an ordinary caller while the crowd stays and after it has left.
+ * Crowds of clients outside the limits, and of clients whose target sends without end, each in front of one router process: the process
+ * lives, stays within the memory and descriptors of its machine, and serves an ordinary caller while the crowd stays and after it has left.
  */
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -67,6 +67,12 @@
     isReading: true,
     send: () => []
   },
+  {
+    name: 'requests whose target sends without end',
+    clients: 400,
+    isReading: true,
+    send: () => [Buffer.from(sendRequest('/services/desk/jobs/endless'))]
+  },
   {
     name: 'heads that do not end',
     clients: 4400,
