End no stream as complete that was given up with a rest unread

Cause: whoever gives a run up destroys its request; Node.js then takes the listeners from the answer and lets its unread rest run out up to a regular end, which counted as that of the answer where the whole of it had arrived. Any reason to give a run up does it.

Change: followBody alone decides how a body ends, and one whose listeners were taken is not complete. An answer that has arrived whole when its run is about to be given up is delivered at once, also late; only a caller who has left ends it.

--- a/packages/protocol/src/platform/follow-body.ts
+++ b/packages/protocol/src/platform/follow-body.ts
@@ -30,9 +30,12 @@
   }
 
   function finish (): void {
+    // Where a request is destroyed, Node.js takes the listeners from its answer and lets the unread rest run out, up to a regular end.
+    const wasGivenUp = !message.listeners('data').includes(onData)
     stop()
     // A destroyed message may still emit 'end'.
-    onEnd(message.readableEnded && message.complete && message.errored === null ? undefined : causeOf(message))
+    const isComplete = message.readableEnded && message.complete && message.errored === null && !wasGivenUp
+    onEnd(isComplete ? undefined : causeOf(message))
   }
 
   message.on('end', finish)
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -113,8 +113,10 @@
   const firstTarget = dependencies.directory.find(path.stages[0]!.targetId)
   if (firstTarget === undefined) return { end: RunEnd.NotSent, status: 0, reason: 'the first stage is no longer listed' }
   const abortController = new AbortController()
-  const state = { reason: '', lastProgressAt: performance.now(), usualEventInterval: 0 }
+  const state = { reason: '', lastProgressAt: performance.now(), usualEventInterval: 0, deliverRest: () => false }
   const abortRun = (reason: string): void => {
+    // What has arrived whole is delivered, whatever has become of its target and its time since.
+    if (!exchange.callerLeft.aborted && state.deliverRest()) return
     state.reason ||= reason
     abortController.abort()
   }
@@ -194,6 +196,7 @@
     const run = await forwardEvents(request, outcome, progress, dependencies, {
       onProgress: recordProgress,
       onBegin,
+      onStart (deliverRest) { state.deliverRest = deliverRest },
       abortReason: () => state.reason,
       isSenderAlive: async () => await dependencies.engines.isAlive(firstTarget)
     })
@@ -246,6 +249,11 @@
   onProgress: () => void
   /** Called with the first event of the run. */
   onBegin?: () => void
+  /**
+   * Called at the start with a function for a run that is about to be given up: if the whole answer has arrived, it is forwarded without
+   * waiting for its caller to read on. The function returns whether that is so.
+   */
+  onStart: (deliverRest: () => boolean) => void
   /** @returns why the run was aborted; empty if it was not. */
   abortReason: () => string
   /** Whether the sender of an answer without a length still runs, so that the end of its connection is the end of the answer. */
@@ -255,13 +263,14 @@
 /** Forwards the events of an answer to the caller as they arrive, until the answer ends. */
 export function forwardEvents (
   request: AdmittedRequest, answer: AnsweredSend, progress: EventsProgress, dependencies: RequestDependencies,
-  { onProgress, onBegin, abortReason, isSenderAlive }: EventForwarding
+  { onProgress, onBegin, onStart, abortReason, isSenderAlive }: EventForwarding
 ): Promise<RunOutcome> {
   const caller = request.exchange.response
   const { response } = answer
   const isContinuation = progress.isHeadSent
   return new Promise(resolve => {
     let isFinished = false
+    let isRestDelivered = false
     const holding = answer.openHolding(() => abortAnswer(NO_MEMORY))
     const splitter = createEventSplitter(holding)
 
@@ -287,6 +296,7 @@
       }
     }
 
+    onStart(deliverRest)
     followBody(response, { onData: guarded(onData), onEnd: guarded(onEnd) })
 
     function onData (chunk: Buffer): void {
@@ -322,6 +332,13 @@
       }), (error: Error) => abortAnswer(error.message))
     }
 
+    function deliverRest (): boolean {
+      if (isFinished || response.destroyed || !response.complete || !hasLength(response)) return false
+      isRestDelivered = true
+      response.resume()
+      return true
+    }
+
     function finishComplete (): void {
       // One answer without events does not prove that the earlier run had sent the last one.
       const isEmptyContinuation = isContinuation && progress.presentRun !== AnswerProgress.Events
@@ -341,9 +358,10 @@
       // Comments may come from a target that does not get as far as the first event.
       if (events.some(({ isComment }) => !isComment)) recordEvents()
       if (!progress.isHeadSent) writeHead()
-      if (caller.write(events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(({ bytes }) => bytes)))) return
+      if (caller.write(events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(({ bytes }) => bytes))) || isRestDelivered) return
       response.pause()
       caller.once('drain', () => {
+        if (isFinished) return
         onProgress()
         // The caller held the answer up: the time until it reads on is no pause of the answer.
         progress.latestEventAt = performance.now()
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -186,8 +186,9 @@
 ): Promise<RunOutcome> {
   const reservation = dependencies.peerChoice.reserve(peer.vm)
   const abortController = new AbortController()
-  const state = { reason: '', lastProgressAt: performance.now() }
+  const state = { reason: '', lastProgressAt: performance.now(), deliverRest: () => false }
   const abort = (reason: string): void => {
+    if (!request.exchange.callerLeft.aborted && state.deliverRest()) return
     state.reason ||= reason
     abortController.abort()
   }
@@ -215,6 +216,7 @@
     checkAnswer(request, outcome)
     return await forwardEvents(request, outcome, progress, dependencies, {
       onProgress () { state.lastProgressAt = performance.now() },
+      onStart (deliverRest) { state.deliverRest = deliverRest },
       abortReason: () => state.reason,
       // A peer's answers always have a length or chunks.
       isSenderAlive: async () => false
