Skip entries that aren't a replica's own

Cause: the decoder filled in missing fields, so such an entry was that of incarnation 0, and the directory took any other incarnation for the successor of the one before, which it counts as leaving for good and tells to peers.

Only a later incarnation proves that the one before has ended.

--- a/packages/relay/src/process/directory.ts
+++ b/packages/relay/src/process/directory.ts
@@ -208,7 +208,8 @@
         target: target.id, service: target.service, address: target.address, failureDomain: target.failureDomain
       })
       if (previous !== undefined) {
-        recordDeparture(incarnationOf(previous), true)
+        // Only a later incarnation proves that the one before has ended; an entry of an earlier one is none of the target's own.
+        recordDeparture(incarnationOf(previous), previous.isLeaving || entry.bornAtMilliseconds > previous.bornAtMilliseconds)
         pausedUntil.delete(incarnationOf(previous))
         for (const listener of listeners) listener(previous, true)
       }
--- a/packages/relay/test/process/directory.spec.ts
+++ b/packages/relay/test/process/directory.spec.ts
@@ -55,6 +55,22 @@
     },
     usable: ['t2']
   },
+  {
+    // Guards against an entry of another writer that takes a target away for good.
+    name: 'an entry of an earlier incarnation has stood in the place of its own',
+    act: directory => { directory.put(testTarget('t1', undefined, { bornAtMilliseconds: 0 })); directory.put(testTarget('t1')) },
+    usable: ['t1', 't2']
+  },
+  {
+    name: 'an entry of a later incarnation has stood in the place of its own, which is written again',
+    act: directory => { directory.put(testTarget('t1', undefined, { bornAtMilliseconds: 2 })); directory.put(testTarget('t1')) },
+    usable: ['t2']
+  },
+  {
+    name: 'its entry could not be read for a while',
+    act: directory => { directory.remove('t1'); directory.put(testTarget('t1')) },
+    usable: ['t1', 't2']
+  },
   {
     name: 'a peer says of a target that is not listed yet that it leaves',
     act: directory => { directory.markLeaving('t3@1', 'peer'); directory.put(testTarget('t3')) },
