Pass no key on to targets on anonymous routes

Cause: Authorization was removed only where the route asks for a key, or the configuration knows it.

--- a/packages/relay/src/connection/dialect.ts
+++ b/packages/relay/src/connection/dialect.ts
@@ -131,7 +131,7 @@
 export interface Dialect {
   readCaller: (headers: IncomingHttpHeaders) => CallerTerms
   /**
-   * @param hidesKey whether the caller's key is removed.
+   * @param hidesKey whether all credentials of the caller are removed. A header that may hold a key is removed in any case.
    * @returns headers for the target as flat name-value pairs: the caller's, without those meant only for the relay, plus the relay's own.
    */
   writeHeaders: (rawHeaders: readonly string[], terms: RelayTerms, hidesKey: boolean) => string[]
