End no stream for a silence where no other run may follow

Cause: a first stage that misses two reports and opens no connection is taken for lost, and all its silent runs end, also those that nothing may continue. Change: a silent first stage, or a silent peer, ends only runs that another one may follow; it is suspected as before.

Measured: silent-targets.spec failed before for streams that can't be sent again (3 of 6 events, cut off), 2 of 2 pass; resumable ones go on elsewhere within the silence, before and after. The specs of hand-overs, cut-off VMs and the stream watch pass.

--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -134,7 +134,10 @@
     usualEventInterval: () => state.usualEventInterval,
     hasStarted: () => progress.isHeadSent,
     onStageLost: mover.onStageLost,
-    onFirstStageLost: () => abortRun('the first stage is silent')
+    onFirstStageLost () {
+      // A silent stage may go on. Only a run that another one may follow is worth ending before its connection breaks.
+      if (ledger.maySendAgain()) abortRun('the first stage is silent')
+    }
   })
   // After a move the path is another one, whose stages this run does not know.
   const intervals = createIntervalReports(milliseconds => {
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -199,7 +199,8 @@
   const silenceTimer = setInterval(() => {
     if (performance.now() - state.lastProgressAt <= PEER_SILENCE_MILLISECONDS) return
     dependencies.peerChoice.recordSilence(peer.vm)
-    abort('the peer is silent')
+    // As for a silent target: only a run that another one may follow is worth ending before its connection breaks.
+    if (ledger.maySendAgain()) abort('the peer is silent')
   }, PEER_SILENCE_MILLISECONDS / 5)
   const send = ledger.beginHandOver(terms)
   try {
--- a/packages/relay/test/relay-fixture.ts
+++ b/packages/relay/test/relay-fixture.ts
@@ -4,7 +4,10 @@
 import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { success, type KeyValueEntry, type PollableKeyValue } from '@wigeonlead/protocol'
-import { SILENT_RELAY_LOG, checkRelaySettings, createCallerListener, createRelay, type CallerListener, type Relay, type Target } from '@wigeonlead/relay'
+import {
+  SILENT_RELAY_LOG, checkRelaySettings, createCallerListener, createRelay, type CallerListener, type EngineClient, type Relay,
+  type RelayConfiguration, type Target
+} from '@wigeonlead/relay'
 import { PLAIN_DIALECT } from './plain-dialect.js'
 import { testConfiguration } from './test-configuration.js'
 import { testTarget } from './test-engine.js'
@@ -49,8 +52,18 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`
 }
 
+/** What differs from the usual fixture. */
+export interface FixtureOptions {
+  /** Calls to engines; over the network by default. */
+  engines?: EngineClient
+  /** The configuration; by default, that of the tests. */
+  configuration?: RelayConfiguration
+}
+
 /** Runs a test against a relay before targets with the given behaviours. */
-export async function withRelay (behaviours: Behaviour[], service: string, use: (fixture: Fixture) => Promise<void>): Promise<void> {
+export async function withRelay (
+  behaviours: Behaviour[], service: string, use: (fixture: Fixture) => Promise<void>, options: FixtureOptions = {}
+): Promise<void> {
   const arrivals: Fixture['arrivals'] = []
   const servers = behaviours.map(behaviour => createServer((incoming, response) => {
     incoming.resume()
@@ -79,7 +92,8 @@
     dialect: PLAIN_DIALECT,
     link: { notify: () => {}, on: () => {}, open: async () => {}, close: () => {} },
     keys: { configuration: 'configuration', targetPrefix: 'targets/' },
-    decodeConfiguration: text => testConfiguration(Number(text)),
+    decodeConfiguration: text => options.configuration ?? testConfiguration(Number(text)),
+    engines: options.engines,
     decodeTarget: (_id, text) => targets[Number(text)]!,
     log: SILENT_RELAY_LOG,
     nextFloat: () => 0
