Parse what connections send in turns

Cause: the cost of a connection in one turn of the event loop was bounded by bytes; a read of 64 KB holds over ten thousand such chunks.

Change: reading-turns.ts decides who parses on and how much; readers that wait share 4 ms of each turn. Clients' bodies of unknown length are parsed in slices of 1 KiB, 8 a turn; connections to targets, peers and the store pass long reads on in parts of 4 KiB, in both routers. A connection whose bytes wait is not read, whatever the reader of its body asks for.

Failed tries: pausing the message buffers one object a chunk (40 connections: out of memory); four readers a turn without regard to time slowed bulk reads, so that held-answers.spec got 502 for a sound answer in 4 of 4 runs.

The specs of the guard, callers, target client, endless answers and both routers' adapters pass.

--- a/packages/protocol/src/listener/client-connection.ts
+++ b/packages/protocol/src/listener/client-connection.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net'
 import { ClientPhase, type ClientLimits, type ClientState } from './connection-limits.js'
 import { HoldingPhase, type MemoryBudget } from './memory-budget.js'
+import type { Reader, ReadingTurns } from './reading-turns.js'
 import { BodyResult, type BodyFault } from './receive-body.js'
 import { nextSliceLength } from './request-slices.js'
 
@@ -52,16 +53,19 @@
 
 /**
  * Takes over a connection that the HTTP server has just accepted.
+ * @param turns the turns of all connections of the process.
  * @param count called with each fault of the client.
  */
 export function createClientConnection (
-  socket: Socket, limits: () => ClientLimits, budget: MemoryBudget, count: (fault: ClientFault) => void
+  socket: Socket, limits: () => ClientLimits, budget: MemoryBudget, turns: ReadingTurns, count: (fault: ClientFault) => void
 ): ClientConnection {
   const parse = socket.listeners('data') as Array<(bytes: Buffer) => void>
   let unparsed: Buffer[] = []
   let unparsedHeld = 0
   let isParsing = false
   let isParsingLater = false
+  /** Whether the connection parses on in a later turn. */
+  let isTurnOver = false
   let isPaused = false
   let isDropping = false
   let droppable = DROPPED_BYTES
@@ -74,6 +78,12 @@
   let headBytes = 0
   let bodyBytes = 0
   const holding = budget.open(evict)
+  const reader: Reader = {
+    readOn () {
+      isTurnOver = false
+      parseOn()
+    }
+  }
   const connection: ClientConnection = {
     phase: ClientPhase.Idle,
     since: performance.now(),
@@ -88,6 +98,9 @@
   }
   socket.removeAllListeners('data')
   socket.on('data', receive)
+  const resumeSocket = socket.resume.bind(socket)
+  // Node.js resumes the connection whenever the reader of a body wants more, also while what has arrived waits to be parsed.
+  socket.resume = () => isPaused ? socket : resumeSocket()
   socket.on('close', () => {
     unparsed = []
     holding.clear()
@@ -106,13 +119,15 @@
   function parseOn (): void {
     if (isParsing) return
     isParsing = true
-    while (mayParse()) {
+    while (mayParse() && !isTurnOver) {
       const bytes = unparsed[0]!
       const length = nextSliceLength(bytes, declaredBytes)
       const isWhole = length === bytes.length
       if (isWhole) unparsed.shift()
       else unparsed[0] = bytes.subarray(length)
       parseSlice(isWhole ? bytes : bytes.subarray(0, length))
+      // A body of unknown length comes in chunks, of which a slice may hold many.
+      isTurnOver = isReceivingBody() && declaredBytes === 0 && !turns.mayReadOn(reader)
     }
     isParsing = false
     if (unparsed.length > 0) return wait()
--- a/packages/protocol/src/listener/client-guard.ts
+++ b/packages/protocol/src/listener/client-guard.ts
@@ -7,6 +7,7 @@
 import { ClientFault, RETRY_SECONDS, createClientConnection, type ClientConnection } from './client-connection.js'
 import { chooseConnectionToClose, isOverdue, type ClientLimits } from './connection-limits.js'
 import { createMemoryBudget } from './memory-budget.js'
+import { createReadingTurns } from './reading-turns.js'
 import { BodyResult, receiveBody, type BodyFault, type ReceivedBody } from './receive-body.js'
 
 /** Options of the guard of a process. */
@@ -70,6 +71,7 @@
 /** Creates the guard of a process. */
 export function createClientGuard ({ heldBytes = () => DEFAULT_HELD_BYTES, onRefused = () => {} }: ClientGuardOptions = {}): ClientGuard {
   const budget = createMemoryBudget(heldBytes)
+  const turns = createReadingTurns(begin => { setImmediate(begin) })
   const tables: Array<{ connections: Set<ClientConnection>, limits: () => ClientLimits }> = []
   const bySocket = new WeakMap<Socket, ClientConnection>()
   let refused = new Map<ClientFault, number>()
@@ -93,7 +95,7 @@
   }
 
   function accept (socket: Socket, connections: Set<ClientConnection>, limits: () => ClientLimits): void {
-    const connection = createClientConnection(socket, limits, budget, count)
+    const connection = createClientConnection(socket, limits, budget, turns, count)
     if (connections.size >= limits().connections) {
       count(ClientFault.NoConnection)
       const closing = chooseConnectionToClose(connections)
--- a/packages/protocol/src/platform/send-request.ts
+++ b/packages/protocol/src/platform/send-request.ts
@@ -3,6 +3,7 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import { findInvalidAnswerHead } from './invalid-head.js'
+import { paceReading } from './pace-reading.js'
 
 /**
  * Sends the body of a request.
@@ -16,6 +17,7 @@
 ): Promise<IncomingMessage> {
   return new Promise((resolve, reject) => {
     outgoing.on('socket', socket => {
+      paceReading(socket)
       if (socket.connecting) socket.once(connectEvent, onConnected)
       else onConnected()
     })
--- a/packages/relay/src/connection/target-client.ts
+++ b/packages/relay/src/connection/target-client.ts
@@ -4,7 +4,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { createMemoryBudget, findInvalidAnswerHead, type MemoryBudget, type OpenHolding } from '@wigeonlead/protocol'
+import { createMemoryBudget, findInvalidAnswerHead, paceReading, type MemoryBudget, type OpenHolding } from '@wigeonlead/protocol'
 import { isAddress, splitAddress } from './address.js'
 import type { AnswerTerms, Dialect } from './dialect.js'
 import { scanHead, type HeadScanner } from './head-scanner.js'
@@ -150,6 +150,7 @@
       }
 
       outgoing.on('socket', socket => {
+        paceReading(socket)
         headScanner = scanHead(socket)
         if (!socket.connecting) {
           isConnected = true
--- a/packages/wigeonlead/src/connection/services.ts
+++ b/packages/wigeonlead/src/connection/services.ts
@@ -5,7 +5,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import {
-  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step, createMemoryBudget, destroyOnAbort, findInvalidAnswerHead, readAnswer,
+  FailureKind, NOT_ACCEPTED_HEADER, ServiceResult, Step, createMemoryBudget, destroyOnAbort, findInvalidAnswerHead, paceReading, readAnswer,
   type Failure, type ServiceAnswer, type ServiceCall, type ServiceOutcome, type MemoryBudget, type ServicePort, type TargetAddress
 } from '@wigeonlead/protocol'
 import { flattenHeaders } from './headers.js'
@@ -83,6 +83,7 @@
 }
 
 function watchConnection (exchange: Exchange, outgoing: ClientRequest, socket: Socket): void {
+  paceReading(socket)
   if (!socket.connecting) {
     exchange.isPossiblySent = true
     return
