--- a/packages/protocol/test/platform/pace-reading.spec.ts
+++ b/packages/protocol/test/platform/pace-reading.spec.ts
@@ -47,7 +47,8 @@
       }
     })
     const received: Buffer[] = []
-    for await (const chunk of socket) received.push(chunk as Buffer)
+    socket.on('data', (chunk: Buffer) => received.push(chunk))
+    await new Promise(resolve => { socket.on('end', resolve) })
     assert.equal(Buffer.concat(received), Buffer.concat(bytes))
     assert.equal(received.map(({ length }) => length), passedOn)
   })
