--- a/packages/protocol/src/listener/client-connection.ts
+++ b/packages/protocol/src/listener/client-connection.ts
@@ -155,7 +155,8 @@
     socket.pause()
     if (holdUnparsed(unparsed.reduce((sum, { length }) => sum + length, 0))) return
     count(ClientFault.NoMemory)
-    socket.destroy()
+    if (isReceivingBody()) endUnfinished(BodyResult.NoMemory, 503)
+    else socket.destroy()
   }
 
   /** @returns whether the memory for what has not been parsed may be taken. */
--- a/packages/protocol/test/listener/client-guard.spec.ts
+++ b/packages/protocol/test/listener/client-guard.spec.ts
@@ -41,7 +41,14 @@
   { name: 'no HTTP', sent: ['nonsense\r\n\r\n'], statuses: [400] },
   { name: 'no host', sent: ['GET / HTTP/1.1\r\n\r\n'], statuses: [400] },
   { name: 'an expectation that is not known', sent: [`${HEAD}Expect: more\r\n\r\n`], statuses: [417] },
-  { name: 'a body for which there is no memory', sent: [`${HEAD}Content-Length: ${BODY_BYTES}\r\n\r\n`, 'x'.repeat(BODY_BYTES)], statuses: [503], heldBytes: 50_000 }
+  { name: 'a body for which there is no memory', sent: [`${HEAD}Content-Length: ${BODY_BYTES}\r\n\r\n`, 'x'.repeat(BODY_BYTES)], statuses: [503], heldBytes: 50_000 },
+  // Guards against a connection that is closed, in place of a refusal, because what waits for its turn does not fit.
+  ...[1, 100, 50_000].map(length => ({
+    name: `a body in chunks of ${length} for which there is no memory`,
+    sent: [`${HEAD}Transfer-Encoding: chunked\r\n\r\n`, chunk('x'.repeat(length)).repeat(BODY_BYTES / length)],
+    statuses: [503],
+    heldBytes: 50_000
+  }))
 ]
 
 const guarded = suite('guarded listener')
