--- /dev/null
+++ b/review/lib-3/replicas.mjs
@@ -0,0 +1,141 @@
+/**
+ * Stand-ins of replicas: they register in the store, answer reports and health checks, and hand each request to the case.
+ */
+import { createServer } from 'node:http'
+
+export const HEARTBEAT_MILLISECONDS = 1200
+/** The platform removes an entry after three heartbeat intervals of silence. */
+export const LAPSE_MILLISECONDS = 3 * HEARTBEAT_MILLISECONDS
+
+let nextNumber = 1
+
+/**
+ * Opens a replica.
+ * @param terms `store`, `service`, `zone`, `slots`, `isEngine`, and `run`, which is called with each request of a client that the replica
+ * takes: `{ incoming, response, body, id, replica }`.
+ */
+export async function openReplica ({ store, service, zone, slots, isEngine = false, run }) {
+  const sockets = new Set()
+  let isUp = false
+  let isCutFromStore = false
+  let id = ''
+  let born = 0
+  let server
+  let port = 0
+  let beatTimer
+  let lapseTimer
+  let inFlight = 0
+
+  const replica = {
+    id: () => id,
+    zone,
+    address: () => `127.0.0.1:${port}`,
+    isUp: () => isUp,
+    /** Headers of an answer to a request. */
+    answerHeaders: (incoming, type = 'text/plain') => ({
+      'X-Request-Id': incoming.headers['x-request-id'], 'X-Response-Seal': `${id}.${incoming.headers['x-request-id']}`, 'Content-Type': type
+    }),
+    /** Turns a request away, which has not run. */
+    turnAway (incoming, response, headers = {}) {
+      response.writeHead(503, { 'X-Request-Id': incoming.headers['x-request-id'], 'X-Not-Executed': '1', 'Content-Length': 0, ...headers })
+      response.end()
+    },
+    /** The replica no longer reaches the store, which removes its entry after three heartbeat intervals. */
+    cutFromStore () {
+      isCutFromStore = true
+      lapse(id)
+    },
+    healCut () {
+      isCutFromStore = false
+      clearTimeout(lapseTimer)
+      beat()
+    },
+    /** Crashes, and comes back as a new incarnation after a time. */
+    crash (milliseconds) {
+      if (!isUp) return
+      isUp = false
+      clearInterval(beatTimer)
+      lapse(id)
+      server.close()
+      for (const socket of sockets) socket.resetAndDestroy()
+      setTimeout(() => { void start() }, milliseconds)
+    },
+    close () {
+      isUp = false
+      clearInterval(beatTimer)
+      clearTimeout(lapseTimer)
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+
+  function lapse (lapsing) {
+    lapseTimer = setTimeout(() => store.remove(`servers/${lapsing}`), LAPSE_MILLISECONDS)
+  }
+
+  function beat () {
+    if (!isUp || isCutFromStore) return
+    store.put(`servers/${id}`, {
+      Service: service,
+      Address: replica.address(),
+      Zone: zone,
+      Version: 'v1',
+      Slots: slots,
+      State: 'ready',
+      ColdRemainingMs: 0,
+      Sequence: 0,
+      born,
+      ...(isEngine ? { Stage: 'both', Models: [{ Name: 'daka510000', Version: 1, Adapters: [] }] } : {})
+    })
+  }
+
+  function answer (response, status, document, headers = {}) {
+    const text = JSON.stringify(document)
+    response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text), ...headers })
+    response.end(text)
+  }
+
+  function serve (incoming, response, body) {
+    const expected = incoming.headers['x-expect-replica']
+    if (expected !== undefined && expected !== id) return answer(response, 421, {}, { 'X-Replica-Id': id })
+    if (incoming.url === '/health') return answer(response, 200, {}, { 'X-Replica-Id': id })
+    if (incoming.url === '/api/report') {
+      const models = isEngine ? [{ Name: 'daka510000', Version: 1, Adapters: [] }] : []
+      return answer(response, 200, {
+        Stage: 'both', Models: models, Busy: false, Sequence: 0, Queued: 0, InFlight: inFlight, KvUsed: 0, KvTotal: 69791, Handles: 0, pace: 1, born
+      })
+    }
+    const requestId = incoming.headers['x-request-id']
+    if (requestId === undefined) return answer(response, 400, {}, { 'X-Not-Executed': '1' })
+    inFlight += 1
+    response.on('close', () => { inFlight -= 1 })
+    run({ incoming, response, body, id: requestId, replica })
+  }
+
+  async function start () {
+    id = `i-${(nextNumber++).toString(16).padStart(4, '0')}${Math.floor(Math.random() * 65536).toString(16)}`
+    born = Date.now()
+    server = createServer({ keepAliveTimeout: 5000 }, (incoming, response) => {
+      let body = ''
+      incoming.on('data', chunk => { body += chunk })
+      incoming.on('end', () => serve(incoming, response, body))
+    })
+    server.on('connection', socket => {
+      socket.setNoDelay(true)
+      sockets.add(socket)
+      socket.on('close', () => { sockets.delete(socket) })
+      socket.on('error', () => {})
+    })
+    await new Promise((resolve, reject) => {
+      server.on('error', reject)
+      server.listen(port, '127.0.0.1', resolve)
+    })
+    port = server.address().port
+    isUp = true
+    beat()
+    beatTimer = setInterval(beat, HEARTBEAT_MILLISECONDS)
+  }
+
+  await start()
+  return replica
+}
