--- a/review/lib-3/replicas.mjs
+++ b/review/lib-3/replicas.mjs
@@ -12,9 +12,10 @@
 /**
  * Opens a replica.
  * @param terms `store`, `service`, `zone`, `slots`, `isEngine`, and `run`, which is called with each request of a client that the replica
- * takes: `{ incoming, response, body, id, replica }`.
+ * takes: `{ incoming, response, body, id, replica }`. `card` makes it a replica that holds a part of a model's layers, and none at first:
+ * `{ kind, layers, maximumLayers, loadMilliseconds }`; `onOrder` is called with each order.
  */
-export async function openReplica ({ store, service, zone, slots, isEngine = false, run }) {
+export async function openReplica ({ store, service, zone, slots, isEngine = false, card, onOrder, run }) {
   const sockets = new Set()
   let isUp = false
   let isCutFromStore = false
@@ -25,6 +26,9 @@
   let beatTimer
   let lapseTimer
   let inFlight = 0
+  let sequence = 0
+  let held
+  let busyUntil = 0
 
   const replica = {
     id: () => id,
@@ -50,7 +54,7 @@
       clearTimeout(lapseTimer)
       beat()
     },
-    /** Crashes, and comes back as a new incarnation after a time. */
+    /** Crashes, and comes back as a new incarnation after a time; never if that is Infinity. */
     crash (milliseconds) {
       if (!isUp) return
       isUp = false
@@ -58,7 +62,7 @@
       lapse(id)
       server.close()
       for (const socket of sockets) socket.resetAndDestroy()
-      setTimeout(() => { void start() }, milliseconds)
+      if (milliseconds < Infinity) setTimeout(() => { void start() }, milliseconds)
     },
     close () {
       isUp = false
@@ -83,8 +87,9 @@
       Slots: slots,
       State: 'ready',
       ColdRemainingMs: 0,
-      Sequence: 0,
+      Sequence: sequence,
       born,
+      ...(card === undefined ? {} : { Kind: card.kind, Layers: held }),
       ...(isEngine ? { Stage: 'both', Models: [{ Name: 'daka510000', Version: 1, Adapters: [] }] } : {})
     })
   }
@@ -102,17 +107,57 @@
     if (incoming.url === '/api/report') {
       const models = isEngine ? [{ Name: 'daka510000', Version: 1, Adapters: [] }] : []
       return answer(response, 200, {
-        Stage: 'both', Models: models, Busy: false, Sequence: 0, Queued: 0, InFlight: inFlight, KvUsed: 0, KvTotal: 69791, Handles: 0, pace: 1, born
+        Stage: 'both',
+        Models: models,
+        Busy: performance.now() < busyUntil,
+        Sequence: sequence,
+        Queued: 0,
+        InFlight: inFlight,
+        KvUsed: 0,
+        KvTotal: 69791,
+        Handles: 0,
+        pace: 1,
+        born,
+        Layers: held,
+        Kind: card?.kind
       })
     }
+    if (incoming.url === '/api/order') return takeOrder(response, JSON.parse(body))
     const requestId = incoming.headers['x-request-id']
     if (requestId === undefined) return answer(response, 400, {}, { 'X-Not-Executed': '1' })
+    if (card !== undefined && !holdsPart(incoming)) return answer(response, 421, {}, { 'At-Server': replica.address() })
     inFlight += 1
     response.on('close', () => { inFlight -= 1 })
     run({ incoming, response, body, id: requestId, replica })
   }
 
+  /** Whether the replica holds its part of a request's path; without a path, that is all layers. */
+  function holdsPart (incoming) {
+    const [, from, to] = /^[^=]+=(\d+)-(\d+)/.exec(incoming.headers['x-hop-count'] ?? '') ?? [undefined, 0, card.layers]
+    return held !== undefined && held.From <= Number(from) && held.To >= Number(to)
+  }
+
+  function takeOrder (response, { Operation, From, To, Expected }) {
+    onOrder?.({ replica, Operation, From, To })
+    if (card === undefined || Operation !== 'place') return answer(response, 400, {})
+    if (performance.now() < busyUntil || (Expected !== undefined && Expected !== sequence)) return answer(response, 409, {})
+    if (To - From > card.maximumLayers) throw new Error(`${id} is ordered to hold ${To - From} layers`)
+    sequence += 1
+    const loadMilliseconds = card.loadMilliseconds * (To - From) / card.layers
+    busyUntil = performance.now() + loadMilliseconds
+    const ordered = id
+    setTimeout(() => {
+      if (ordered !== id || !isUp) return
+      held = { From, To, Version: 1 }
+      beat()
+    }, loadMilliseconds)
+    answer(response, 202, {})
+  }
+
   async function start () {
+    sequence = 0
+    held = undefined
+    busyUntil = 0
     id = `i-${(nextNumber++).toString(16).padStart(4, '0')}${Math.floor(Math.random() * 65536).toString(16)}`
     born = Date.now()
     server = createServer({ keepAliveTimeout: 5000 }, (incoming, response) => {
