--- a/review/lib-3/machines.mjs
+++ b/review/lib-3/machines.mjs
@@ -5,11 +5,11 @@
 import { spawn } from 'node:child_process'
 import { createWriteStream, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { request } from 'node:http'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
+import { freePort } from './ports.mjs'
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url))
 const COMMAND = ['--max-old-space-size=160', '--max-semi-space-size=4', 'target/wigeonlead.cjs']
@@ -17,11 +17,7 @@
 export const GRACE_SECONDS = 8
 
 async function freeAddress () {
-  const server = createServer()
-  await new Promise(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address()
-  await new Promise(resolve => { server.close(resolve) })
-  return `127.0.0.1:${port}`
+  return `127.0.0.1:${await freePort()}`
 }
 
 function settingsOf (name, zone, addresses, store) {
@@ -78,9 +74,9 @@
   }
 }
 
-/** Waits until all machines are ready. @throws if they are not within ten seconds. */
+/** Waits until all machines are ready. @throws if they are not within twenty seconds. */
 export async function untilReady (machines) {
-  for (let attempt = 0; attempt < 100; attempt++) {
+  for (let attempt = 0; attempt < 200; attempt++) {
     if ((await Promise.all(machines.map(machine => machine.isReady()))).every(Boolean)) return
     await pause(100)
   }
--- a/review/lib-3/replicas.mjs
+++ b/review/lib-3/replicas.mjs
@@ -2,6 +2,7 @@
  * Stand-ins of replicas: they register in the store, answer reports and health checks, and hand each request to the case.
  */
 import { createServer } from 'node:http'
+import { freePort } from './ports.mjs'
 
 export const HEARTBEAT_MILLISECONDS = 1200
 /** The platform removes an entry after three heartbeat intervals of silence. */
@@ -13,16 +14,17 @@
  * Opens a replica.
  * @param terms `store`, `service`, `zone`, `slots`, `isEngine`, and `run`, which is called with each request of a client that the replica
  * takes: `{ incoming, response, body, id, replica }`. `card` makes it a replica that holds a part of a model's layers, and none at first:
- * `{ kind, layers, maximumLayers, loadMilliseconds }`; `onOrder` is called with each order.
+ * `{ kind, layers, maximumLayers, loadMilliseconds }`; `onOrder` is called with each order. `stated` gives headers of all its
+ * answers.
  */
-export async function openReplica ({ store, service, zone, slots, isEngine = false, card, onOrder, run }) {
+export async function openReplica ({ store, service, zone, slots, isEngine = false, card, onOrder, stated = () => ({}), run }) {
   const sockets = new Set()
   let isUp = false
   let isCutFromStore = false
   let id = ''
   let born = 0
   let server
-  let port = 0
+  const port = await freePort()
   let beatTimer
   let lapseTimer
   let inFlight = 0
@@ -103,6 +105,7 @@
   function serve (incoming, response, body) {
     const expected = incoming.headers['x-expect-replica']
     if (expected !== undefined && expected !== id) return answer(response, 421, {}, { 'X-Replica-Id': id })
+    for (const [name, value] of Object.entries(stated())) response.setHeader(name, value)
     if (incoming.url === '/health') return answer(response, 200, {}, { 'X-Replica-Id': id })
     if (incoming.url === '/api/report') {
       const models = isEngine ? [{ Name: 'daka510000', Version: 1, Adapters: [] }] : []
@@ -175,7 +178,6 @@
       server.on('error', reject)
       server.listen(port, '127.0.0.1', resolve)
     })
-    port = server.address().port
     isUp = true
     beat()
     beatTimer = setInterval(beat, HEARTBEAT_MILLISECONDS)
