--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,76 +1,53 @@
 /**
- * A replica asks each machine for a pause (503 with Retry-After), and then loses its way to the store for five seconds. Its entry lapses
- * and comes back, with the same id and start; the machines have forgotten the pause.
+ * Streams without a length run at a replica that turns another request away with 503 and Retry-After. Their machine is stopped by SIGTERM.
+ * The streams end regularly within the grace period; the machine can't ask the replica any more whether it lives, and cuts them off.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { ask } from '../lib-3/clients.mjs'
-import { ZONES, startMachine, untilReady } from '../lib-3/machines.mjs'
+import { ask, newId } from '../lib-3/clients.mjs'
+import { GENERATION_HEADERS, KEY, engineConfiguration } from '../lib-3/engine-configuration.mjs'
+import { GRACE_SECONDS, ZONES, startMachine, untilReady } from '../lib-3/machines.mjs'
 import { runCase } from '../lib-3/record.mjs'
 import { openReplica } from '../lib-3/replicas.mjs'
 import { openStore } from '../lib-3/store.mjs'
 
-const REPLICAS = 5
-const RETRY_AFTER_SECONDS = 40
-/** How long the replica turns requests away, milliseconds. */
-const TURNING_AWAY_MILLISECONDS = 2000
-const CUT_MILLISECONDS = 5000
-const REQUESTS_PER_SECOND = 10
-const PLAY_MILLISECONDS = 34_000
-const WORK_MILLISECONDS = 15
-
-const CONFIGURATION = {
-  Version: 7,
-  Routes: [{
-    Name: 'job-lookup',
-    Host: 'ficu95.example',
-    Prefix: '/cufi504/',
-    Kind: 'safe',
-    TimeoutMs: 600,
-    TargetLatencyMs: 100,
-    Priority: 2,
-    Service: 'wuno96b',
-    MaxAttempts: 2,
-    Anonymous: true
-  }],
-  Services: [{ Name: 'wuno96b', HealthPath: '/health', MaxConnections: 110, Protocol: 'h1', Tls: false }],
-  Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 4194304, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 }
-}
+const STREAMS = 8
+const EVENTS = 40
+const EVENT_INTERVAL_MILLISECONDS = 100
+const RETRY_AFTER_SECONDS = 10
+const DEADLINE_MILLISECONDS = 20_000
+const TURNED_AWAY_PATH = '/lohu930/large'
 
 await runCase(new URL('record.txt', import.meta.url), async ({ record, hasTrouble, atEnd }) => {
   const store = await openStore()
   atEnd(() => store.close())
-  store.put('op/config', CONFIGURATION)
-
-  /** Which machine sent each request, by its id. */
-  const senders = new Map()
-  /** When the replica answered each machine 503 with Retry-After last, and what reached it from there since half a second after. */
-  const pauses = new Map()
-  let turnsAwayUntil = 0
+  store.put('op/config', engineConfiguration({ Resumable: false }))
+  /** When the replica had sent all of each stream, by id. */
+  const ended = new Map()
 
-  function run ({ incoming, response, body, id, replica }) {
-    const machine = senders.get(id)
-    if (replica === replicas[0]) {
-      record.add(`${incoming.method} ${incoming.url} ${id} reaches ${replica.id()} from ${machine}`)
-      const asked = pauses.get(machine)
-      const now = record.now()
-      if (asked !== undefined && now > asked.at + 500 && now < asked.at + RETRY_AFTER_SECONDS * 1000) asked.reached.push(id)
-      if (record.now() < turnsAwayUntil) {
-        record.add(`${replica.id()} answers ${id} 503 with Retry-After: ${RETRY_AFTER_SECONDS}`)
-        pauses.set(machine, { at: record.now(), reached: asked?.reached ?? [] })
-        return replica.turnAway(incoming, response, { 'Retry-After': String(RETRY_AFTER_SECONDS) })
-      }
+  function run ({ incoming, response, id, replica }) {
+    record.add(`${incoming.url} ${id} reaches ${replica.id()}`)
+    if (hasTrouble && incoming.url === TURNED_AWAY_PATH) {
+      record.add(`${replica.id()} has no room for ${id}: 503 with Retry-After: ${RETRY_AFTER_SECONDS}`)
+      return replica.turnAway(incoming, response, { 'Retry-After': String(RETRY_AFTER_SECONDS) })
     }
-    setTimeout(() => {
-      const text = `${replica.id()} ran ${id} ${body}`
-      response.writeHead(200, { ...replica.answerHeaders(incoming), 'Content-Length': Buffer.byteLength(text) })
-      response.end(text)
-    }, WORK_MILLISECONDS)
+    // The answer has neither a length nor chunks, and ends with its connection.
+    response.useChunkedEncodingByDefault = false
+    response.writeHead(200, { ...replica.answerHeaders(incoming, 'text/event-stream'), Connection: 'close' })
+    let event = 1
+    const timer = setInterval(() => {
+      if (response.destroyed) return clearInterval(timer)
+      response.write(`id: ${event}\ndata: ${id}:${event}\n\n`)
+      event += 1
+      if (event <= EVENTS) return
+      clearInterval(timer)
+      response.end()
+      ended.set(id, record.now())
+      record.add(`${replica.id()} ends ${id} after event ${EVENTS}`)
+    }, EVENT_INTERVAL_MILLISECONDS)
   }
 
-  const replicas = []
-  for (let index = 0; index < REPLICAS; index++) {
-    const replica = await openReplica({ store, service: 'wuno96b', zone: ZONES[index % ZONES.length], slots: 6, run })
-    replicas.push(replica)
+  for (const zone of ZONES) {
+    const replica = await openReplica({ store, service: 'huvo11a', zone, slots: 134, isEngine: true, run })
     atEnd(() => replica.close())
   }
   const machines = []
@@ -82,38 +59,29 @@
   await untilReady(machines)
   await pause(2000)
 
-  const startedAt = record.now()
-  turnsAwayUntil = startedAt + TURNING_AWAY_MILLISECONDS
-  let counter = 0
-  const asking = []
-  const timer = setInterval(() => {
-    const machine = machines[counter++ % machines.length]
-    const path = `/cufi504/job-${counter}`
-    asking.push((async () => {
-      const id = counter.toString(16).padStart(16, '0')
-      senders.set(id, machine.name)
-      const answer = await ask({ machine, path, id, deadline: 600 })
-      record.add(`${machine.name} answers ${id} ${answer.status}${answer.error === undefined ? '' : `, ${answer.error}`}`)
-    })())
-  }, 1000 / (REQUESTS_PER_SECOND * machines.length))
-  atEnd(() => clearInterval(timer))
-
-  await pause(TURNING_AWAY_MILLISECONDS + 500)
-  if (hasTrouble) {
-    record.add(`${replicas[0].id()} is cut from the store`)
-    replicas[0].cutFromStore()
-    await pause(CUT_MILLISECONDS)
-    replicas[0].healCut()
-    record.add(`${replicas[0].id()} reaches the store again`)
-  }
-  await pause(Math.max(0, startedAt + PLAY_MILLISECONDS - record.now()))
-  clearInterval(timer)
-  await Promise.all(asking)
-  let isBroken = false
-  for (const [machine, { at, reached }] of pauses) {
-    record.add(`${machine}: answered 503 with Retry-After last at ${(at / 1000).toFixed(3)} s, reached by ${reached.length} requests within the pause`)
-    if (reached.length > 2) isBroken = true
+  async function stream (machine, path) {
+    const id = newId()
+    const answer = await ask({ machine, method: 'POST', path, id, body: 'prompt', key: KEY, headers: GENERATION_HEADERS, deadline: DEADLINE_MILLISECONDS })
+    const events = answer.text.split('\n\n').length - 1
+    record.add(`${machine.name} answers ${id} ${path} ${answer.status}, ${events} events, ${answer.isComplete ? 'complete' : `cut off: ${answer.error}`}`)
+    return { id, ...answer, events }
   }
-  if (pauses.size === 0) throw new Error('the replica turned nothing away')
-  return isBroken
+
+  const machine = machines[0]
+  const streams = Array.from({ length: STREAMS }, () => stream(machine, '/lohu930/usual'))
+  await pause(500)
+  const stoppedAt = record.now()
+  record.add(`SIGTERM for ${machine.name}`)
+  const stopped = machine.stop()
+  await pause(500)
+  const turnedAway = stream(machine, TURNED_AWAY_PATH)
+  const answers = await Promise.all(streams)
+  await turnedAway
+  await stopped
+  record.add(`${machine.name} has ended`)
+  // The rule excuses answers at which the replica was still at work in the last sixth of the grace period.
+  const bound = stoppedAt + GRACE_SECONDS * 1000 * 5 / 6
+  const lost = answers.filter(({ id, isComplete }) => !isComplete && ended.has(id) && ended.get(id) < bound)
+  record.add(`${lost.length} of ${STREAMS} streams that their replicas had ended were cut off by the machine`)
+  return lost.length > 0
 })
