--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -17,7 +17,9 @@
 const DEADLINE_MILLISECONDS = 20_000
 const TURNED_AWAY_PATH = '/lohu930/large'
 
-await runCase(new URL('record.txt', import.meta.url), async ({ record, hasTrouble, atEnd }) => {
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase(new URL('record.txt', import.meta.url), hasTrouble, async ({ record, atEnd }) => {
   const store = await openStore()
   atEnd(() => store.close())
   store.put('op/config', engineConfiguration({ Resumable: false }))
--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -19,7 +19,9 @@
 const JUDGED_MILLISECONDS = 15_000
 const CARD = { kind: 'l40s', layers: 8, maximumLayers: 24, loadMilliseconds: 2000 }
 
-await runCase(new URL('record.txt', import.meta.url), async ({ record, hasTrouble, atEnd }) => {
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase(new URL('record.txt', import.meta.url), hasTrouble, async ({ record, atEnd }) => {
   const store = await openStore()
   atEnd(() => store.close())
   const base = engineConfiguration()
--- a/review/lib-3/record.mjs
+++ b/review/lib-3/record.mjs
@@ -21,11 +21,11 @@
 /**
  * Runs a case.
  * @param file where the record is written.
+ * @param hasTrouble whether the case is played with its disruption.
  * @param play plays the case and ends all that it started; it returns whether the rule was broken.
  */
-export async function runCase (file, play) {
+export async function runCase (file, hasTrouble, play) {
   const record = createRecord()
-  const hasTrouble = process.env.TROUBLE !== '0'
   const endings = []
   let code = CANNOT_RUN
   const timer = setTimeout(() => {
@@ -33,16 +33,30 @@
     void finish()
   }, LIMIT_MILLISECONDS)
 
+  let isFinishing = false
+
   async function finish () {
+    if (isFinishing) return
+    isFinishing = true
     clearTimeout(timer)
     for (const end of endings.reverse()) await end()
     record.write(file)
     process.exit(code)
   }
 
+  // What was started ends with the case, also where the case is stopped or fails on its own.
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => { void finish() })
+  for (const event of ['uncaughtException', 'unhandledRejection']) {
+    process.on(event, error => {
+      record.add(`the case could not run: ${error.stack}`)
+      code = CANNOT_RUN
+      void finish()
+    })
+  }
+
   try {
     record.add(hasTrouble ? 'with the disruption' : 'without the disruption')
-    const isBroken = await play({ record, hasTrouble, atEnd: end => { endings.push(end) } })
+    const isBroken = await play({ record, atEnd: end => { endings.push(end) } })
     record.add(isBroken ? 'the rule was broken' : 'the rule held')
     code = isBroken ? 1 : 0
     writeSync(1, isBroken ? 'broken\n' : 'held\n')
