--- a/review/lib-3/replicas.mjs
+++ b/review/lib-3/replicas.mjs
@@ -24,7 +24,7 @@
   let id = ''
   let born = 0
   let server
-  const port = await freePort()
+  let port = await freePort()
   let beatTimer
   let lapseTimer
   let inFlight = 0
@@ -157,6 +157,14 @@
     answer(response, 202, {})
   }
 
+  /** @returns whether the port was free. */
+  function listen () {
+    return new Promise(resolve => {
+      server.once('error', () => resolve(false))
+      server.listen(port, '127.0.0.1', () => resolve(true))
+    })
+  }
+
   async function start () {
     sequence = 0
     held = undefined
@@ -174,10 +182,8 @@
       socket.on('close', () => { sockets.delete(socket) })
       socket.on('error', () => {})
     })
-    await new Promise((resolve, reject) => {
-      server.on('error', reject)
-      server.listen(port, '127.0.0.1', resolve)
-    })
+    // Another process may have taken the port of a replica that was down: the new incarnation then has another address.
+    while (!await listen()) port = await freePort()
     isUp = true
     beat()
     beatTimer = setInterval(beat, HEARTBEAT_MILLISECONDS)
