Prove by the target's own later messages that an answer without a length is whole

Cause: the end of an answer without a length counted as a crash of its target unless a report arrived within 150 ms. In a pause that the target had asked for no report is requested at all, and a slow target reports later.

Change: target-life.ts decides with three answers (lives, has ended, unknown) for streams and bodies. A report that was requested after the end proves life, and so does an entry in the store that the copy lacked at a confirmation after the end. A pause proves nothing, and nothing is sent in it. Answers that end together share their reports.

--- a/packages/relay/src/connection/engine-client.ts
+++ b/packages/relay/src/connection/engine-client.ts
@@ -6,16 +6,32 @@
 import { OrderResult, type Dialect, type PlaceOrder, type PathStage, type TargetReport } from './dialect.js'
 import { SendResult, type TargetClient } from './target-client.js'
 
+/** What a probe of a target found. */
+export enum ProbeResult {
+  /** No connection was established in time: the target may have ended, or the network between is cut. */
+  Unreachable = 'unreachable',
+  /** Nothing listens at the address. */
+  Refused = 'refused',
+  /** Nothing was sent, because the target has asked for a pause: this tells nothing of the present. */
+  Withheld = 'withheld',
+  /** A connection was established, but nothing answered in time. */
+  Silent = 'silent',
+  /** The answer was cut off. */
+  CutOff = 'cut-off',
+  /** Another target, or a later incarnation, has the address. */
+  Replaced = 'replaced',
+  Reachable = 'reachable'
+}
+
 /** Queries engines and gives them orders. No method rejects its promise. */
 export interface EngineClient {
   /** @returns the target's report; undefined where no valid one arrived in time. */
   report: (target: Target, timeoutMilliseconds: number) => Promise<TargetReport | undefined>
   /**
-   * Checks whether this incarnation of a target still answers. A body without a length, which ends with its connection, counts as complete
-   * only if it does, because a crashed target closes its connections in the same way. Where a target reports no incarnation, any answer
-   * from its address that does not come from another target counts.
+   * Requests a report to find out whether this incarnation of a target still runs. Where a target reports no incarnation, any answer from
+   * its address that does not come from another target counts.
    */
-  isAlive: (target: Target) => Promise<boolean>
+  probe: (target: Target, timeoutMilliseconds: number) => Promise<ProbeResult>
   /** Checks whether a target accepts a new connection: a slow target does, one that is dead or partitioned does not. */
   isReachable: (target: Target) => Promise<boolean>
   /** Checks by a new connection whether a target, or another one at its address, answers at all. */
@@ -55,21 +71,10 @@
 /** Maximum length of an answer's text in the log. */
 const DETAIL_CHARACTERS = 100
 
-/** What a probe of a target found. */
-enum ProbeResult {
-  /** No connection was established in time: the target may have ended, or the network between is cut. */
-  Unreachable = 'unreachable',
-  /** Nothing listens at the address. */
-  Refused = 'refused',
-  /** A connection was established, but nothing answered in time. */
-  Silent = 'silent',
-  /** Another target, or a later incarnation, has the address. */
-  Replaced = 'replaced',
-  Reachable = 'reachable'
-}
-
 const NO_CONNECTION: ReadonlySet<ProbeResult> = new Set([ProbeResult.Unreachable, ProbeResult.Refused])
-const ANSWERS: ReadonlySet<ProbeResult> = new Set([ProbeResult.Replaced, ProbeResult.Reachable])
+const ANSWERS: ReadonlySet<ProbeResult> = new Set([
+  ProbeResult.Replaced, ProbeResult.Reachable, ProbeResult.CutOff, ProbeResult.Withheld
+])
 const PROOFS_OF_END: ReadonlySet<ProbeResult> = new Set([ProbeResult.Refused, ProbeResult.Replaced])
 
 /** Creates the client. */
@@ -113,10 +118,13 @@
     }
   }
 
-  /** Requests a report over a new connection. */
-  async function probe (target: Target): Promise<ProbeResult> {
+  /** Requests a report, by default over a new connection. */
+  async function probe (
+    target: Target, timeoutMilliseconds = LIVENESS_TIMEOUT_MILLISECONDS, mayReuseConnection = false
+  ): Promise<ProbeResult> {
     const abortController = new AbortController()
-    const timer = setTimeout(() => abortController.abort(), LIVENESS_TIMEOUT_MILLISECONDS)
+    // A process that was held up first reads what has arrived.
+    const timer = setTimeout(() => setImmediate(() => abortController.abort()), timeoutMilliseconds)
     try {
       const outcome = await targets.send({
         address: target.address,
@@ -125,19 +133,17 @@
         path: dialect.reportPath,
         headers: Object.entries({ Host: target.address, ...dialect.ownCallHeaders(target.id) }).flat(),
         body: Buffer.alloc(0),
-        mayReuseConnection: false,
+        mayReuseConnection,
         signal: abortController.signal
       })
       if (outcome.kind === SendResult.NotSent) return outcome.isRefused ? ProbeResult.Refused : ProbeResult.Unreachable
-      // A target that has asked for a pause has just answered.
-      if (outcome.kind === SendResult.Withheld) return ProbeResult.Reachable
+      if (outcome.kind === SendResult.Withheld) return ProbeResult.Withheld
       if (outcome.kind !== SendResult.Answered) return ProbeResult.Silent
       if (outcome.response.statusCode === MISDIRECTED_STATUS) return ProbeResult.Replaced
       const text = (await readAnswer(outcome.response, ANSWER_BYTES_LIMIT, outcome.openHolding)).toString()
       return isOtherIncarnation(target, text) ? ProbeResult.Replaced : ProbeResult.Reachable
     } catch {
-      // The target answers, though not with a valid report.
-      return ProbeResult.Reachable
+      return ProbeResult.CutOff
     } finally {
       clearTimeout(timer)
       abortController.abort()
@@ -154,10 +160,7 @@
         return undefined
       }
     },
-    async isAlive (target) {
-      const answer = await call('GET', target, dialect.reportPath, '', LIVENESS_TIMEOUT_MILLISECONDS)
-      return answer !== undefined && answer.status !== MISDIRECTED_STATUS && !isOtherIncarnation(target, answer.text)
-    },
+    probe: async (target, timeoutMilliseconds) => await probe(target, timeoutMilliseconds, true),
     isAnswering: async target => ANSWERS.has(await probe(target)),
     isReachable: async target => !NO_CONNECTION.has(await probe(target)),
     hasEnded: async target => PROOFS_OF_END.has(await probe(target)),
--- a/packages/relay/src/connection/index.ts
+++ b/packages/relay/src/connection/index.ts
@@ -7,7 +7,7 @@
   type TargetReport
 } from './dialect.js'
 export type { HandOverTerms, ReachReport } from '../request/ledger.js'
-export { createEngineClient, type EngineClient, type MoveAnswer } from './engine-client.js'
+export { ProbeResult, createEngineClient, type EngineClient, type MoveAnswer } from './engine-client.js'
 export { SendResult, createTargetClient, type SendOutcome, type TargetCall, type TargetClient, type TargetStates } from './target-client.js'
 export { createMessageAssembly, splitMessage, type MessageAssembly, type MessagePart } from './message-parts.js'
 export { createPeerLink, type PeerLink } from './peer-link.js'
--- a/packages/relay/src/process/index.ts
+++ b/packages/relay/src/process/index.ts
@@ -59,6 +59,9 @@
 export { createStoreEra, type StoreEra } from './store-era.js'
 export { runStoreMirror, type MirrorOptions, type MirrorReader } from './store-mirror.js'
 export { createTargetEnds, type TargetEnds } from './suspicion/target-ends.js'
+export {
+  TargetState, createTargetLife, type TargetLife, type TargetLifeDependencies, type VerificationOptions
+} from './suspicion/target-life.js'
 export { createTargetReach, type TargetReach } from './suspicion/target-reach.js'
 export { createTargetStates } from './suspicion/target-answers.js'
 export { createRelay, type Relay, type RelayPorts } from './wire.js'
--- a/packages/relay/src/process/relay-log.ts
+++ b/packages/relay/src/process/relay-log.ts
@@ -60,6 +60,8 @@
   RequestHandedOver = 'request-handed-over',
   HandOverFailed = 'hand-over-failed',
   RequestLeft = 'request-left-by-caller',
+  /** Whether a target has survived the end of an answer without a length, which is whole only then. */
+  AnswerEndJudged = 'answer-end-judged',
   SendFailed = 'send-failed',
   StreamResumed = 'stream-resumed',
   StreamMoved = 'stream-moved',
--- a/packages/relay/src/process/settings.ts
+++ b/packages/relay/src/process/settings.ts
@@ -109,3 +109,15 @@
   if (parsed.success) return { ok: true, settings: parsed.data }
   return { ok: false, faults: parsed.error.issues.map(issue => `${file}: ${issue.path.join('.') || 'top level'}: ${issue.message}`) }
 }
+
+const BYTES_PER_MEGABYTE = 1_048_576
+/** Share of the memory of the VM that is held of answers that are arriving, beside the share for clients. */
+const ANSWERS_HELD_SHARE = 0.1
+/** Memory for answers that is there in any case, megabytes: for the longest answer of one body, and some events. */
+const LEAST_ANSWERS_HELD_MEGABYTES = 18
+
+/** @returns how much a process may hold of answers that are arriving, from targets and peers together, bytes. */
+export function answerBytesLimit ({ node, targets }: RelaySettings): number {
+  const megabytes = targets.heldMegabytes ?? Math.max(LEAST_ANSWERS_HELD_MEGABYTES, node.memoryMegabytes * ANSWERS_HELD_SHARE)
+  return megabytes * BYTES_PER_MEGABYTE
+}
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -37,11 +37,12 @@
 import { createDemand } from './membership/demand.js'
 import { createRepeatBudget } from './admission/repeat-budget.js'
 import { createRepeatLoans } from './admission/repeat-loans.js'
-import type { RelaySettings } from './settings.js'
+import { answerBytesLimit, type RelaySettings } from './settings.js'
 import { createStoreEra, type StoreEra } from './store-era.js'
 import { runStoreMirror, type MirrorReader } from './store-mirror.js'
 import { createStreamWatch } from './suspicion/stream-watch.js'
 import { createTargetStates } from './suspicion/target-answers.js'
+import { createTargetLife } from './suspicion/target-life.js'
 import { createTargetEnds } from './suspicion/target-ends.js'
 import { createTargetReach, type TargetReach } from './suspicion/target-reach.js'
 
@@ -111,18 +112,6 @@
 const STATELESS: TargetStates = { pauseRemaining: () => 0, onSlowConnect () {}, onSend () {}, onAnswer () {} }
 const QUARANTINE_GAUGES = { prompt_parts_quarantined: true, requests_quarantined: false }
 
-const BYTES_PER_MEGABYTE = 1_048_576
-/** Share of the memory of the VM that is held of answers that are arriving, beside the share for clients. */
-const ANSWERS_HELD_SHARE = 0.1
-/** Memory for answers that is there in any case, megabytes: for the longest answer of one body, and some events. */
-const LEAST_ANSWERS_HELD_MEGABYTES = 18
-
-/** @returns how much a process may hold of answers that are arriving, from targets and peers together, bytes. */
-function answerBytesLimit ({ node, targets }: RelaySettings): number {
-  const megabytes = targets.heldMegabytes ?? Math.max(LEAST_ANSWERS_HELD_MEGABYTES, node.memoryMegabytes * ANSWERS_HELD_SHARE)
-  return megabytes * BYTES_PER_MEGABYTE
-}
-
 /** Builds a relay process. */
 export function createRelay (settings: RelaySettings, ports: RelayPorts): Relay {
   const { log, dialect, store } = ports
@@ -229,6 +218,7 @@
       () => domainShares.current(service).get(failureDomain) ?? 0
     )
   })
+  const targetLife = createTargetLife({ directory, engines, reach, log, metrics })
   const requestDependencies: RequestDependencies = {
     dialect,
     configurationState,
@@ -240,6 +230,7 @@
     engines,
     sendWait,
     targetEnds: createTargetEnds(directory, engines),
+    targetLife,
     reach,
     level,
     peerChoice: createPeerChoice(peers, settings.node.failureDomain, ports.nextFloat),
@@ -293,7 +284,10 @@
       contentRecords.keepListed(keys)
       for (const { vm } of peers.known()) if (!keys.has(PEER_PREFIX + vm)) peers.remove(vm)
     },
-    onConfirmed: confirmedAt => { if (era.isSettledAt(confirmedAt)) configurationState.confirm(confirmedAt, shownVersion) },
+    onConfirmed (confirmedAt) {
+      targetLife.recordConfirmation(confirmedAt.monotonic)
+      if (era.isSettledAt(confirmedAt)) configurationState.confirm(confirmedAt, shownVersion)
+    },
     onRecovered: agoMilliseconds => directory.startOutageGracePeriod(agoMilliseconds)
   }
 
@@ -305,7 +299,9 @@
     if (!entry.key.startsWith(ports.keys.targetPrefix)) return
     const id = entry.key.slice(ports.keys.targetPrefix.length)
     try {
-      directory.put(ports.decodeTarget(id, entry.value), isFromRestoredCopy)
+      const target = ports.decodeTarget(id, entry.value)
+      directory.put(target, isFromRestoredCopy)
+      if (!isFromRestoredCopy) targetLife.recordEntry(target)
     } catch (error) {
       log.warn(RelayEvent.TargetSkipped, { target: id, reason: (error as Error).message.slice(0, 200) })
       directory.remove(id)
--- a/packages/relay/src/request/context.ts
+++ b/packages/relay/src/request/context.ts
@@ -19,6 +19,7 @@
 import type { Repeats } from '../process/admission/repeat-loans.js'
 import type { StreamWatch } from '../process/suspicion/stream-watch.js'
 import type { TargetEnds } from '../process/suspicion/target-ends.js'
+import type { TargetLife } from '../process/suspicion/target-life.js'
 import type { TargetReach } from '../process/suspicion/target-reach.js'
 import type { Metrics } from 'wigeonlead'
 import type { HandOverTerms } from './ledger.js'
@@ -37,6 +38,7 @@
   /** @returns milliseconds until this VM may send a request to a target, by the pause and the rate that it asked for; 0 for now. */
   sendWait: (incarnation: string) => number
   targetEnds: TargetEnds
+  targetLife: Pick<TargetLife, 'verify'>
   reach: TargetReach
   peerChoice: PeerChoice
   /** Sends requests to peers that handle them in place of this VM. */
--- a/packages/relay/src/request/event-run.ts
+++ b/packages/relay/src/request/event-run.ts
@@ -1,90 +1,21 @@
 /**
  * One run of a request whose answer is a series of events: sends it over one path and forwards the events until the run ends.
  */
-import { NO_MEMORY, followBody, readAnswer } from '@wigeonlead/protocol'
-import { SendResult, hasLength, type SendOutcome } from '../connection/target-client.js'
+import { readAnswer } from '@wigeonlead/protocol'
+import { pause } from 'wigeonlead'
+import { SendResult } from '../connection/target-client.js'
 import type { FoundPath } from '../process/routing/path-finder.js'
 import type { Reservation } from '../process/routing/load.js'
+import { TargetState } from '../process/suspicion/target-life.js'
 import type { Target } from '../version/target.js'
 import { ANSWER_TRANSIT_MILLISECONDS, contentOf, remainingTime, urgencyOf, type AdmittedRequest, type RequestDependencies } from './context.js'
-import { createEventSplitter, type StreamEvent } from './event-splitter.js'
+import { AnswerProgress, RunEnd, type EventsProgress, type RunOutcome, type UnprovenEnd } from './event-progress.js'
+import { forwardEvents, type AnsweredSend } from './forward-events.js'
 import { createIntervalReports } from './interval-reports.js'
 import { SendState, type AttemptLedger, type Send } from './ledger.js'
 import { reportReach } from './outcome.js'
 import { createStreamMover } from './stream-move.js'
 
-/** How a run ended. */
-export enum RunEnd {
-  /** The complete answer was forwarded. */
-  Complete = 'whole',
-  /** Nothing reached the target. */
-  NotSent = 'not-sent',
-  /** The target reported that it did not run the request. */
-  Refused = 'refused',
-  /** The answer was absent, invalid, cut off or stalled; another run may continue it. */
-  Broken = 'broken',
-  /** The target answered with a client error (4xx); no further run is tried. */
-  Failed = 'failed',
-  CallerLeft = 'caller-left'
-}
-
-/** Result of a run. */
-export interface RunOutcome {
-  end: RunEnd
-  /** HTTP status of the answer; 0 if none arrived. */
-  status: number
-  reason: string
-  /** The target to which no connection was established. */
-  unreachable?: Target
-  /** Whether this relay itself ended the run, and not the target or the caller. */
-  isAborted?: boolean
-  /** Address of the stage that caused the end of the run. */
-  faultyAddress?: string
-}
-
-/** How much of a run's answer has arrived from its target. */
-export enum AnswerProgress {
-  Nothing = 'nothing',
-  /** Status line and headers, but no complete event. */
-  Head = 'head',
-  Events = 'events'
-}
-
-/** How much of the answer the caller has received over all runs, and how far the present run has come. */
-export interface EventsProgress {
-  presentRun: AnswerProgress
-  /** Monotonic time of the first event of the present run, milliseconds; absent before. */
-  presentRunBeganAt?: number
-  /** Number of the last event that was forwarded. */
-  lastEvent?: number
-  /** Whether the status line and headers of the answer were sent to the caller. */
-  isHeadSent: boolean
-  /** Whether a run that continued the answer has ended regularly without an event. */
-  hasEmptyContinuation?: boolean
-  /** Monotonic time of the first and of the latest forwarded event, milliseconds; absent before. */
-  firstEventAt?: number
-  latestEventAt?: number
-  /** Longest time between two forwarded events, milliseconds. */
-  longestPauseMilliseconds?: number
-}
-
-/** Whether an answer has met the objectives of its route so far. */
-export function isInTime ({ route, arrivedAt }: AdmittedRequest, { firstEventAt, longestPauseMilliseconds = 0 }: EventsProgress): boolean {
-  if (firstEventAt === undefined) return false
-  return firstEventAt - arrivedAt <= route.latencyObjectiveMilliseconds &&
-    longestPauseMilliseconds <= (route.pauseObjectiveMilliseconds ?? Infinity)
-}
-
-function recordEventTime (progress: EventsProgress): void {
-  const now = performance.now()
-  progress.firstEventAt ??= now
-  progress.longestPauseMilliseconds = Math.max(progress.longestPauseMilliseconds ?? 0, now - (progress.latestEventAt ?? now))
-  progress.latestEventAt = now
-}
-
-/** A send whose answer has begun. */
-export type AnsweredSend = Extract<SendOutcome, { kind: SendResult.Answered }>
-
 /** Size limit of answers that are not event streams: these are errors and refusals, which are short. */
 const NON_STREAM_ANSWER_BYTES_LIMIT = 1_048_576
 const MISDIRECTED_STATUS = 421
@@ -201,7 +132,11 @@
       onBegin,
       onStart (deliverRest) { state.deliverRest = deliverRest },
       abortReason: () => state.reason,
-      isSenderAlive: async () => await dependencies.engines.isAlive(firstTarget)
+      async stateOfSender () {
+        // Nothing more is expected of this run, so its silence tells nothing.
+        unwatch()
+        return await verifyEnd(request, dependencies, firstTarget, progress, ledger.maySendAgain())
+      }
     })
     return { ...run, isAborted: state.reason !== '' }
   } finally {
@@ -214,11 +149,30 @@
   }
 }
 
+/**
+ * Finds out whether a target has survived the end of its connection. Where another run may follow, the caller does not wait long for proof:
+ * the next event may be due. Proof that comes later is kept.
+ */
+async function verifyEnd (
+  request: AdmittedRequest, dependencies: RequestDependencies, target: Target, progress: EventsProgress, mayRunAgain: boolean
+): Promise<TargetState> {
+  const state = dependencies.targetLife.verify(target, {
+    waitMilliseconds: remainingTime(request) - ANSWER_TRANSIT_MILLISECONDS, signal: request.exchange.callerLeft
+  })
+  if (!mayRunAgain) return await state
+  const unprovenEnd: UnprovenEnd = { target: target.id, lastEvent: progress.lastEvent, state, isRegular: false }
+  progress.unprovenEnd = unprovenEnd
+  void state.then(result => { unprovenEnd.isRegular = result === TargetState.Lives })
+  return await Promise.race([state, pause(PROOF_WAIT_MILLISECONDS).then(() => TargetState.Unknown)])
+}
+
 function expectedSilence (request: AdmittedRequest, progress: EventsProgress): number {
   if (!progress.isHeadSent) return ALLOWED_FIRST_EVENT_SILENCE_MILLISECONDS + request.terms.promptTokens / PREFILL_TOKENS_PER_MILLISECOND
   return (request.route.pauseObjectiveMilliseconds ?? DEFAULT_PAUSE_OBJECTIVE_MILLISECONDS) * ALLOWED_SILENCE_SHARE
 }
 
+/** How long a run that another one may follow waits for proof that its target has survived the end, milliseconds. */
+export const PROOF_WAIT_MILLISECONDS = 150
 /** Weight of the latest interval between two events in their moving average: the average follows the last few events. */
 const INTERVAL_AVERAGE_WEIGHT = 0.25
 /** Prefill speed of a busy path. */
@@ -246,148 +200,3 @@
   }
   return { end: RunEnd.Refused, status, reason, faultyAddress: terms.faultyAddress }
 }
-
-/** How a run follows the forwarding of its events. */
-export interface EventForwarding {
-  onProgress: () => void
-  /** Called with the first event of the run. */
-  onBegin?: () => void
-  /**
-   * Called at the start with a function for a run that is about to be given up: if the whole answer has arrived, it is forwarded without
-   * waiting for its caller to read on. The function returns whether that is so.
-   */
-  onStart: (deliverRest: () => boolean) => void
-  /** @returns why the run was aborted; empty if it was not. */
-  abortReason: () => string
-  /** Whether the sender of an answer without a length still runs, so that the end of its connection is the end of the answer. */
-  isSenderAlive: () => Promise<boolean>
-}
-
-/** Forwards the events of an answer to the caller as they arrive, until the answer ends. */
-export function forwardEvents (
-  request: AdmittedRequest, answer: AnsweredSend, progress: EventsProgress, dependencies: RequestDependencies,
-  { onProgress, onBegin, onStart, abortReason, isSenderAlive }: EventForwarding
-): Promise<RunOutcome> {
-  const caller = request.exchange.response
-  const { response } = answer
-  const isContinuation = progress.isHeadSent
-  return new Promise(resolve => {
-    let isFinished = false
-    let isRestDelivered = false
-    const holding = answer.openHolding(() => abortAnswer(NO_MEMORY))
-    const splitter = createEventSplitter(holding)
-
-    function finish (end: RunEnd, reason: string): void {
-      isFinished = true
-      holding.clear()
-      resolve({ end, status: SUCCESS_STATUS, reason })
-    }
-
-    function abortAnswer (reason: string): void {
-      response.destroy()
-      finish(RunEnd.Broken, reason)
-    }
-
-    /** Wraps a handler whose exceptions nothing else would catch: they end the run instead of the process. */
-    function guarded<Arguments extends unknown[]> (handler: (...values: Arguments) => void): (...values: Arguments) => void {
-      return (...values) => {
-        try {
-          handler(...values)
-        } catch (error) {
-          abortAnswer((error as Error).message)
-        }
-      }
-    }
-
-    onStart(deliverRest)
-    followBody(response, { onData: guarded(onData), onEnd: guarded(onEnd) })
-
-    function onData (chunk: Buffer): void {
-      if (response.destroyed || caller.destroyed) return
-      const completeEvents: StreamEvent[] = []
-      for (const event of splitter.push(chunk)) {
-        if (event.id !== undefined) {
-          if (progress.lastEvent !== undefined && event.id !== progress.lastEvent + 1) {
-            forward(completeEvents)
-            return abortAnswer(`event ${event.id} follows event ${progress.lastEvent}`)
-          }
-          progress.lastEvent = event.id
-        } else if (progress.lastEvent !== undefined && !event.isComment) {
-          forward(completeEvents)
-          return abortAnswer(`an event without an id follows event ${progress.lastEvent}`)
-        }
-        completeEvents.push(event)
-      }
-      forward(completeEvents)
-    }
-
-    function onEnd (error?: Error): void {
-      if (isFinished) return
-      if (error !== undefined) {
-        return finish(request.exchange.callerLeft.aborted ? RunEnd.CallerLeft : RunEnd.Broken, abortReason() || error.message)
-      }
-      if (splitter.hasRemainder()) return finish(RunEnd.Broken, 'the answer ended within an event')
-      if (hasLength(response)) return finishComplete()
-      void Promise.all([answer.isEndConfirmed(), isSenderAlive()]).then(guarded(([isConfirmed, isAlive]) => {
-        if (isFinished) return
-        if (isConfirmed && isAlive) finishComplete()
-        else finish(RunEnd.Broken, 'the connection was reset, or the target no longer answers: the answer may be incomplete')
-      }), (error: Error) => abortAnswer(error.message))
-    }
-
-    function deliverRest (): boolean {
-      if (isFinished || response.destroyed || !response.complete || !hasLength(response)) return false
-      isRestDelivered = true
-      response.resume()
-      return true
-    }
-
-    function finishComplete (): void {
-      // One answer without events does not prove that the earlier run had sent the last one.
-      const isEmptyContinuation = isContinuation && progress.presentRun !== AnswerProgress.Events
-      if (isEmptyContinuation && progress.hasEmptyContinuation !== true) {
-        progress.hasEmptyContinuation = true
-        return finish(RunEnd.Broken, `nothing follows event ${progress.lastEvent}`)
-      }
-      if (!progress.isHeadSent) writeHead()
-      caller.end()
-      if (progress.presentRun === AnswerProgress.Events) dependencies.contentQuarantine.recordCompletion(contentOf(request))
-      finish(RunEnd.Complete, '')
-    }
-
-    function forward (events: readonly StreamEvent[]): void {
-      if (events.length === 0) return
-      onProgress()
-      // Comments may come from a target that does not get as far as the first event.
-      if (events.some(({ isComment }) => !isComment)) recordEvents()
-      if (!progress.isHeadSent) writeHead()
-      if (caller.write(events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(({ bytes }) => bytes))) || isRestDelivered) return
-      response.pause()
-      caller.once('drain', () => {
-        if (isFinished) return
-        onProgress()
-        // The caller held the answer up: the time until it reads on is no pause of the answer.
-        progress.latestEventAt = performance.now()
-        response.resume()
-      })
-    }
-
-    function recordEvents (): void {
-      if (progress.presentRun !== AnswerProgress.Events) {
-        progress.presentRun = AnswerProgress.Events
-        progress.presentRunBeganAt = performance.now()
-        dependencies.contentQuarantine.recordBegin(contentOf(request))
-        onBegin?.()
-      }
-      recordEventTime(progress)
-    }
-
-    function writeHead (): void {
-      const headers = dependencies.dialect.answerHeaders(response.rawHeaders)
-      if (caller.hasHeader('Connection')) headers.push('Connection', 'close')
-      caller.writeHead(SUCCESS_STATUS, headers as unknown as Record<string, string>)
-      progress.isHeadSent = true
-      dependencies.metrics.observe('first_event', performance.now() - request.arrivedAt)
-    }
-  })
-}
--- a/packages/relay/src/request/events.ts
+++ b/packages/relay/src/request/events.ts
@@ -8,12 +8,14 @@
 import type { Reservation } from '../process/routing/load.js'
 import type { LatencyObjectives } from '../process/routing/path-estimate.js'
 import type { FoundPath, PathQuery } from '../process/routing/path-finder.js'
+import { TargetState } from '../process/suspicion/target-life.js'
 import { RepeatRule } from '../version/configuration.js'
 import { incarnationOf } from '../version/target.js'
 import { Refusal } from './refusal.js'
 import { ANSWER_TRANSIT_MILLISECONDS, contentOf, remainingTime, urgencyOf, type AdmittedRequest, type RequestDependencies } from './context.js'
 import { findPathByShare } from './domain-choice.js'
-import { AnswerProgress, RunEnd, isInTime, runEvents, type EventsProgress, type RunOutcome } from './event-run.js'
+import { AnswerProgress, RunEnd, isInTime, type EventsProgress, type RunOutcome } from './event-progress.js'
+import { runEvents } from './event-run.js'
 import { handOverEvents } from './hand-over.js'
 import { createAttemptLedger, type AttemptLedger } from './ledger.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields, sendLogFields } from './outcome.js'
@@ -46,6 +48,7 @@
   const entry: AdmissionEntry = { hasEntered: false }
   let detail = 'no path'
   for (let sends = 0; sends < MAXIMUM_SENDS;) {
+    if (progress.unprovenEnd?.isRegular === true && endWithEarlierRun(request, dependencies, ledger, progress)) return
     if (exchange.callerLeft.aborted) return recordCallerLeft(request, dependencies, { ...sendLogFields(ledger), detail })
     if (remainingTime(request) <= ANSWER_TRANSIT_MILLISECONDS) return refuse(request, dependencies, ledger, Refusal.TimedOut, detail)
     if (!ledger.maySendAgain() || ledger.allowedTargets(isGone)?.size === 0) break
@@ -125,12 +128,29 @@
     const lost = { incarnation: start.path.incarnations[0]!, sentAt, hasHead: progress.presentRun === AnswerProgress.Head }
     if (!await mayRepeatAfterLoss(request, dependencies, lost) && !progress.isHeadSent) break
   }
+  if (await progress.unprovenEnd?.state === TargetState.Lives && endWithEarlierRun(request, dependencies, ledger, progress)) return
   refuse(
     request, dependencies, ledger, ledger.possibleArrivals() === 0 ? Refusal.NoTarget : Refusal.TargetsRefused, detail,
     dependencies.admission.returnMilliseconds(request.service.name, urgencyOf(request), request.deadline)
   )
 }
 
+/**
+ * Completes an answer whose earlier run has turned out to have ended regularly.
+ * @returns whether it did: a run that has sent events since continues the answer, and the answer ends with that run.
+ */
+function endWithEarlierRun (
+  request: AdmittedRequest, dependencies: RequestDependencies, ledger: AttemptLedger, progress: EventsProgress
+): boolean {
+  const { response } = request.exchange
+  const { isHeadSent, lastEvent, unprovenEnd } = progress
+  if (!isHeadSent || unprovenEnd === undefined || unprovenEnd.lastEvent !== lastEvent || response.destroyed) return false
+  response.end()
+  const fields = { status: response.statusCode, target: unprovenEnd.target, ...sendLogFields(ledger), events: lastEvent }
+  recordAnswered(request, dependencies, fields, isInTime(request, progress))
+  return true
+}
+
 /** Whether a request has asked for admission before. */
 interface AdmissionEntry {
   hasEntered: boolean
--- a/packages/relay/src/request/hand-over.ts
+++ b/packages/relay/src/request/hand-over.ts
@@ -8,9 +8,11 @@
 import { SendResult, type SendOutcome } from '../connection/target-client.js'
 import type { Peer } from '../process/membership/peers.js'
 import { RelayEvent } from '../process/relay-log.js'
+import { TargetState } from '../process/suspicion/target-life.js'
 import { AnswerForm, RepeatRule } from '../version/configuration.js'
 import { ANSWER_TRANSIT_MILLISECONDS, remainingTime, type AdmittedRequest, type RequestDependencies } from './context.js'
-import { RunEnd, forwardEvents, isInTime, type AnsweredSend, type EventsProgress, type RunOutcome } from './event-run.js'
+import { RunEnd, isInTime, type EventsProgress, type RunOutcome } from './event-progress.js'
+import { forwardEvents, type AnsweredSend } from './forward-events.js'
 import { SendState, type AttemptLedger, type HandOverSend, type HandOverTerms } from './ledger.js'
 import { isIncarnationGone } from './lost-target.js'
 import { recordAnswered, recordCallerLeft, refuse, requestLogFields, sendLogFields } from './outcome.js'
@@ -220,7 +222,7 @@
       onStart (deliverRest) { state.deliverRest = deliverRest },
       abortReason: () => state.reason,
       // A peer's answers always have a length or chunks.
-      isSenderAlive: async () => false
+      stateOfSender: async () => TargetState.Unknown
     })
   } catch (error) {
     return { end: RunEnd.Broken, status: 0, reason: state.reason || (error as Error).message }
--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -7,11 +7,13 @@
 import { AdmissionResult, type AdmissionOutcome } from '../process/admission/admission.js'
 import type { Load, Reservation } from '../process/routing/load.js'
 import { RelayEvent } from '../process/relay-log.js'
+import { TargetState } from '../process/suspicion/target-life.js'
 import { RepeatRule } from '../version/configuration.js'
 import { incarnationOf, type Target } from '../version/target.js'
 import { Refusal } from './refusal.js'
 import { ANSWER_TRANSIT_MILLISECONDS, contentOf, remainingTime, urgencyOf, type AdmittedRequest, type RequestDependencies } from './context.js'
 import { domainPenalty, type DrawnRequest } from './domain-choice.js'
+import { PROOF_WAIT_MILLISECONDS } from './event-run.js'
 import { handOverSingleBody } from './hand-over.js'
 import { mayRepeatAfterLoss, rankForSuspect, refuseQuarantined } from './lost-target.js'
 import { SendState, createAttemptLedger, type AttemptLedger, type Send } from './ledger.js'
@@ -287,7 +289,14 @@
     holdForCaller(request, body)
     if (!isNotRun && (response.statusCode ?? 0) < 300 && !terms.isSealed) throw new Error('a successful answer without a seal')
     if (!await outcome.isEndConfirmed()) throw new Error('the connection was reset')
-    if (!hasLength(response) && !await dependencies.engines.isAlive(target)) throw new Error('the target no longer answers, so the body may be incomplete')
+    if (!hasLength(response)) {
+      // Another target answers sooner than this one may prove that it still runs.
+      const mayRepeat = reservesTimeForRepeat && findCandidates(request, dependencies, new Set([incarnationOf(target)])).length > 0
+      const state = await dependencies.targetLife.verify(target, {
+        waitMilliseconds: mayRepeat ? PROOF_WAIT_MILLISECONDS : timeoutMilliseconds, signal: abortController.signal
+      })
+      if (state !== TargetState.Lives) throw new Error(`the body may be incomplete: target ${state}`)
+    }
     send.state = isNotRun ? SendState.ReportedNotRun : SendState.MayHaveRun
     dependencies.load.recordAnswer(incarnationOf(target))
     return { response, body, target, isNotRun }
--- a/packages/relay/test/connection/engine-client.spec.ts
+++ b/packages/relay/test/connection/engine-client.spec.ts
@@ -5,7 +5,7 @@
 import { createServer, type AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { OrderResult, createEngineClient, createTargetClient } from '@wigeonlead/relay'
+import { OrderResult, ProbeResult, createEngineClient, createTargetClient } from '@wigeonlead/relay'
 import { PLAIN_DIALECT } from '../plain-dialect.js'
 import { testTarget } from '../test-engine.js'
 
@@ -15,21 +15,21 @@
   return `HTTP/1.1 ${status}\r\nContent-Length: ${body.length}\r\n\r\n${body}`
 }
 
-const ANSWERS: Array<{ name: string, answer: string, isAlive: boolean }> = [
-  { name: 'the report of the same incarnation', answer: answer('200 OK', `{"bornAtMilliseconds":${BORN}}`), isAlive: true },
-  { name: 'the report of a later incarnation', answer: answer('200 OK', `{"bornAtMilliseconds":${BORN + 1}}`), isAlive: false },
-  { name: 'that another target has the address', answer: answer('421 Misdirected', ''), isAlive: false },
-  { name: 'a report without an incarnation', answer: answer('200 OK', '{"bornAtMilliseconds":0}'), isAlive: true },
-  { name: 'that it gives no reports', answer: answer('404 Not Found', ''), isAlive: true },
-  { name: 'nothing, and closes', answer: '', isAlive: false },
-  { name: 'status 000', answer: answer('000 None', `{"bornAtMilliseconds":${BORN}}`), isAlive: false },
-  { name: 'status 600', answer: answer('600 None', `{"bornAtMilliseconds":${BORN}}`), isAlive: false }
+const ANSWERS: Array<{ name: string, answer: string, result: ProbeResult }> = [
+  { name: 'the report of the same incarnation', answer: answer('200 OK', `{"bornAtMilliseconds":${BORN}}`), result: ProbeResult.Reachable },
+  { name: 'the report of a later incarnation', answer: answer('200 OK', `{"bornAtMilliseconds":${BORN + 1}}`), result: ProbeResult.Replaced },
+  { name: 'that another target has the address', answer: answer('421 Misdirected', ''), result: ProbeResult.Replaced },
+  { name: 'a report without an incarnation', answer: answer('200 OK', '{"bornAtMilliseconds":0}'), result: ProbeResult.Reachable },
+  { name: 'that it gives no reports', answer: answer('404 Not Found', ''), result: ProbeResult.Reachable },
+  { name: 'nothing, and closes', answer: '', result: ProbeResult.Silent },
+  { name: 'status 000', answer: answer('000 None', `{"bornAtMilliseconds":${BORN}}`), result: ProbeResult.Silent },
+  { name: 'status 600', answer: answer('600 None', `{"bornAtMilliseconds":${BORN}}`), result: ProbeResult.Silent }
 ]
 
 const liveness = suite('whether a target still runs')
 
-for (const { name, answer, isAlive } of ANSWERS) {
-  liveness(`it answers ${name}: ${isAlive ? 'it does' : 'it does not'}`, async () => {
+for (const { name, answer, result } of ANSWERS) {
+  liveness(`it answers ${name}: ${result}`, async () => {
     const server = createServer(socket => {
       socket.on('error', () => {})
       socket.once('data', () => socket.end(answer))
@@ -38,7 +38,7 @@
     const targets = createTargetClient(PLAIN_DIALECT, { pauseRemaining: () => 0, onSlowConnect () {}, onSend () {}, onAnswer () {} })
     const engines = createEngineClient(PLAIN_DIALECT, targets)
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
-    assert.is(await engines.isAlive(testTarget('t1', undefined, { address, bornAtMilliseconds: BORN })), isAlive)
+    assert.is(await engines.probe(testTarget('t1', undefined, { address, bornAtMilliseconds: BORN }), 150), result)
     targets.close()
     server.close()
   })
--- a/packages/relay/test/properties/restore.ts
+++ b/packages/relay/test/properties/restore.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check'
 import { install, type Clock } from '@sinonjs/fake-timers'
 import * as assert from 'uvu/assert'
-import { OrderResult, incarnationOf, type EngineClient, type Relay, type Target } from '@wigeonlead/relay'
+import { OrderResult, ProbeResult, incarnationOf, type EngineClient, type Relay, type Target } from '@wigeonlead/relay'
 import { joinLinks } from '../joined-links.js'
 import { testTarget } from '../test-engine.js'
 import { createStoreRelay } from '../test-relay.js'
@@ -72,7 +72,7 @@
   const isRunning = async ({ id }: Target): Promise<boolean> => world.targets.get(id)?.isGone === false
   return {
     report: async () => undefined,
-    isAlive: isRunning,
+    probe: async target => await isRunning(target) ? ProbeResult.Reachable : ProbeResult.Refused,
     isReachable: isRunning,
     isAnswering: isRunning,
     hasEnded: async target => !await isRunning(target),
--- a/packages/relay/test/relay-fixture.ts
+++ b/packages/relay/test/relay-fixture.ts
@@ -34,15 +34,20 @@
   arrivals: Array<IncomingMessage['headers']>
 }
 
-/** Creates a store whose entries never change. */
-function fixedStore (entries: KeyValueEntry[]): PollableKeyValue {
+/**
+ * Creates a store whose entries keep their values.
+ * @param isRenewed whether an entry is written again with each poll.
+ */
+function fixedStore (entries: KeyValueEntry[], isRenewed: (key: string) => boolean): PollableKeyValue {
   const pause = (milliseconds: number): Promise<void> => new Promise(resolve => { setTimeout(resolve, milliseconds).unref() })
   return {
     get: async (key: string) => success({ entry: entries.find(entry => entry.key === key), revision: 1 }),
     list: async () => success({ entries, revision: 1 }),
     poll: async (_prefix: string, after: number) => {
       await pause(100)
-      return success({ changes: [], revision: after })
+      const renewed = entries.filter(({ key }) => isRenewed(key))
+      const changes = renewed.map(entry => ({ key: entry.key, entry: { ...entry, modRevision: after + 1 }, revision: after + 1 }))
+      return success({ changes, revision: changes.length > 0 ? after + 1 : after })
     }
   } as unknown as PollableKeyValue
 }
@@ -52,12 +57,18 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`
 }
 
+const writeReport: Behaviour = (_incoming, response) => { response.end('{"stalled":[],"slowness":1}') }
+
 /** What differs from the usual fixture. */
 export interface FixtureOptions {
   /** Calls to engines; over the network by default. */
   engines?: EngineClient
   /** The configuration; by default, that of the tests. */
   configuration?: RelayConfiguration
+  /** How targets answer requests for their report; by default at once, without naming an incarnation. */
+  report?: Behaviour
+  /** Whether a target renews its entry in the store, by its id; by default none does. */
+  isRenewed?: (id: string) => boolean
 }
 
 /** Runs a test against a relay before targets with the given behaviours. */
@@ -68,7 +79,7 @@
   const servers = behaviours.map(behaviour => createServer((incoming, response) => {
     incoming.resume()
     incoming.on('end', () => {
-      if (incoming.url === '/report') return response.end('{"stalled":[],"slowness":1}')
+      if (incoming.url === '/report') return (options.report ?? writeReport)(incoming, response)
       arrivals.push(incoming.headers)
       behaviour(incoming, response)
     })
@@ -88,7 +99,10 @@
   if (!checked.ok) throw new Error(checked.faults.join())
   const entry = (key: string, value: string): KeyValueEntry => ({ key, value, modRevision: 1, createRevision: 1 })
   const relay = createRelay(checked.settings, {
-    store: fixedStore([entry('configuration', '1'), ...targets.map((_, index) => entry(`targets/t${index}`, String(index)))]),
+    store: fixedStore(
+      [entry('configuration', '1'), ...targets.map((_, index) => entry(`targets/t${index}`, String(index)))],
+      key => key.startsWith('targets/') && options.isRenewed?.(key.slice('targets/'.length)) === true
+    ),
     dialect: PLAIN_DIALECT,
     link: { notify: () => {}, on: () => {}, open: async () => {}, close: () => {} },
     keys: { configuration: 'configuration', targetPrefix: 'targets/' },
--- a/packages/relay/test/silent-targets.spec.ts
+++ b/packages/relay/test/silent-targets.spec.ts
@@ -4,7 +4,7 @@
  */
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { AnswerForm, OrderResult, RepeatRule, type EngineClient, type Target } from '@wigeonlead/relay'
+import { AnswerForm, OrderResult, ProbeResult, RepeatRule, type EngineClient, type Target } from '@wigeonlead/relay'
 import { EVENT_STREAM_HEADERS, LAST_EVENT, completeSeries, events, withRelay, type Behaviour } from './relay-fixture.js'
 import { testConfiguration, testRoute } from './test-configuration.js'
 
@@ -20,7 +20,7 @@
 const isSound = ({ id }: Target): boolean => id !== 't0'
 const ENGINES: EngineClient = {
   report: async target => isSound(target) ? REPORT : undefined,
-  isAlive: async target => isSound(target),
+  probe: async target => isSound(target) ? ProbeResult.Reachable : ProbeResult.Silent,
   isReachable: async target => isSound(target),
   isAnswering: async target => isSound(target),
   hasEnded: async () => false,
