Place models although all targets of another service are lost

Cause: a VM acquired the coordinator lease only while it was cut off from no service, and released it when it was cut off from any. Where all targets of a service are lost, each VM counts as cut off from it. A service without targets can't be tried, so it stayed cut off for good.

Change: coordinator-duty.ts decides who may coordinate. A VM that is cut off from another service tries targets of the placed ones, since it may be cut off from these too. A service is no longer cut off once it has no targets.

--- a/packages/relay/src/process/index.ts
+++ b/packages/relay/src/process/index.ts
@@ -19,6 +19,7 @@
 } from './routing/path-estimate.js'
 export { assignChains } from './routing/chains.js'
 export { PathStanding, createPathFinder, type FoundPath, type PathFinder, type PathQuery, type RankedPath } from './routing/path-finder.js'
+export { createCoordinatorDuty, type CoordinatorDuty, type CoordinatorDutyTerms } from './placement/coordinator-duty.js'
 export { createCoordinatorLease, type CoordinatorLease } from './placement/lease.js'
 export { createPlanner, type Planner } from './placement/planner.js'
 export { gapsOf, planChain, type Card, type LayerSpan, type Placement } from './placement/cards.js'
--- a/packages/relay/src/process/placement/lease.ts
+++ b/packages/relay/src/process/placement/lease.ts
@@ -36,8 +36,11 @@
   key: string
   vm: string
   timeToLiveMilliseconds: number
-  /** Whether this process may try to acquire the lease now. Used to keep the processes of a large fleet from all trying at once. */
-  mayAcquire: () => boolean
+  /**
+   * Whether this process may try to acquire the lease now. Used to keep the processes of a large fleet from all trying at once.
+   * @param freeMilliseconds how long this process has seen the lease without a holder.
+   */
+  mayAcquire: (freeMilliseconds: number) => boolean
   era: Pick<StoreEra, 'current' | 'ageMilliseconds'>
   log: RelayLog
 }
@@ -56,6 +59,8 @@
   const { store, log } = dependencies
   const trustedMilliseconds = dependencies.timeToLiveMilliseconds * TRUSTED_TTL_SHARE
   let currentLease: { leaseId: string, era: number, keyRevision: number, requestSentAt: Instant } | undefined
+  /** Since when this process has seen the lease without a holder, monotonic milliseconds. */
+  let freeSince: number | undefined
   /** The key, and the eras in which this process first and last saw it as it is. */
   let presentKey: { entry: KeyValueEntry | undefined, firstEra: number, lastEra: number } | undefined
 
@@ -128,8 +133,10 @@
     },
     async step () {
       dropOutdated()
+      const isFree = currentLease === undefined && isKeyFree()
+      freeSince = isFree ? freeSince ?? performance.now() : undefined
       if (currentLease !== undefined) await renew(currentLease)
-      else if (isKeyFree() && dependencies.mayAcquire()) await acquire(presentKey?.entry?.modRevision ?? 0)
+      else if (isFree && dependencies.mayAcquire(performance.now() - freeSince!)) await acquire(presentKey?.entry?.modRevision ?? 0)
     },
     async release () {
       const released = currentLease
--- a/packages/relay/src/process/suspicion/target-reach.ts
+++ b/packages/relay/src/process/suspicion/target-reach.ts
@@ -94,6 +94,11 @@
       }).sort((a, b) => a.rank - b.rank).map(({ target }) => target)
   }
 
+  /** Whether a service has any target that this VM could be cut off from. */
+  function hasTargets (service: string): boolean {
+    return directory.listed(service).some(({ isLeaving }) => !isLeaving)
+  }
+
   /** Whether a target answers, or this process was too busy to tell. */
   async function mayAnswer (target: Target): Promise<boolean> {
     const startedAt = performance.now()
@@ -114,7 +119,7 @@
 
   async function runCheck (service: string, isSingleLoss: boolean, unreachable?: Target): Promise<boolean> {
     const finding = await sample(service, isSingleLoss, unreachable)
-    if (finding === Finding.Unknown) return cutOff.has(service)
+    if (finding === Finding.Unknown && hasTargets(service)) return cutOff.has(service)
     if (finding === Finding.PartlyReached) doubtful.add(service)
     else doubtful.delete(service)
     const isCutOff = finding === Finding.CutOff
@@ -153,7 +158,7 @@
   async function retry (service: string): Promise<void> {
     const targets = directory.listed(service)
     const target = targets[Math.floor(nextFloat() * targets.length)]
-    if (target !== undefined && await engines.isAnswering(target)) await startCheck(service)
+    if (!hasTargets(service) || (target !== undefined && await engines.isAnswering(target))) await startCheck(service)
   }
 
   repeatInBackground(RETRY_INTERVAL_MILLISECONDS, signal, () => { for (const service of cutOff) void retry(service) })
--- a/packages/relay/src/process/wire.ts
+++ b/packages/relay/src/process/wire.ts
@@ -22,8 +22,9 @@
 import { createLoad } from './routing/load.js'
 import { createMirrorRelay } from './membership/mirror-relay.js'
 import { createPathFinder } from './routing/path-finder.js'
+import { createCoordinatorDuty } from './placement/coordinator-duty.js'
 import { createCoordinatorLease } from './placement/lease.js'
-import { createPlanner } from './placement/planner.js'
+import { createPlanner, isPlaced } from './placement/planner.js'
 import { RelayEvent, type RelayLog } from './relay-log.js'
 import { createPeerChoice } from './membership/peer-choice.js'
 import { createPeers, type Peer } from './membership/peers.js'
@@ -192,13 +193,16 @@
     signal: stopped.signal,
     nextFloat: ports.nextFloat
   })
+  const placedServices = (): string[] => [...configurationState.current()?.configuration.services.values() ?? []].filter(isPlaced)
+    .map(({ name }) => name).filter(name => directory.listed(name).length > 0)
+  const duty = createCoordinatorDuty({ placedServices, isCutOff: reach.isCutOff })
   const lease = createCoordinatorLease({
     store,
     key: COORDINATOR_KEY,
     vm: settings.node.vm,
     era,
     log,
-    mayAcquire: () => reach.cutOffServices().length === 0 &&
+    mayAcquire: freeMilliseconds => duty.mayAcquire(freeMilliseconds) &&
       (mirrorRelay.followsStore() || ports.nextFloat() < NON_FOLLOWER_ATTEMPT_PROBABILITY),
     timeToLiveMilliseconds: Math.max(COORDINATOR_LEASE_MILLISECONDS, settings.store.leastLeaseMilliseconds)
   })
@@ -258,10 +262,10 @@
   /** Configuration version that this process's copy of the store contains; undefined if it contains no valid one. */
   let shownVersion: number | undefined
   registerGauges()
-  // A VM that is cut off from targets can neither see nor order them; another one plans their placement.
   reach.onChange((service, isCutOff) => {
     if (!isCutOff) return
-    void lease.release()
+    if (duty.mustRelease(service)) void lease.release()
+    else checkPlacedTargets()
     targets.abandonConnects(incarnation => directory.findIncarnation(incarnation)?.service === service)
   })
   era.onRise(() => directory.startRestore())
@@ -308,6 +312,11 @@
     }
   }
 
+  /** Tries targets of all services that are placed: where this VM is cut off from other targets, it may be cut off from these too. */
+  function checkPlacedTargets (): void {
+    for (const service of placedServices()) void reach.check(directory.listed(service)[0]!)
+  }
+
   function sendersTo (incarnation: string): Sender[] {
     const failureDomain = directory.findIncarnation(incarnation)?.failureDomain
     return [self, ...peers.known()].map(peer => ({ vm: peer.vm, isLocal: peer.failureDomain === failureDomain }))
--- a/packages/relay/test/process/suspicion/target-reach.spec.ts
+++ b/packages/relay/test/process/suspicion/target-reach.spec.ts
@@ -87,6 +87,23 @@
   })
 }
 
+/** Guards against a service that stays cut off for good, because it has no target left to try. */
+reaches('the entries of all lost targets lapse: the VM is not cut off from a service without targets', async () => {
+  const clock = install({ toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval'] })
+  const stopped = new AbortController()
+  try {
+    const { reach, directory, targets, answering } = createVm(3, 1, stopped.signal)
+    answering.clear()
+    assert.ok(await reach.check(targets[0]!))
+    for (const { id } of targets) directory.remove(id)
+    await clock.tickAsync(2000)
+    assert.equal(reach.cutOffServices(), [])
+  } finally {
+    stopped.abort()
+    clock.uninstall()
+  }
+})
+
 reaches('a VM loses all targets but one, one after the other: whatever the first check found, it reports none', async () => {
   const clock = install({ toFake: ['setInterval', 'clearInterval', 'setTimeout', 'clearTimeout', 'performance', 'Date'] })
   for (let seed = 0; seed < 100; seed++) {
