Repair chains that several failure domains share

Callers saw: 503 for good after one replica had crashed and was back empty, where no failure domain can hold the model alone.

Cause: the first layout puts one chain over all such failure domains, but the repair looked at each by itself and left out those that can't hold the model.

Change: layout and repair divide the cards into the same groups: a failure domain that can hold the model alone, or all others together. For a repair, a failure domain joins the others only after six seconds without enough memory, since a card that crashed is back within some seconds.

Evidence: the case of placed-services.spec with three failure domains that hold the model together was not whole 15 s after a crash of 3 s before, and is now. plan.spec, planner.spec and repair-time.spec hold.

--- a/packages/relay/src/process/placement/plan.ts
+++ b/packages/relay/src/process/placement/plan.ts
@@ -28,14 +28,39 @@
  * chain.
  */
 export function planInitial (cards: readonly Card[], profile: EngineProfile): Placement[] {
-  const leftOver: Card[] = []
-  const placements: Placement[] = []
-  for (const domain of domainsOf(cards)) {
-    const domainCards = cards.filter(card => card.failureDomain === domain)
-    if (sumOf(domainCards, card => maxLayers(card.kind, profile)) < profile.layers) leftOver.push(...domainCards)
-    else placements.push(...splitIntoChains(domainCards, profile).flatMap(chain => planChain(interleave(chain), profile)))
-  }
-  return placements.concat(planChain(interleave(leftOver), profile))
+  return groupsOf(cards, profile, () => true).flatMap(group => layOut(group, profile))
+}
+
+/** Cards that hold the model together: those of one failure domain, or of all domains that can't hold it alone. */
+export interface CardGroup {
+  domains: string[]
+  cards: Card[]
+  isShared: boolean
+}
+
+/**
+ * @param mayShare whether a failure domain that can't hold the model alone may share a chain with others.
+ * @returns the groups in which the model is laid out and repaired.
+ */
+export function groupsOf (cards: readonly Card[], profile: EngineProfile, mayShare: (failureDomain: string) => boolean): CardGroup[] {
+  const groups = domainsOf(cards).map((domain): CardGroup =>
+    ({ domains: [domain], cards: cards.filter(card => card.failureDomain === domain), isShared: false }))
+  const shared = groups.filter(group => !canHold(group.cards, profile) && mayShare(group.domains[0]!))
+  if (shared.length < 2) return groups
+  return groups.filter(group => !shared.includes(group)).concat({
+    domains: shared.flatMap(({ domains }) => domains), cards: shared.flatMap(group => group.cards), isShared: true
+  })
+}
+
+/** Whether cards can hold all layers of the model. */
+export function canHold (cards: readonly Card[], profile: EngineProfile): boolean {
+  return sumOf(cards, card => maxLayers(card.kind, profile)) >= profile.layers
+}
+
+/** Lays the model out on the cards of a group, none of which holds layers. */
+function layOut ({ cards, isShared }: CardGroup, profile: EngineProfile): Placement[] {
+  const chains = isShared ? [cards] : splitIntoChains(cards, profile)
+  return canHold(cards, profile) ? chains.flatMap(chain => planChain(interleave(chain), profile)) : []
 }
 
 /** Orders stages so that each small one has a large neighbour, which can take over its layers if it is lost. */
@@ -56,29 +81,27 @@
   mayBalance: (failureDomain: string) => boolean
   /** A layer has had fewer holders than the failure domain has chains for a while: no card will come back with it. */
   mayReinforce: (failureDomain: string) => boolean
+  /** The failure domain has been unable to hold the model alone for a while: no card will come back that changes it. */
+  mayShare: (failureDomain: string) => boolean
 }
 
 /** Decides which cards change their layers after cards were lost or have joined. */
 export function planRepair (cards: readonly Card[], profile: EngineProfile, stability: LayoutStability): Placement[] {
   const loads = createLoadBudget(cards, profile)
-  return domainsOf(cards).flatMap(domain => {
-    const domainCards = cards.filter(card => card.failureDomain === domain)
-    if (sumOf(domainCards, card => maxLayers(card.kind, profile)) < profile.layers) return []
-    if (domainCards.every(card => card.held === undefined)) {
-      return stability.isSettled(domain)
-        ? splitIntoChains(domainCards, profile).flatMap(chain => planChain(interleave(chain), profile))
-        : []
-    }
-    const empty = domainCards.filter(card => card.held === undefined && !card.isBusy && maxLayers(card.kind, profile) > 0)
-    const count = currentChainCount(domainCards, profile)
-    const allowed = { extend: stability.mayExtend(domain), reinforce: stability.mayReinforce(domain) }
-    if (count > 1) return repairShared(domainCards, empty, count, profile, allowed)
-    const chain = domainCards.filter(card => card.held !== undefined)
+  return groupsOf(cards, profile, stability.mayShare).flatMap(group => {
+    const { domains, cards: groupCards } = group
+    if (!canHold(groupCards, profile)) return []
+    if (groupCards.every(card => card.held === undefined)) return domains.every(stability.isSettled) ? layOut(group, profile) : []
+    const empty = groupCards.filter(card => card.held === undefined && !card.isBusy && maxLayers(card.kind, profile) > 0)
+    const count = currentChainCount(groupCards, profile)
+    const allowed = { extend: domains.every(stability.mayExtend), reinforce: domains.every(stability.mayReinforce) }
+    if (count > 1) return repairShared(groupCards, empty, count, profile, allowed)
+    const chain = groupCards.filter(card => card.held !== undefined)
     const gaps = gapsOf(chain, profile.layers)
     const requirements = { capacityTokens: evenTokenCapacity(memoryOf(chain), profile), minimumMegabytes: memoryOf(empty) }
     return fillGaps(gaps, empty, profile, requirements) ??
       repairChain(chain, gaps, empty.filter(card => card.isSettled || gaps.length > 0), profile, {
-        extend: allowed.extend, balance: stability.mayBalance(domain)
+        extend: allowed.extend, balance: domains.every(stability.mayBalance)
       }, loads)
   })
 }
--- a/packages/relay/src/process/placement/service-cards.ts
+++ b/packages/relay/src/process/placement/service-cards.ts
@@ -6,7 +6,7 @@
 import { incarnationOf, type Target } from '../../version/target.js'
 import { kindOf } from '../routing/stage-cost.js'
 import { gapsOf, type Card, type LayerSpan } from './cards.js'
-import { isUnderReplicated, type LayoutStability } from './plan.js'
+import { canHold, groupsOf, isUnderReplicated, type LayoutStability } from './plan.js'
 
 /** The cards of one service over time. */
 export interface ServiceCards {
@@ -26,6 +26,11 @@
  * target renews its entry.
  */
 const ARRIVAL_QUIET_MILLISECONDS = 1500
+/**
+ * Time after which a failure domain that can't hold the model alone shares a chain with others, milliseconds: a card that crashed is back
+ * within some seconds.
+ */
+const SHARE_DELAY_MILLISECONDS = 6000
 /**
  * How long after a card with layers has joined, other cards of its failure domain may still be about to return, milliseconds: two intervals
  * at which a target renews its entry.
@@ -67,6 +72,8 @@
   lastArrivalWithLayersAt?: number
   /** When a card has last joined or been lost. */
   lastChangeAt?: number
+  /** Since when it can't hold the model alone. */
+  incapableSince?: number
   gapSince?: number
   underReplicatedSince?: number
 }
@@ -100,12 +107,18 @@
     }
   }
 
+  /** Records since when each failure domain lacks something. Domains that share a chain lack what all of them lack. */
   function trackGaps (cards: readonly Card[], profile: EngineProfile, now: number): void {
-    for (const failureDomain of new Set(cards.map(card => card.failureDomain))) {
-      const domainCards = cards.filter(card => card.failureDomain === failureDomain)
-      const domain = domainOf(failureDomain)
-      domain.gapSince = gapsOf(domainCards, profile.layers).length > 0 ? domain.gapSince ?? now : undefined
-      domain.underReplicatedSince = isUnderReplicated(domainCards, profile) ? domain.underReplicatedSince ?? now : undefined
+    for (const group of groupsOf(cards, profile, stability.mayShare)) {
+      const hasGap = gapsOf(group.cards, profile.layers).length > 0
+      const isLacking = isUnderReplicated(group.cards, profile)
+      for (const failureDomain of group.domains) {
+        const domain = domainOf(failureDomain)
+        const domainCards = group.cards.filter(card => card.failureDomain === failureDomain)
+        domain.gapSince = hasGap ? domain.gapSince ?? now : undefined
+        domain.underReplicatedSince = isLacking ? domain.underReplicatedSince ?? now : undefined
+        domain.incapableSince = canHold(domainCards, profile) ? undefined : domain.incapableSince ?? now
+      }
     }
   }
 
@@ -123,6 +136,18 @@
     }
   }
 
+  const stability: LayoutStability = {
+    isSettled: domain => isQuiet(domainOf(domain)),
+    mayExtend: domain => hasElapsed(domainOf(domain).lastArrivalWithLayersAt, RETURN_GRACE_MILLISECONDS) &&
+      hasElapsed(domainOf(domain).gapSince, GAP_GRACE_MILLISECONDS),
+    mayBalance: domain => hasElapsed(domainOf(domain).lastChangeAt, BALANCE_DELAY_MILLISECONDS),
+    mayReinforce: domain => hasElapsed(domainOf(domain).underReplicatedSince, REINFORCE_DELAY_MILLISECONDS),
+    mayShare (domain) {
+      const { incapableSince } = domainOf(domain)
+      return incapableSince !== undefined && hasElapsed(incapableSince, SHARE_DELAY_MILLISECONDS)
+    }
+  }
+
   return {
     track (targets) {
       trackArrivals(targets, performance.now())
@@ -133,14 +158,8 @@
       trackGaps(cards, profile, now)
       return cards
     },
-    isQuiet: () => [...seenDomains.values()].every(({ lastArrivalAt }) => hasElapsed(lastArrivalAt, ARRIVAL_QUIET_MILLISECONDS)),
-    stability: {
-      isSettled: domain => hasElapsed(domainOf(domain).lastArrivalAt, ARRIVAL_QUIET_MILLISECONDS),
-      mayExtend: domain => hasElapsed(domainOf(domain).lastArrivalWithLayersAt, RETURN_GRACE_MILLISECONDS) &&
-        hasElapsed(domainOf(domain).gapSince, GAP_GRACE_MILLISECONDS),
-      mayBalance: domain => hasElapsed(domainOf(domain).lastChangeAt, BALANCE_DELAY_MILLISECONDS),
-      mayReinforce: domain => hasElapsed(domainOf(domain).underReplicatedSince, REINFORCE_DELAY_MILLISECONDS)
-    },
+    isQuiet: () => [...seenDomains.values()].every(isQuiet),
+    stability,
     recordOrder (incarnation, { from, to }, milliseconds) {
       const seen = seenCards.get(incarnation)
       if (seen !== undefined) seen.order = { from, to, until: performance.now() + milliseconds }
@@ -148,6 +167,11 @@
   }
 }
 
+/** Whether no card has joined a failure domain for a while. */
+function isQuiet ({ lastArrivalAt }: SeenDomain): boolean {
+  return hasElapsed(lastArrivalAt, ARRIVAL_QUIET_MILLISECONDS)
+}
+
 function hasElapsed (at: number | undefined, milliseconds: number): boolean {
   return at === undefined || performance.now() - at > milliseconds
 }
--- a/packages/relay/test/process/placed-services.spec.ts
+++ b/packages/relay/test/process/placed-services.spec.ts
@@ -7,8 +7,8 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import {
-  OrderResult, SILENT_RELAY_LOG, createDirectory, createPlanner, gapsOf, type Directory, type EngineClient, type EngineProfile,
-  type PlaceOrder, type Service, type Target
+  OrderResult, SILENT_RELAY_LOG, createDirectory, createPlanner, gapsOf, type AcceleratorKind, type Directory, type EngineClient,
+  type EngineProfile, type PlaceOrder, type Service, type Target
 } from '@wigeonlead/relay'
 import { testConfiguration, testConfigurationState } from '../test-configuration.js'
 import { LARGE, testEngine, testTarget } from '../test-engine.js'
@@ -17,15 +17,17 @@
 const BOUND_MILLISECONDS = 15_000
 const LOAD_MILLISECONDS = 2000
 const DOMAINS = ['east', 'west', 'north']
+/** Holds half of the model's layers and one more. */
+const HALF: AcceleratorKind = { ...LARGE, memoryMegabytes: 5 * testEngine().layerMegabytes }
 const PROFILE: EngineProfile = {
-  ...testEngine(), layers: 8, loadMilliseconds: LOAD_MILLISECONDS, acceleratorKinds: new Map([['large', LARGE]])
+  ...testEngine(), layers: 8, loadMilliseconds: LOAD_MILLISECONDS, acceleratorKinds: new Map([['large', LARGE], ['half', HALF]])
 }
 
 interface World {
   /** Puts the service in force that are named, and no others. */
   configure: (...services: string[]) => void
-  /** Starts the empty replicas of a service. */
-  start: (service: string) => void
+  /** Starts the empty replicas of a service, by default large ones. */
+  start: (service: string, acceleratorKind?: string) => void
   /** Lets the entry of a replica lapse, and brings it back as another incarnation, empty. */
   restart: (id: string, awayMilliseconds: number) => Promise<void>
   advance: (milliseconds: number) => Promise<void>
@@ -70,9 +72,9 @@
         versions.set(version, services)
         configurationState.adopt(String(version), 'store')
       },
-      start (name) {
+      start (name, acceleratorKind = 'large') {
         for (const failureDomain of DOMAINS) {
-          directory.put(testTarget(`${name}-${failureDomain}`, undefined, { service: name, failureDomain }))
+          directory.put(testTarget(`${name}-${failureDomain}`, undefined, { service: name, failureDomain, acceleratorKind }))
         }
       },
       async restart (id, awayMilliseconds) {
@@ -97,6 +99,8 @@
   run: (world: World) => Promise<void>
   /** Services that are whole in the end. */
   whole: string[]
+  /** How long after `run` they must be whole, milliseconds. */
+  boundMilliseconds?: number
   /** Targets that may get orders after `run`; by default those of `whole`. */
   mayBeOrdered?: (id: string) => boolean
 }
@@ -148,18 +152,29 @@
     },
     whole: ['first', 'second'],
     mayBeOrdered: id => id.startsWith('second')
+  },
+  {
+    name: 'three failure domains share a chain, and one replica is back empty after 3 s',
+    async run ({ configure, start, restart, advance }) {
+      configure('first')
+      start('first', 'half')
+      await advance(BOUND_MILLISECONDS)
+      await restart('first-west', 3000)
+    },
+    whole: ['first']
   }
 ]
 
 const placed = suite('model services beside each other')
 
-for (const { name, run, whole, mayBeOrdered = () => true } of CASES) {
+for (const { name, run, whole, boundMilliseconds = BOUND_MILLISECONDS, mayBeOrdered = () => true } of CASES) {
   placed(`${name}: each is whole`, () => withServices(async world => {
     await run(world)
     const before = world.orders.length
-    await world.advance(BOUND_MILLISECONDS)
+    await world.advance(boundMilliseconds)
     for (const service of whole) assert.ok(world.isWhole(service), `${service} is whole`)
     assert.equal(world.orders.slice(before).filter(id => !mayBeOrdered(id)), [])
+    await world.advance(BOUND_MILLISECONDS)
     const settled = world.orders.length
     await world.advance(BOUND_MILLISECONDS)
     assert.equal(world.orders.slice(settled), [], 'the layout settles')
--- a/packages/relay/test/process/plan.spec.ts
+++ b/packages/relay/test/process/plan.spec.ts
@@ -9,8 +9,10 @@
 import { LARGE, MEDIUM, SMALL, testEngine } from '../test-engine.js'
 
 const ENGINE = testEngine()
-const STABLE = { isSettled: () => true, mayExtend: () => true, mayBalance: () => true, mayReinforce: () => true }
-const UNSTABLE = { isSettled: () => false, mayExtend: () => false, mayBalance: () => false, mayReinforce: () => false }
+const STABLE = { isSettled: () => true, mayExtend: () => true, mayBalance: () => true, mayReinforce: () => true, mayShare: () => true }
+const UNSTABLE = {
+  isSettled: () => false, mayExtend: () => false, mayBalance: () => false, mayReinforce: () => false, mayShare: () => false
+}
 /** Shortly after a loss: a gap may be closed at once, unless another chain holds its layers. */
 const RECENT_LOSS = { ...STABLE, mayBalance: () => false, mayReinforce: () => false }
 
--- a/packages/relay/test/process/repair-time.spec.ts
+++ b/packages/relay/test/process/repair-time.spec.ts
@@ -10,7 +10,9 @@
 /** Interval of the planner's steps, milliseconds. */
 const STEP_MILLISECONDS = 200
 const END_MILLISECONDS = 60_000
-const RECENT_LOSS = { isSettled: () => true, mayExtend: () => true, mayBalance: () => false, mayReinforce: () => false }
+const RECENT_LOSS = {
+  isSettled: () => true, mayExtend: () => true, mayBalance: () => false, mayReinforce: () => false, mayShare: () => false
+}
 
 /** A card with the load that it is carrying out. */
 interface LoadingCard {
