Bound the wait of empty cards for further ones

Callers saw: 503 while one of three empty replicas restarted each 1.2 s, although the other two were sound and each could hold the model.

Cause: empty cards are laid out once no card has joined for 1.5 s in any failure domain, with no bound.

Change: they wait 5 s at most.

Evidence: the case of placed-services.spec was not whole after 14 s of such restarts before, and is now.

--- a/packages/relay/src/process/placement/service-cards.ts
+++ b/packages/relay/src/process/placement/service-cards.ts
@@ -12,7 +12,10 @@
 export interface ServiceCards {
   /** Takes note of the targets that may hold layers now. What was known of one that is missing is dropped. */
   track: (targets: readonly Target[]) => void
-  /** @returns the cards of targets that were tracked just now, with what they hold or are about to hold. */
+  /**
+   * @returns the cards of targets that were tracked just now, with what they hold or are about to hold. Empty ones that have just joined
+   * are left out where the others have waited long enough for further cards.
+   */
   toCards: (targets: readonly Target[], profile: EngineProfile) => Card[]
   /** Whether no card has joined for a while, so that empty cards can be placed together. */
   isQuiet: () => boolean
@@ -26,6 +29,11 @@
  * target renews its entry.
  */
 const ARRIVAL_QUIET_MILLISECONDS = 1500
+/**
+ * Longest wait for further empty cards, milliseconds: a card that keeps restarting must not hold up those that stay. From then on, only
+ * cards that have stayed for a while are laid out.
+ */
+const MAX_ARRIVAL_WAIT_MILLISECONDS = 5000
 /**
  * Time after which a failure domain that can't hold the model alone shares a chain with others, milliseconds: a card that crashed is back
  * within some seconds.
@@ -72,6 +80,8 @@
   lastArrivalWithLayersAt?: number
   /** When a card has last joined or been lost. */
   lastChangeAt?: number
+  /** Since when all of its cards are empty. */
+  emptySince?: number
   /** Since when it can't hold the model alone. */
   incapableSince?: number
   gapSince?: number
@@ -117,6 +127,7 @@
         const domainCards = group.cards.filter(card => card.failureDomain === failureDomain)
         domain.gapSince = hasGap ? domain.gapSince ?? now : undefined
         domain.underReplicatedSince = isLacking ? domain.underReplicatedSince ?? now : undefined
+        domain.emptySince = domainCards.every(({ held }) => held === undefined) ? domain.emptySince ?? now : undefined
         domain.incapableSince = canHold(domainCards, profile) ? undefined : domain.incapableSince ?? now
       }
     }
@@ -137,7 +148,7 @@
   }
 
   const stability: LayoutStability = {
-    isSettled: domain => isQuiet(domainOf(domain)),
+    isSettled: domain => isQuiet(domainOf(domain)) || hasWaited(domainOf(domain)),
     mayExtend: domain => hasElapsed(domainOf(domain).lastArrivalWithLayersAt, RETURN_GRACE_MILLISECONDS) &&
       hasElapsed(domainOf(domain).gapSince, GAP_GRACE_MILLISECONDS),
     mayBalance: domain => hasElapsed(domainOf(domain).lastChangeAt, BALANCE_DELAY_MILLISECONDS),
@@ -156,9 +167,10 @@
       const now = performance.now()
       const cards = targets.map(target => toCard(target, profile, now))
       trackGaps(cards, profile, now)
-      return cards
+      return cards.filter(({ isSettled, held, failureDomain }) => isSettled || held !== undefined || isQuiet(domainOf(failureDomain)) ||
+        !hasWaited(domainOf(failureDomain)))
     },
-    isQuiet: () => [...seenDomains.values()].every(isQuiet),
+    isQuiet: () => [...seenDomains.values()].every(domain => isQuiet(domain) || hasWaited(domain)),
     stability,
     recordOrder (incarnation, { from, to }, milliseconds) {
       const seen = seenCards.get(incarnation)
@@ -172,6 +184,11 @@
   return hasElapsed(lastArrivalAt, ARRIVAL_QUIET_MILLISECONDS)
 }
 
+/** Whether the empty cards of a failure domain have waited long enough for others to join. */
+function hasWaited ({ emptySince }: SeenDomain): boolean {
+  return emptySince !== undefined && hasElapsed(emptySince, MAX_ARRIVAL_WAIT_MILLISECONDS)
+}
+
 function hasElapsed (at: number | undefined, milliseconds: number): boolean {
   return at === undefined || performance.now() - at > milliseconds
 }
--- a/packages/relay/test/process/placed-services.spec.ts
+++ b/packages/relay/test/process/placed-services.spec.ts
@@ -153,6 +153,19 @@
     whole: ['first', 'second'],
     mayBeOrdered: id => id.startsWith('second')
   },
+  {
+    name: 'one of three empty replicas restarts each 1.2 s',
+    async run ({ configure, start, restart, advance }) {
+      configure('first')
+      start('first')
+      for (let restarts = 0; restarts < 12; restarts += 1) {
+        await advance(600)
+        await restart('first-north', 600)
+      }
+    },
+    whole: ['first'],
+    boundMilliseconds: 0
+  },
   {
     name: 'three failure domains share a chain, and one replica is back empty after 3 s',
     async run ({ configure, start, restart, advance }) {
