Keep the pause that a target asked for while its entry is away

Cause: the directory dropped the pause of an incarnation together with its entry in the store, which lapses while the replica doesn't reach the store. An entry of an earlier incarnation that is listed for a moment dropped it too.

Change: a pause lasts for its time, or until a later incarnation is listed.

--- a/packages/relay/src/process/directory.ts
+++ b/packages/relay/src/process/directory.ts
@@ -60,7 +60,10 @@
    * of targets that were removed before are ignored until their targets write them again.
    */
   startRestore: () => void
-  /** Sends nothing to a target from this VM for a time, because the target asked for it. Other VMs are not bound. */
+  /**
+   * Sends nothing to a target from this VM for a time, because the target asked for it. Other VMs are not bound. The pause lasts for its
+   * time or as long as the incarnation, whether or not its entry is listed.
+   */
   pause: (incarnation: string, milliseconds: number) => void
   /** @returns milliseconds for which this VM sends nothing to a target; 0 if it may send. */
   pauseRemaining: (incarnation: string) => number
@@ -210,7 +213,7 @@
       if (previous !== undefined) {
         // Only a later incarnation proves that the one before has ended; an entry of an earlier one is none of the target's own.
         recordDeparture(incarnationOf(previous), previous.isLeaving || entry.bornAtMilliseconds > previous.bornAtMilliseconds)
-        pausedUntil.delete(incarnationOf(previous))
+        if (entry.bornAtMilliseconds > previous.bornAtMilliseconds) pausedUntil.delete(incarnationOf(previous))
         for (const listener of listeners) listener(previous, true)
       }
     }
@@ -228,7 +231,6 @@
     if (target === undefined) return
     recordDeparture(incarnationOf(target), target.isLeaving)
     targets.delete(id)
-    pausedUntil.delete(incarnationOf(target))
     inGracePeriod.delete(id)
     contactAt.delete(incarnationOf(target))
     clearSuspicion(incarnationOf(target))
--- a/packages/relay/test/process/directory.spec.ts
+++ b/packages/relay/test/process/directory.spec.ts
@@ -196,6 +196,60 @@
   clock.uninstall()
 })
 
+/** Guards against requests that reach a target within its pause, because its entry was away for a moment. */
+const PAUSE_CASES: Array<{ name: string, happens: (directory: Directory) => void, isPaused: boolean }> = [
+  {
+    name: 'its entry lapses and is back',
+    happens (directory) {
+      directory.remove('t1')
+      directory.put(testTarget('t1'))
+    },
+    isPaused: true
+  },
+  { name: 'its entry lapses, and it serves on', happens: directory => directory.remove('t1'), isPaused: true },
+  {
+    name: 'its entry is missing in a listing and back in the next one',
+    happens (directory) {
+      directory.removeUnlisted(new Set(['t2']))
+      directory.put(testTarget('t1'))
+    },
+    isPaused: true
+  },
+  {
+    name: 'the store returns from an older copy',
+    happens (directory) {
+      directory.startRestore()
+      directory.put(testTarget('t1'), true)
+    },
+    isPaused: true
+  },
+  {
+    name: 'an entry of an earlier incarnation is listed for a moment',
+    happens (directory) {
+      directory.put(testTarget('t1', undefined, { bornAtMilliseconds: 0 }))
+      directory.put(testTarget('t1'))
+    },
+    isPaused: true
+  },
+  { name: 'a later incarnation is listed', happens: directory => directory.put(testTarget('t1', undefined, { bornAtMilliseconds: 2 })), isPaused: false }
+]
+for (const { name, happens, isPaused } of PAUSE_CASES) {
+  directories(`a target has asked for a pause, and ${name}: the pause ${isPaused ? 'holds' : 'has ended'}`, () => {
+    const clock = install({ toFake: ['Date', 'performance', 'setTimeout'] })
+    try {
+      const directory = createFilledDirectory()
+      directory.pause('t1@1', 40_000)
+      clock.tick(1000)
+      happens(directory)
+      assert.is(directory.pauseRemaining('t1@1'), isPaused ? 39_000 : 0)
+      clock.tick(39_000)
+      assert.is(directory.pauseRemaining('t1@1'), 0)
+    } finally {
+      clock.uninstall()
+    }
+  })
+}
+
 directories('a refusal does not notify the listeners for losses; a loss notifies them once', () => {
   const directory = createFilledDirectory()
   const lost: string[] = []
