Take a pause that a target asked for neither for an answer nor for its end

Callers would see requests refused or failed at a VM that is cut off from all targets of a service, in place of being handed over to peers; found by reading.

Cause: a probe of a target that has asked for a pause sends nothing, and counted as answered. The pause says nothing of the present.

Change: such a probe has a result of its own. Paused targets are not tried, and the others decide whether the VM is cut off.

Evidence: the new case of engine-client.spec failed before; target-reach.spec ended at once, since paused targets were tried.

--- a/packages/relay/src/connection/engine-client.ts
+++ b/packages/relay/src/connection/engine-client.ts
@@ -34,7 +34,7 @@
   probe: (target: Target, timeoutMilliseconds: number) => Promise<ProbeResult>
   /** Checks whether a target accepts a new connection: a slow target does, one that is dead or partitioned does not. */
   isReachable: (target: Target) => Promise<boolean>
-  /** Checks by a new connection whether a target, or another one at its address, answers at all. */
+  /** Checks by a new connection whether a target, or another one at its address, answers at all. In a pause, nothing does. */
   isAnswering: (target: Target) => Promise<boolean>
   /**
    * Checks by a new connection whether a target has certainly ended: nothing listens at its address, or another target or incarnation
@@ -72,9 +72,7 @@
 const DETAIL_CHARACTERS = 100
 
 const NO_CONNECTION: ReadonlySet<ProbeResult> = new Set([ProbeResult.Unreachable, ProbeResult.Refused])
-const ANSWERS: ReadonlySet<ProbeResult> = new Set([
-  ProbeResult.Replaced, ProbeResult.Reachable, ProbeResult.CutOff, ProbeResult.Withheld
-])
+const ANSWERS: ReadonlySet<ProbeResult> = new Set([ProbeResult.Replaced, ProbeResult.Reachable, ProbeResult.CutOff])
 const PROOFS_OF_END: ReadonlySet<ProbeResult> = new Set([ProbeResult.Refused, ProbeResult.Replaced])
 
 /** Creates the client. */
--- a/packages/relay/src/process/suspicion/target-reach.ts
+++ b/packages/relay/src/process/suspicion/target-reach.ts
@@ -3,7 +3,7 @@
  * any, the network between is the likelier cause, and what it observes says nothing about the targets.
  */
 import type { EngineClient } from '../../connection/engine-client.js'
-import type { Target } from '../../version/target.js'
+import { incarnationOf, type Target } from '../../version/target.js'
 import { repeatInBackground } from '../background.js'
 import type { Directory } from '../directory.js'
 import { RelayEvent, type RelayLog } from '../relay-log.js'
@@ -81,11 +81,11 @@
 
   /**
    * @returns targets in random order, one of each failure domain in turn, the own one first: where a failure domain is lost, or all others
-   * are, the first few still include one that answers.
+   * are, the first few still include one that answers. Targets that have asked for a pause can't be tried.
    */
   function drawTargets (service: string, excluded?: Target): Target[] {
     const counts = new Map<string, number>()
-    return directory.listed(service).filter(target => !target.isLeaving && target.id !== excluded?.id)
+    return directory.listed(service).filter(target => !target.isLeaving && target.id !== excluded?.id && !isPaused(target))
       .map(target => ({ target, rank: nextFloat() })).sort((a, b) => a.rank - b.rank)
       .map(({ target, rank }) => {
         const round = counts.get(target.failureDomain) ?? 0
@@ -94,6 +94,11 @@
       }).sort((a, b) => a.rank - b.rank).map(({ target }) => target)
   }
 
+  /** Whether nothing may be sent to a target now. Its pause was asked for some time ago and tells nothing of the present. */
+  function isPaused (target: Target): boolean {
+    return directory.pauseRemaining(incarnationOf(target)) > 0
+  }
+
   /** Whether a service has any target that this VM could be cut off from. */
   function hasTargets (service: string): boolean {
     return directory.listed(service).some(({ isLeaving }) => !isLeaving)
@@ -156,7 +161,7 @@
   }
 
   async function retry (service: string): Promise<void> {
-    const targets = directory.listed(service)
+    const targets = directory.listed(service).filter(target => !isPaused(target))
     const target = targets[Math.floor(nextFloat() * targets.length)]
     if (!hasTargets(service) || (target !== undefined && await engines.isAnswering(target))) await startCheck(service)
   }
--- a/packages/relay/test/connection/engine-client.spec.ts
+++ b/packages/relay/test/connection/engine-client.spec.ts
@@ -62,4 +62,14 @@
   })
 }
 
+/** Guards against a pause that was asked for before and that counts as an answer now. */
+liveness('it has asked for a pause: nothing is sent, and it counts neither as answering nor as ended', async () => {
+  const targets = createTargetClient(PLAIN_DIALECT, { pauseRemaining: () => 5000, onSlowConnect () {}, onSend () {}, onAnswer () {} })
+  const engines = createEngineClient(PLAIN_DIALECT, targets)
+  const target = testTarget('t1', undefined, { address: '127.0.0.1:1' })
+  assert.is(await engines.probe(target, 150), ProbeResult.Withheld)
+  assert.equal([await engines.isAnswering(target), await engines.hasEnded(target), await engines.isReachable(target)], [false, false, true])
+  targets.close()
+})
+
 liveness.run()
--- a/packages/relay/test/process/suspicion/target-reach.spec.ts
+++ b/packages/relay/test/process/suspicion/target-reach.spec.ts
@@ -5,7 +5,7 @@
 import { install } from '@sinonjs/fake-timers'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { SILENT_RELAY_LOG, createDirectory, createTargetReach, type Directory, type Target, type TargetReach } from '@wigeonlead/relay'
+import { SILENT_RELAY_LOG, createDirectory, createTargetReach, incarnationOf, type Directory, type Target, type TargetReach } from '@wigeonlead/relay'
 import { createSeededRandom } from 'wigeonlead'
 import { testTarget } from '../../test-engine.js'
 
@@ -34,9 +34,10 @@
   const changes: boolean[] = []
   let tries = 0
   const engines = {
-    async isAnswering ({ id }: Target) {
+    async isAnswering (target: Target) {
+      assert.is(directory.pauseRemaining(incarnationOf(target)), 0, 'a paused target is not tried')
       tries += 1
-      return answering.has(id)
+      return answering.has(target.id)
     }
   }
   const reach = createTargetReach({
@@ -87,6 +88,23 @@
   })
 }
 
+/** Guards against a VM that is cut off and takes targets for reached that had asked for a pause before. */
+for (const { name, paused, isCutOff } of [
+  { name: 'half of its targets', paused: (index: number) => index % 2 === 1, isCutOff: true },
+  { name: 'all but three of its targets', paused: (index: number) => index > 2, isCutOff: true },
+  // Nothing can be tried, so nothing is learnt.
+  { name: 'all others', paused: (index: number) => index > 0, isCutOff: false }
+]) {
+  reaches(`no target of 33 answers, and ${name} had asked for a pause: the VM is ${isCutOff ? '' : 'not '}cut off`, async () => {
+    const stopped = new AbortController()
+    const { reach, directory, targets, answering } = createVm(33, 1, stopped.signal)
+    answering.clear()
+    for (const [index, target] of targets.entries()) if (paused(index)) directory.pause(incarnationOf(target), 60_000)
+    assert.is(await reach.check(targets[0]!), isCutOff)
+    stopped.abort()
+  })
+}
+
 /** Guards against a service that stays cut off for good, because it has no target left to try. */
 reaches('the entries of all lost targets lapse: the VM is not cut off from a service without targets', async () => {
   const clock = install({ toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval'] })
