Let the head of a refusal decide that a request has not run

Cause: the body of a refusal had to be proven whole like that of an answer. A refusal with Retry-After begins a pause by its head, so that nothing could be asked, and one without a length counted as an unknown outcome.

Change: a head that names the request and says that it was not run decides. The body is read and not used.

Evidence: 8 of 10 cases of refusals-without-length.spec failed before, and 10 hold.

--- a/packages/relay/src/request/whole.ts
+++ b/packages/relay/src/request/whole.ts
@@ -285,9 +285,15 @@
     }
     const { response, terms } = outcome
     const isNotRun = terms.isNotRun || response.statusCode === MISDIRECTED_STATUS
+    // The head says so, whatever becomes of the body.
+    if (isNotRun) send.state = SendState.ReportedNotRun
     const body = await readAnswer(response, ANSWER_BYTES_LIMIT, outcome.openHolding)
+    if (isNotRun) {
+      dependencies.load.recordAnswer(incarnationOf(target))
+      return { response, body, target, isNotRun }
+    }
     holdForCaller(request, body)
-    if (!isNotRun && (response.statusCode ?? 0) < 300 && !terms.isSealed) throw new Error('a successful answer without a seal')
+    if ((response.statusCode ?? 0) < 300 && !terms.isSealed) throw new Error('a successful answer without a seal')
     if (!await outcome.isEndConfirmed()) throw new Error('the connection was reset')
     if (!hasLength(response)) {
       // Another target answers sooner than this one may prove that it still runs.
@@ -297,11 +303,11 @@
       })
       if (state !== TargetState.Lives) throw new Error(`the body may be incomplete: target ${state}`)
     }
-    send.state = isNotRun ? SendState.ReportedNotRun : SendState.MayHaveRun
+    send.state = SendState.MayHaveRun
     dependencies.load.recordAnswer(incarnationOf(target))
     return { response, body, target, isNotRun }
   } catch (error) {
-    send.state = SendState.MayHaveRun
+    if (send.state !== SendState.ReportedNotRun) send.state = SendState.MayHaveRun
     handleFailedSend(request, dependencies, target, SendResult.Unknown, (error as Error).message, abortController.signal.aborted)
     return {
       reason: `no complete valid answer from target ${target.id}: ${(error as Error).message}`,
