Forget what a failure domain lacked once it has had no card for a while

Found by reading the diff: since when a failure domain had only empty cards, or could not hold the model alone, outlived its last card. Cards that came back later were laid out without waiting for each other.

--- a/packages/relay/src/process/index.ts
+++ b/packages/relay/src/process/index.ts
@@ -22,6 +22,7 @@
 export { createCoordinatorDuty, type CoordinatorDuty, type CoordinatorDutyTerms } from './placement/coordinator-duty.js'
 export { createCoordinatorLease, type CoordinatorLease } from './placement/lease.js'
 export { createPlanner, type Planner } from './placement/planner.js'
+export { createServiceCards, type ServiceCards } from './placement/service-cards.js'
 export { gapsOf, planChain, type Card, type LayerSpan, type Placement } from './placement/cards.js'
 export { isUnderReplicated, planInitial, planRepair, type LayoutStability } from './placement/plan.js'
 export { RelayEvent, SILENT_RELAY_LOG, createRelayLog, type RelayLog, type RelayLogFields } from './relay-log.js'
--- a/packages/relay/src/process/placement/service-cards.ts
+++ b/packages/relay/src/process/placement/service-cards.ts
@@ -115,6 +115,14 @@
       seenCards.delete(incarnation)
       domainOf(failureDomain).lastChangeAt = now
     }
+    forgetEmptyDomains(new Set(targets.map(({ failureDomain }) => failureDomain)))
+  }
+
+  /** Forgets failure domains that have had no card for a while: cards that come later wait for each other anew. */
+  function forgetEmptyDomains (present: ReadonlySet<string>): void {
+    for (const [failureDomain, { lastChangeAt }] of seenDomains) {
+      if (!present.has(failureDomain) && hasElapsed(lastChangeAt, BALANCE_DELAY_MILLISECONDS)) seenDomains.delete(failureDomain)
+    }
   }
 
   /** Records since when each failure domain lacks something. Domains that share a chain lack what all of them lack. */
--- a/packages/relay/test/process/placed-services.spec.ts
+++ b/packages/relay/test/process/placed-services.spec.ts
@@ -7,8 +7,8 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import {
-  OrderResult, SILENT_RELAY_LOG, createDirectory, createPlanner, gapsOf, type AcceleratorKind, type Directory, type EngineClient,
-  type EngineProfile, type PlaceOrder, type Service, type Target
+  OrderResult, SILENT_RELAY_LOG, createDirectory, createPlanner, createServiceCards, gapsOf, type AcceleratorKind, type Directory,
+  type EngineClient, type EngineProfile, type PlaceOrder, type Service, type Target
 } from '@wigeonlead/relay'
 import { testConfiguration, testConfigurationState } from '../test-configuration.js'
 import { LARGE, testEngine, testTarget } from '../test-engine.js'
@@ -194,4 +194,30 @@
   }))
 }
 
+/** Guards against cards that are laid out without waiting for each other, because of what their failure domain lacked long before. */
+placed('a failure domain loses all its cards: those that come later wait anew', () => {
+  const clock = install({ toFake: ['performance'] })
+  try {
+    const serviceCards = createServiceCards()
+    const card = testTarget('t1', undefined, { acceleratorKind: 'half' })
+    const step = (...targets: Target[]): void => {
+      serviceCards.track(targets)
+      if (targets.length > 0) serviceCards.toCards(targets, PROFILE)
+    }
+    step(card)
+    clock.tick(7000)
+    step(card)
+    assert.ok(serviceCards.stability.mayShare('east'))
+    step()
+    clock.tick(60_000)
+    step()
+    step({ ...card, bornAtMilliseconds: 2 })
+    clock.tick(1000)
+    assert.not(serviceCards.stability.isSettled('east'))
+    assert.not(serviceCards.stability.mayShare('east'))
+  } finally {
+    clock.uninstall()
+  }
+})
+
 placed.run()
