Count a caller that leaves while an end is judged as one that left

A caller may leave while the relay waits for proof that an answer without a length is whole. The run then counted as broken, and its target was asked whether it had ended. It counts as left by its caller now, as at any other moment.

--- a/packages/relay/src/request/forward-events.ts
+++ b/packages/relay/src/request/forward-events.ts
@@ -101,6 +101,7 @@
     async function judgeEnd (): Promise<void> {
       const [isConfirmed, state] = await Promise.all([answer.isEndConfirmed(), stateOfSender()])
       if (isFinished) return
+      if (request.exchange.callerLeft.aborted) return finish(RunEnd.CallerLeft, abortReason())
       if (isConfirmed && state === TargetState.Lives) return finishComplete()
       if (!isConfirmed) progress.unprovenEnd = undefined
       finish(RunEnd.Broken, isConfirmed ? `the answer may be incomplete: target ${state}` : 'the connection was reset')
