Share a chain for repairs only where no failure domain can hold the model

Suspected cause, not shown: failure domains that can't hold the model alone joined each other for repairs and got orders, although others held the model.

Change: they join only where no failure domain can hold the model alone, which is the case that mends. Elsewhere repairs are as before it.

--- a/packages/relay/src/process/placement/plan.ts
+++ b/packages/relay/src/process/placement/plan.ts
@@ -52,6 +52,12 @@
   })
 }
 
+/** @returns the groups that are repaired: failure domains share a chain only where none can hold the model alone. */
+export function repairGroupsOf (cards: readonly Card[], profile: EngineProfile, mayShare: (failureDomain: string) => boolean): CardGroup[] {
+  const alone = groupsOf(cards, profile, () => false)
+  return alone.some(group => canHold(group.cards, profile)) ? alone : groupsOf(cards, profile, mayShare)
+}
+
 /** Whether cards can hold all layers of the model. */
 export function canHold (cards: readonly Card[], profile: EngineProfile): boolean {
   return sumOf(cards, card => maxLayers(card.kind, profile)) >= profile.layers
@@ -88,7 +94,7 @@
 /** Decides which cards change their layers after cards were lost or have joined. */
 export function planRepair (cards: readonly Card[], profile: EngineProfile, stability: LayoutStability): Placement[] {
   const loads = createLoadBudget(cards, profile)
-  return groupsOf(cards, profile, stability.mayShare).flatMap(group => {
+  return repairGroupsOf(cards, profile, stability.mayShare).flatMap(group => {
     const { domains, cards: groupCards } = group
     if (!canHold(groupCards, profile)) return []
     if (groupCards.every(card => card.held === undefined)) return domains.every(stability.isSettled) ? layOut(group, profile) : []
--- a/packages/relay/src/process/placement/service-cards.ts
+++ b/packages/relay/src/process/placement/service-cards.ts
@@ -6,7 +6,7 @@
 import { incarnationOf, type Target } from '../../version/target.js'
 import { kindOf } from '../routing/stage-cost.js'
 import { gapsOf, type Card, type LayerSpan } from './cards.js'
-import { canHold, groupsOf, isUnderReplicated, type LayoutStability } from './plan.js'
+import { canHold, isUnderReplicated, repairGroupsOf, type LayoutStability } from './plan.js'
 
 /** The cards of one service over time. */
 export interface ServiceCards {
@@ -127,7 +127,7 @@
 
   /** Records since when each failure domain lacks something. Domains that share a chain lack what all of them lack. */
   function trackGaps (cards: readonly Card[], profile: EngineProfile, now: number): void {
-    for (const group of groupsOf(cards, profile, stability.mayShare)) {
+    for (const group of repairGroupsOf(cards, profile, stability.mayShare)) {
       const hasGap = gapsOf(group.cards, profile.layers).length > 0
       const isLacking = isUnderReplicated(group.cards, profile)
       for (const failureDomain of group.domains) {
